--- /dev/null
+++ b/crates/hyssopctl/src/cmd/demo.rs
@@ -0,0 +1,219 @@
+//! `hyssopctl demo`.
+
+use crate::{
+    Error,
+    lab::{
+        Plan, Report, Site,
+        load::{Item, Load, Outcome, submit},
+        report::Traffic,
+    },
+    util,
+};
+use lexopt::{Arg, Parser, ValueExt};
+use std::{
+    io::Write,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use tokio::task::JoinSet;
+
+/// Usage of the command.
+pub const USAGE: &str = "\
+Runs a whole site in one process, over real loopback sockets, and submits jobs
+in Folia's shape to it.
+
+Usage:
+    hyssopctl demo [--site NAME] [--jobs N] [--load SHARE] [--seed N]
+                   [--policy NAME]
+
+The site has one entry a failure domain, a dozen sides and worker stand-ins
+that wait instead of work, and a stand-in for the platform's key-value service.
+Delays between domains and callers are those of the site. Prints the first
+answers, response time against the ideal, and messages a task.
+
+Options:
+        --site NAME     folia (default) or jadran.
+    -j, --jobs N        Number of jobs; 300 by default.
+    -l, --load SHARE    Share of the slots to keep busy; 0.6 by default.
+    -p, --policy NAME   Placement policy; late-binding by default.
+        --seed N        Seed of the jobs and of the entries; 1 by default.
+    -h, --help          Print this text.
+
+Example:
+    hyssopctl demo --jobs 500 --load 0.8
+";
+
+const DEFAULT_JOBS: usize = 300;
+const DEFAULT_LOAD: f64 = 0.6;
+
+/// Longest run from which jobs are drawn.
+const LONGEST: Duration = Duration::from_hours(1);
+
+/// Answers printed.
+const SHOWN: usize = 3;
+
+/// Longest part of an answer printed, in characters.
+const SHOWN_CHARACTERS: usize = 150;
+
+/// Interval between progress lines.
+const PROGRESS: Duration = Duration::from_millis(500);
+
+#[derive(Debug)]
+struct Arguments {
+    plan: Plan,
+    jobs: usize,
+    load: f64,
+    policy: String,
+    seed: u64,
+}
+
+/// Runs the command.
+pub fn run(parser: Parser) -> Result<(), Error> {
+    let Some(arguments) = parse(parser)? else {
+        print!("{USAGE}");
+        return Ok(());
+    };
+    util::block_on(demo(arguments))
+}
+
+async fn demo(arguments: Arguments) -> Result<(), Error> {
+    let plan = arguments.plan;
+    println!(
+        "site {}: {} entries, {} workers of {} slots; policy {}, seed {}",
+        plan.environment,
+        plan.domains.len(),
+        plan.workers,
+        plan.slots,
+        arguments.policy,
+        arguments.seed
+    );
+    let site = Site::spawn(plan.clone(), &arguments.policy, arguments.seed).await?;
+    show_answers(&site).await?;
+    let mut items = Load::steady(arguments.load, LONGEST, arguments.seed).draw(&plan);
+    items.truncate(arguments.jobs);
+    let before = Traffic::read(&site).await?;
+    let outcomes = submit_all(&site, items).await?;
+    let traffic = Traffic::read(&site).await?.since(before);
+    let report = Report::new(&outcomes, traffic, &site);
+    print_report(&report);
+    report.check()
+}
+
+/// Submits one small job of each kind and prints its answer.
+async fn show_answers(site: &Site) -> Result<(), Error> {
+    let client = site.client(0)?;
+    for kind in site.plan.kinds.iter().take(SHOWN) {
+        let tasks = (0..2).map(|index| {
+            serde_json::json!({ "task": format!("{}-{index}", kind.name), "ms": kind.run_ms.0 })
+        });
+        let job = crate::client::Job {
+            service: site.plan.service.clone(),
+            ticket: client.tickets(1).await?.pop(),
+            kind: kind.name.to_owned(),
+            team: None,
+            deadline_ms: None,
+            tasks: tasks.collect(),
+        };
+        let answer = serde_json::to_string(&client.submit(&job).await?)?;
+        let shown: String = answer.chars().take(SHOWN_CHARACTERS).collect();
+        println!("{:>12}: {shown}...", kind.name);
+    }
+    Ok(())
+}
+
+async fn submit_all(site: &Site, items: Vec<Item>) -> Result<Vec<Outcome>, Error> {
+    let total = items.len();
+    let ended = Arc::new(AtomicUsize::new(0));
+    let clients: Result<Vec<_>, _> = (0..site.entries.len())
+        .map(|index| site.client(index))
+        .collect();
+    let clients = clients?;
+    let start = Instant::now();
+    let progress = tokio::spawn(show_progress(ended.clone(), total));
+    let mut running = JoinSet::new();
+    for (number, item) in items.into_iter().enumerate() {
+        tokio::time::sleep_until((start + item.at).into()).await;
+        let client = clients[number % clients.len()].clone();
+        let ended = ended.clone();
+        running.spawn(async move {
+            let ticket = if item.repeatable {
+                None
+            } else {
+                client
+                    .tickets(1)
+                    .await
+                    .ok()
+                    .and_then(|mut tickets| tickets.pop())
+            };
+            let outcome = submit(&client, &item, ticket, start).await;
+            ended.fetch_add(1, Ordering::Relaxed);
+            outcome
+        });
+    }
+    let outcomes = running.join_all().await;
+    progress.abort();
+    println!(
+        "\r{total} of {total} jobs in {:.1} s",
+        start.elapsed().as_secs_f64()
+    );
+    Ok(outcomes)
+}
+
+async fn show_progress(ended: Arc<AtomicUsize>, total: usize) {
+    loop {
+        print!("\r{} of {total} jobs", ended.load(Ordering::Relaxed));
+        // Progress is for the eye only.
+        let _ = std::io::stdout().flush();
+        tokio::time::sleep(PROGRESS).await;
+    }
+}
+
+fn print_report(report: &Report) {
+    println!(
+        "jobs complete        {} of {}",
+        report.complete, report.jobs
+    );
+    println!("failures by code     {:?}", report.failures);
+    println!(
+        "response / ideal     p50 {:.3}  p99 {:.3}  p99.9 {:.3}",
+        report.ratio_p50, report.ratio_p99, report.ratio_p999
+    );
+    println!("messages a task      {:.2}", report.messages_per_task);
+    println!("wasted messages      {:.2} %", report.wasted_share * 100.0);
+    println!(
+        "tasks started        {}, twice {}",
+        report.started, report.double_starts
+    );
+    println!("partial answers      {}", report.partial);
+}
+
+fn parse(mut parser: Parser) -> Result<Option<Arguments>, lexopt::Error> {
+    let mut arguments = Arguments {
+        plan: Plan::folia(),
+        jobs: DEFAULT_JOBS,
+        load: DEFAULT_LOAD,
+        policy: policies::DEFAULT.to_owned(),
+        seed: 1,
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            Arg::Long("site") => {
+                let name = parser.value()?.string()?;
+                arguments.plan = Plan::find(&name).ok_or("--site: folia or jadran")?;
+            }
+            Arg::Short('j') | Arg::Long("jobs") => arguments.jobs = parser.value()?.parse()?,
+            Arg::Short('l') | Arg::Long("load") => arguments.load = parser.value()?.parse()?,
+            Arg::Short('p') | Arg::Long("policy") => arguments.policy = parser.value()?.string()?,
+            Arg::Long("seed") => arguments.seed = parser.value()?.parse()?,
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    if !(arguments.load > 0.0 && arguments.load <= 10.0) {
+        return Err("--load: a share above 0 and up to 10".into());
+    }
+    Ok(Some(arguments))
+}
--- /dev/null
+++ b/crates/hyssopctl/src/cmd/mod.rs
@@ -0,0 +1,5 @@
+//! The commands, a file each.
+
+pub mod check;
+pub mod demo;
+pub mod submit;
--- /dev/null
+++ b/crates/hyssopctl/src/error.rs
@@ -0,0 +1,79 @@
+//! Errors that end a command.
+
+use kernel::ini::Faults;
+use std::{io, path::PathBuf};
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The command line is wrong.
+    #[error("{0}")]
+    Arguments(#[from] lexopt::Error),
+    /// A file could not be read or written.
+    #[error("{file:?}: {source}")]
+    File {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// A document or settings file has faults.
+    #[error("{}", describe(file, faults))]
+    Faults {
+        /// The file.
+        file: PathBuf,
+        /// All its faults.
+        faults: Faults,
+    },
+    /// An input or output operation failed.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// A process of the system could not start.
+    #[error("{0}")]
+    Process(#[from] hyssoppost::Error),
+    /// An HTTP call failed.
+    #[error("{0}")]
+    Http(#[from] reqwest::Error),
+    /// A JSON document could not be read.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    /// The store did not answer.
+    #[error("{0}")]
+    Store(#[from] platform::Error),
+    /// A change could not be published.
+    #[error("{0}")]
+    Publication(#[from] platform::publication::Error<platform::Error>),
+    /// A job failed.
+    #[error("job failed: {0}")]
+    Job(String),
+    /// A run broke a promise or missed its bound.
+    #[error("{0}")]
+    Broken(String),
+}
+
+impl Error {
+    /// Returns the exit code.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Arguments(_) => 2,
+            Self::File { .. } | Self::Faults { .. } | Self::Json(_) => 3,
+            Self::Io(_)
+            | Self::Process(_)
+            | Self::Http(_)
+            | Self::Store(_)
+            | Self::Publication(platform::publication::Error::Store(_)) => 4,
+            Self::Publication(_) => 5,
+            Self::Job(_) => 6,
+            Self::Broken(_) => 7,
+        }
+    }
+}
+
+fn describe(file: &std::path::Path, faults: &Faults) -> String {
+    let lines: Vec<String> = faults
+        .0
+        .iter()
+        .map(|fault| format!("file=\"{}\" {fault}", file.display()))
+        .collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/hyssopctl/src/lab/mod.rs
@@ -0,0 +1,11 @@
+//! A whole site in one process, over real loopback sockets: entries, sides,
+//! worker stand-ins, a store stand-in, and relays that imitate the network.
+
+pub mod load;
+pub mod plan;
+pub mod report;
+pub mod site;
+
+pub use plan::Plan;
+pub use report::Report;
+pub use site::Site;
--- /dev/null
+++ b/crates/hyssopctl/src/lab/site.rs
@@ -0,0 +1,323 @@
+//! A running site.
+
+use super::plan::Plan;
+use crate::{Error, client, util};
+use hyssoppost::{entry, settings, side};
+use kernel::policy::Plugin;
+use platform::{
+    gateway,
+    publication::{self, Change, Record},
+};
+use serde_json::Value;
+use standin::{
+    relay::Relay,
+    store::Store,
+    timer::Timer,
+    worker::{Audit, Profile, Worker},
+};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+/// Token of the admin interfaces.
+pub const TOKEN: &str = "lab-admin-token";
+
+/// Key shared by the processes.
+const KEY: &str = "lab-shared-key-0001";
+
+/// Time that a site has to start.
+const START: Duration = Duration::from_secs(10);
+
+/// An entry with the network before it.
+#[derive(Debug)]
+pub struct Entry {
+    /// The running process; `None` while it is down.
+    pub handle: Option<entry::Handle>,
+    /// The network between callers and the entry.
+    pub callers: Relay,
+    /// The network between other entries and this one.
+    pub peers: Relay,
+    /// The network between each side and the entry, in the order of sides.
+    pub sides: Vec<Relay>,
+}
+
+/// A side and the worker that it stands beside.
+#[derive(Debug)]
+pub struct Place {
+    /// The running side; `None` while it is down.
+    pub side: Option<side::Handle>,
+    /// The worker.
+    pub worker: Worker,
+    /// The worker's name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+}
+
+/// A running site.
+#[derive(Debug)]
+pub struct Site {
+    /// What it looks like.
+    pub plan: Plan,
+    /// The platform's store.
+    pub store: Store,
+    /// A client of the store, as operators use it.
+    pub operator: gateway::Client,
+    /// One entry a domain.
+    pub entries: Vec<Entry>,
+    /// Sides and workers.
+    pub places: Vec<Place>,
+    /// Starts of all tasks.
+    pub audit: Audit,
+    policy: &'static Plugin,
+    seed: u64,
+    timer: Timer,
+}
+
+impl Site {
+    /// Starts a site and waits until every entry sees every side.
+    pub async fn spawn(plan: Plan, policy: &str, seed: u64) -> Result<Self, Error> {
+        let policy = Plugin::find(policy).ok_or_else(|| unknown_policy(policy))?;
+        let store = Store::bind().await?;
+        let operator = gateway::Client::open(&store.address().to_string())?;
+        let mut site = Self {
+            plan,
+            store,
+            operator,
+            entries: Vec::new(),
+            places: Vec::new(),
+            audit: Audit::default(),
+            policy,
+            seed,
+            timer: Timer::spawn(),
+        };
+        site.publish(&[], "start").await?;
+        for index in 0..site.plan.domains.len() {
+            let entry = site.new_entry(index).await?;
+            site.entries.push(entry);
+            site.start_entry(index).await?;
+        }
+        for index in 0..site.plan.workers {
+            let place = site.new_place(index).await?;
+            site.places.push(place);
+        }
+        site.wait_ready().await?;
+        Ok(site)
+    }
+
+    /// Puts the site's document in force with some domains out of service.
+    pub async fn publish(&self, out: &[&str], change: &str) -> Result<Record, Error> {
+        let environment = &self.plan.environment;
+        let base = publication::read(&self.operator, environment).await?;
+        let text = self.plan.document(out);
+        let change = Change {
+            id: change,
+            author: "lab",
+            time: util::unix_time().as_secs(),
+            text: &text,
+        };
+        Ok(publication::publish(&self.operator, environment, base.as_ref(), change).await?)
+    }
+
+    /// Starts an entry's process, for the first time or again.
+    pub async fn start_entry(&mut self, index: usize) -> Result<(), Error> {
+        let settings = self.entry_settings(index)?;
+        let handle = entry::spawn(settings).await?;
+        let entry = &mut self.entries[index];
+        entry.callers.aim(Some(handle.callers()));
+        entry.peers.aim(Some(handle.links()));
+        for relay in &entry.sides {
+            relay.aim(Some(handle.links()));
+        }
+        entry.handle = Some(handle);
+        Ok(())
+    }
+
+    /// Ends an entry's process as a crash would.
+    pub fn kill_entry(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        entry.callers.aim(None);
+        entry.peers.aim(None);
+        for relay in &entry.sides {
+            relay.aim(None);
+        }
+        if let Some(handle) = entry.handle.take() {
+            handle.kill();
+        }
+    }
+
+    /// Starts a side's process again; its worker stays.
+    pub async fn start_side(&mut self, index: usize) -> Result<(), Error> {
+        let handle = side::spawn(self.side_settings(index)?).await?;
+        let place = &mut self.places[index];
+        place.worker.attach(handle.upstream());
+        place.side = Some(handle);
+        Ok(())
+    }
+
+    /// Ends a side's process as a crash would.
+    pub fn kill_side(&mut self, index: usize) {
+        if let Some(handle) = self.places[index].side.take() {
+            handle.kill();
+        }
+    }
+
+    /// Returns a client of an entry, through the callers' network.
+    pub fn client(&self, index: usize) -> Result<client::Client, Error> {
+        client::Client::open(self.entries[index].callers.address())
+    }
+
+    /// Returns the names of a domain's workers.
+    pub fn workers_of(&self, domain: &str) -> Vec<String> {
+        self.places
+            .iter()
+            .filter(|place| place.domain == domain)
+            .map(|place| place.name.clone())
+            .collect()
+    }
+
+    /// Returns the dumps of all running processes: entries, then sides.
+    pub async fn dumps(&self) -> Result<(Vec<Value>, Vec<Value>), Error> {
+        let mut entries = Vec::new();
+        for entry in self
+            .entries
+            .iter()
+            .filter_map(|entry| entry.handle.as_ref())
+        {
+            entries.push(client::dump(entry.admin(), TOKEN).await?);
+        }
+        let mut sides = Vec::new();
+        for side in self.places.iter().filter_map(|place| place.side.as_ref()) {
+            sides.push(client::dump(side.admin(), TOKEN).await?);
+        }
+        Ok((entries, sides))
+    }
+
+    /// Waits until every running entry may place tasks on every running side.
+    pub async fn wait_ready(&self) -> Result<(), Error> {
+        let begun = Instant::now();
+        let wanted = self
+            .places
+            .iter()
+            .filter(|place| place.side.is_some())
+            .count();
+        while begun.elapsed() < START {
+            let (entries, sides) = self.dumps().await?;
+            let up = |entry: &Value| {
+                let sides = entry["sides"].as_array().map_or(&[][..], Vec::as_slice);
+                sides.iter().filter(|side| is_up(side)).count() >= wanted
+            };
+            let vouched = |side: &Value| side["may_start"] == Value::Bool(true);
+            if entries.iter().all(up) && sides.iter().all(vouched) {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Err(Error::Broken("the site did not start in time".to_owned()))
+    }
+
+    async fn new_entry(&self, index: usize) -> Result<Entry, Error> {
+        let own = &self.plan.domains[index];
+        let mut sides = Vec::new();
+        for worker in 0..self.plan.workers {
+            let same = self.plan.domains[self.plan.domain_of(worker)] == *own;
+            let delay = if same {
+                Duration::ZERO
+            } else {
+                self.plan.domain_delay
+            };
+            sides.push(Relay::bind(delay, &self.timer).await?);
+        }
+        Ok(Entry {
+            handle: None,
+            callers: Relay::bind(self.plan.caller_delay, &self.timer).await?,
+            peers: Relay::bind(self.plan.domain_delay, &self.timer).await?,
+            sides,
+        })
+    }
+
+    async fn new_place(&self, index: usize) -> Result<Place, Error> {
+        let handle = side::spawn(self.side_settings(index)?).await?;
+        let name = worker_name(index);
+        let profile = Profile {
+            name: name.clone(),
+            service: self.plan.service.clone(),
+            kinds: self
+                .plan
+                .kinds
+                .iter()
+                .map(|kind| kind.name.to_owned())
+                .collect(),
+            slots: self.plan.slots,
+        };
+        let worker = Worker::bind(profile, handle.upstream(), &self.audit, &self.timer).await?;
+        Ok(Place {
+            side: Some(handle),
+            worker,
+            name,
+            domain: self.plan.domains[self.plan.domain_of(index)].clone(),
+        })
+    }
+
+    fn entry_settings(&self, index: usize) -> Result<settings::Entry, Error> {
+        let domain = &self.plan.domains[index];
+        let text = format!(
+            "[entry]\nname = entry-{domain}\nenvironment = {}\ndomain = {domain}\n\n\
+             [listen]\ncallers = 127.0.0.1:0\nlinks = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
+             advertise = {}\n\n[store]\naddress = {}\n\n\
+             [security]\nkey = {KEY}\nadmin_token = {TOKEN}\n\n\
+             [policy]\nname = {}\nseed = {}\n",
+            self.plan.environment,
+            self.entries[index].peers.address(),
+            self.store.address(),
+            self.policy.name,
+            self.seed + index as u64,
+        );
+        settings::Entry::parse(&text).map_err(|faults| Error::Faults {
+            file: "lab".into(),
+            faults,
+        })
+    }
+
+    fn side_settings(&self, index: usize) -> Result<settings::Side, Error> {
+        let domain = &self.plan.domains[self.plan.domain_of(index)];
+        let seeds: Vec<String> = self
+            .entries
+            .iter()
+            .map(|entry| entry.sides[index].address().to_string())
+            .collect();
+        let text = format!(
+            "[side]\nname = side-{index}\nenvironment = {}\ndomain = {domain}\nrack = {}\n\n\
+             [listen]\nupstream = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\n\
+             [security]\nkey = {KEY}\nadmin_token = {TOKEN}\n\n\
+             [entries]\nseeds = {}\ndiscover = no\n",
+            self.plan.environment,
+            self.plan.rack_of(index),
+            seeds.join(", "),
+        );
+        settings::Side::parse(&text).map_err(|faults| Error::Faults {
+            file: "lab".into(),
+            faults,
+        })
+    }
+}
+
+/// Returns a worker's name for the audit.
+pub fn worker_name(index: usize) -> String {
+    format!("worker-{index}")
+}
+
+/// Returns the loopback address of an entry's callers' interface.
+pub fn callers(entry: &Entry) -> SocketAddr {
+    entry.callers.address()
+}
+
+fn is_up(side: &Value) -> bool {
+    side["link"] == "up" && side["allowed"] == Value::Bool(true) && side["slots"] != 0
+}
+
+fn unknown_policy(name: &str) -> Error {
+    let names: Vec<&str> = Plugin::all().map(|plugin| plugin.name).collect();
+    Error::Broken(format!("policy {name:?} is none of {}", names.join(", ")))
+}
--- /dev/null
+++ b/crates/hyssopctl/src/lib.rs
@@ -0,0 +1,9 @@
+//! The operators' and callers' tool.
+
+pub mod client;
+pub mod cmd;
+pub mod error;
+pub mod lab;
+pub mod util;
+
+pub use error::Error;
--- /dev/null
+++ b/crates/hyssopctl/src/main.rs
@@ -0,0 +1,55 @@
+//! The operators' and callers' tool.
+
+use hyssopctl::{Error, cmd};
+use lexopt::{Arg, Parser, ValueExt};
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+Operates hyssoppost and submits jobs to it.
+
+Usage:
+    hyssopctl COMMAND [OPTIONS]
+    hyssopctl COMMAND --help
+    hyssopctl --help | --version
+
+Commands:
+    check    Check an environment's document offline.
+    demo     Run a whole site in one process and submit jobs to it.
+    submit   Submit jobs and print their answers.
+
+Exit codes: 0 done, 2 arguments, 3 a file's content, 4 system or network,
+5 a conflicting change, 6 a job failed, 7 a promise broken.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run() -> Result<(), Error> {
+    let mut parser = Parser::from_env();
+    let command = match parser.next()? {
+        None => return Err(lexopt::Error::from("missing command; see --help").into()),
+        Some(Arg::Short('h') | Arg::Long("help")) => {
+            print!("{USAGE}");
+            return Ok(());
+        }
+        Some(Arg::Short('V') | Arg::Long("version")) => {
+            println!("hyssopctl {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        Some(Arg::Value(value)) => value.string()?,
+        Some(argument) => return Err(argument.unexpected().into()),
+    };
+    match command.as_str() {
+        "check" => cmd::check::run(parser),
+        "demo" => cmd::demo::run(parser),
+        "submit" => cmd::submit::run(parser),
+        other => Err(lexopt::Error::from(format!("unknown command {other:?}; see --help")).into()),
+    }
+}
--- /dev/null
+++ b/crates/hyssopctl/src/util.rs
@@ -0,0 +1,45 @@
+//! Small helpers that commands share.
+
+use crate::Error;
+use std::{
+    fs,
+    io::Read,
+    path::Path,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// Reads a file, or standard input for `-`.
+pub fn read_input(path: &Path) -> Result<String, Error> {
+    if path == Path::new("-") {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text)?;
+        return Ok(text);
+    }
+    fs::read_to_string(path).map_err(|source| Error::File {
+        file: path.to_owned(),
+        source,
+    })
+}
+
+/// Writes a file.
+pub fn write_output(path: &Path, bytes: &[u8]) -> Result<(), Error> {
+    fs::write(path, bytes).map_err(|source| Error::File {
+        file: path.to_owned(),
+        source,
+    })
+}
+
+/// Returns the time since the Unix epoch.
+pub fn unix_time() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+/// Runs a future on a runtime of its own.
+pub fn block_on<T>(future: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(future)
+}
--- /dev/null
+++ b/crates/hyssoppost/src/entry/callers.rs
@@ -0,0 +1,313 @@
+//! The callers' HTTP interface.
+
+use super::{Call, Event, Phase, Status};
+use crate::{Error, http, settings};
+use kernel::work::failed;
+use poem::{
+    Body, EndpointExt, IntoResponse, Request, Response, Route, get, handler,
+    http::StatusCode,
+    post,
+    web::{Data, Json, Path},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+use wire::{
+    Code, Payload,
+    frame::{Answer, Failure, Request as Ask, Started, Submission},
+    id::Job,
+    proof::Keyring,
+};
+
+/// Most tickets issued at once.
+const MAX_TICKETS: u16 = 1_000;
+
+/// Milliseconds in a second, for the Retry-After header.
+const SECOND_MS: u32 = 1_000;
+
+#[derive(Debug)]
+struct Shared {
+    events: mpsc::Sender<Event>,
+    status: watch::Receiver<Status>,
+    keys: Keyring,
+    body_bytes: usize,
+    numbers: AtomicU64,
+}
+
+/// A job as callers write it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Document<'a> {
+    ticket: Option<String>,
+    kind: String,
+    team: Option<String>,
+    repeatable: Option<bool>,
+    deadline_ms: Option<i64>,
+    #[serde(borrow)]
+    tasks: Vec<&'a RawValue>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TicketRequest {
+    count: u16,
+}
+
+#[derive(Debug, Serialize)]
+struct Tickets {
+    tickets: Vec<String>,
+    expires: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Whole<'a> {
+    ticket: Option<String>,
+    state: &'static str,
+    code: u16,
+    answers: Vec<&'a RawValue>,
+}
+
+#[derive(Debug, Serialize)]
+struct Failed<'a> {
+    ticket: Option<String>,
+    state: &'static str,
+    code: u16,
+    name: &'static str,
+    ran: &'static str,
+    retry_after_ms: u32,
+    detail: &'a str,
+}
+
+pub(super) async fn bind(
+    settings: &settings::Entry,
+    events: mpsc::Sender<Event>,
+    status: watch::Receiver<Status>,
+) -> Result<http::Handle, Error> {
+    let shared = Arc::new(Shared {
+        events,
+        status,
+        keys: settings.common.keys.clone(),
+        body_bytes: settings.body_bytes,
+        numbers: AtomicU64::new(0),
+    });
+    let app = Route::new()
+        .at("/v1/tickets", post(tickets))
+        .at("/v1/services/:service/jobs", post(submit))
+        .at("/v1/jobs/:ticket", get(fetch).delete(cancel))
+        .at("/healthz", get(health))
+        .data(shared);
+    http::bind(settings.callers, settings.common.drain, app).await
+}
+
+#[handler]
+async fn submit(
+    Path(service): Path<String>,
+    request: &Request,
+    body: Body,
+    shared: Data<&Arc<Shared>>,
+) -> Response {
+    let Ok(body) = body.into_bytes_limit(shared.body_bytes).await else {
+        return refuse(Code::BodyTooLarge, Code::BodyTooLarge.meaning());
+    };
+    let document: Document<'_> = match serde_json::from_slice(&body) {
+        Ok(document) => document,
+        Err(error) => return refuse(Code::MalformedJob, &error.to_string()),
+    };
+    let job = match &document.ticket {
+        Some(text) => match shared.keys.unseal(text) {
+            Some(job) => Some(job),
+            None => return refuse(Code::BadTicket, Code::BadTicket.meaning()),
+        },
+        None => None,
+    };
+    let keyed = request.header("idempotency-key").is_some();
+    if job.is_none() && (keyed || document.repeatable == Some(false)) {
+        return refuse(Code::TicketRequired, Code::TicketRequired.meaning());
+    }
+    let submission = document.into_submission(service);
+    shared.ask(job, Ask::Submit(submission)).await
+}
+
+impl Document<'_> {
+    fn into_submission(self, service: String) -> Submission {
+        let deadline = match self.deadline_ms {
+            // The document's limit applies to jobs that state none.
+            None => u32::MAX,
+            Some(deadline) => u32::try_from(deadline.max(0)).unwrap_or(u32::MAX),
+        };
+        Submission {
+            service,
+            kind: self.kind,
+            team: self.team.unwrap_or_default(),
+            deadline,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|task| Payload::from(task.get()))
+                .collect(),
+        }
+    }
+}
+
+#[handler]
+async fn fetch(Path(ticket): Path<String>, shared: Data<&Arc<Shared>>) -> Response {
+    shared.ask_by_ticket(&ticket, Ask::Answer).await
+}
+
+#[handler]
+async fn cancel(Path(ticket): Path<String>, shared: Data<&Arc<Shared>>) -> Response {
+    shared.ask_by_ticket(&ticket, Ask::Cancel).await
+}
+
+#[handler]
+async fn tickets(Json(request): Json<TicketRequest>, shared: Data<&Arc<Shared>>) -> Response {
+    let phase = shared.status.borrow().phase;
+    if matches!(phase, Phase::Leaving | Phase::Retired) {
+        return refuse(Code::Draining, Code::Draining.meaning());
+    }
+    let count = request.count.clamp(1, MAX_TICKETS);
+    let (reply, issued) = oneshot::channel();
+    let sent = shared.events.send(Event::Tickets(count, reply)).await;
+    let (Ok(()), Ok(jobs)) = (sent, issued.await) else {
+        return refuse(Code::Draining, Code::Draining.meaning());
+    };
+    let tickets = Tickets {
+        tickets: jobs.iter().map(|job| shared.keys.seal(*job)).collect(),
+        expires: jobs.first().map_or(0, |job| job.expires),
+    };
+    Json(tickets).into_response()
+}
+
+#[handler]
+fn health(Data(shared): Data<&Arc<Shared>>) -> StatusCode {
+    match shared.status.borrow().phase {
+        Phase::Ready => StatusCode::OK,
+        Phase::Waiting | Phase::Leaving | Phase::Retired => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Tells the process's task when the caller goes away before its answer.
+struct Presence<'a> {
+    events: &'a mpsc::Sender<Event>,
+    number: Option<u64>,
+}
+
+impl Drop for Presence<'_> {
+    fn drop(&mut self) {
+        if let Some(number) = self.number {
+            // If the inbox is full the answer finds no receiver, which is
+            // harmless.
+            let _ = self.events.try_send(Event::Gone(number));
+        }
+    }
+}
+
+impl Shared {
+    async fn ask_by_ticket(&self, ticket: &str, request: Ask) -> Response {
+        match self.keys.unseal(ticket) {
+            Some(job) => self.ask(Some(job), request).await,
+            None => refuse(Code::BadTicket, Code::BadTicket.meaning()),
+        }
+    }
+
+    async fn ask(&self, job: Option<Job>, request: Ask) -> Response {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let (reply, answered) = oneshot::channel();
+        let call = Call {
+            job,
+            request,
+            reply,
+            number,
+        };
+        let mut presence = Presence {
+            events: &self.events,
+            number: Some(number),
+        };
+        if self.events.send(Event::Call(call)).await.is_err() {
+            return refuse(Code::Draining, Code::Draining.meaning());
+        }
+        let Ok(reply) = answered.await else {
+            // The process ended with the job in it.
+            return respond(None, &lost());
+        };
+        presence.number = None;
+        let ticket = reply.job.map(|job| self.keys.seal(job));
+        respond(ticket, &reply.answer)
+    }
+}
+
+fn lost() -> Answer {
+    let detail = "the entry stopped before the job had ended";
+    failed(
+        Code::OutcomeUnknown,
+        Started::Unknown,
+        Duration::ZERO,
+        detail,
+    )
+}
+
+fn refuse(code: Code, detail: &str) -> Response {
+    respond(
+        None,
+        &failed(code, Started::None, Duration::ZERO, detail.trim()),
+    )
+}
+
+fn respond(ticket: Option<String>, answer: &Answer) -> Response {
+    match answer {
+        Answer::Complete(answers) => whole(ticket, answers),
+        Answer::Failed(failure) => failure_response(ticket, failure),
+    }
+}
+
+fn whole(ticket: Option<String>, answers: &[Payload]) -> Response {
+    let answers: Result<Vec<&RawValue>, _> = answers
+        .iter()
+        .map(|answer| serde_json::from_slice(answer.as_bytes()))
+        .collect();
+    match answers {
+        Ok(answers) => Json(Whole {
+            ticket,
+            state: "complete",
+            code: Code::Complete.number(),
+            answers,
+        })
+        .into_response(),
+        // Sides check that answers are JSON, so this is a fault of our own.
+        Err(error) => failure_response(
+            ticket,
+            &Failure {
+                code: Code::OutcomeUnknown,
+                ran: Started::Some,
+                retry: 0,
+                detail: error.to_string(),
+            },
+        ),
+    }
+}
+
+fn failure_response(ticket: Option<String>, failure: &Failure) -> Response {
+    let body = Failed {
+        ticket,
+        state: "failed",
+        code: failure.code.number(),
+        name: failure.code.name(),
+        ran: failure.ran.as_str(),
+        retry_after_ms: failure.retry,
+        detail: &failure.detail,
+    };
+    let status = StatusCode::from_u16(failure.code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Json(body).with_status(status).into_response();
+    if failure.retry > 0 {
+        let seconds = failure.retry.div_ceil(SECOND_MS);
+        response.headers_mut().insert("retry-after", seconds.into());
+    }
+    response
+}
--- /dev/null
+++ b/crates/hyssoppost/src/lib.rs
@@ -0,0 +1,15 @@
+//! The dispatcher's two processes: the entry, which accepts jobs and places
+//! their tasks, and the side, which runs them on the upstream beside it.
+
+pub mod admin;
+pub mod clock;
+pub mod entry;
+pub mod error;
+pub mod http;
+pub mod link;
+pub mod logging;
+pub mod settings;
+pub mod side;
+pub mod usage;
+
+pub use error::Error;
--- /dev/null
+++ b/crates/hyssoppost/src/main.rs
@@ -0,0 +1,122 @@
+//! The dispatcher.
+
+use hyssoppost::{Error, entry, logging, settings, side};
+use lexopt::{Arg, Parser, ValueExt};
+use std::{path::PathBuf, process::ExitCode};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+const USAGE: &str = "\
+Dispatches sub-second tasks.
+
+Usage:
+    hyssoppost entry --settings FILE
+    hyssoppost side --settings FILE
+    hyssoppost --help | --version
+
+Commands:
+    entry   Accept jobs and place their tasks; run on an entry host.
+    side    Run tasks on the upstream beside this process.
+
+Options:
+    -s, --settings FILE   Settings in INI, checked before anything binds.
+    -h, --help            Print this text.
+    -V, --version         Print the version.
+
+SIGTERM drains: no request in progress is cut. A second one stops at once.
+Exit codes: 0 drained, 2 arguments, 3 settings, 4 system, 5 fenced,
+6 stopped with work left.
+";
+
+enum Command {
+    Help,
+    Version,
+    Entry(PathBuf),
+    Side(PathBuf),
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run() -> Result<(), Error> {
+    match parse()? {
+        Command::Help => print!("{USAGE}"),
+        Command::Version => println!("hyssoppost {}", env!("CARGO_PKG_VERSION")),
+        Command::Entry(path) => {
+            let settings = settings::Entry::open(&path)?;
+            logging::open(settings.common.level)?;
+            runtime()?.block_on(run_entry(settings))?;
+        }
+        Command::Side(path) => {
+            let settings = settings::Side::open(&path)?;
+            logging::open(settings.common.level)?;
+            runtime()?.block_on(run_side(settings))?;
+        }
+    }
+    Ok(())
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, Error> {
+    Ok(tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?)
+}
+
+async fn run_entry(settings: settings::Entry) -> Result<(), Error> {
+    let mut stop = signal(SignalKind::terminate())?;
+    let mut handle = entry::spawn(settings).await?;
+    tokio::select! {
+        () = wait(&mut stop) => {}
+        () = handle.retired() => {
+            handle.kill();
+            return Err(Error::Fenced);
+        }
+    }
+    log::info!("event=draining");
+    handle.drain(wait(&mut stop)).await
+}
+
+async fn run_side(settings: settings::Side) -> Result<(), Error> {
+    let mut stop = signal(SignalKind::terminate())?;
+    let handle = side::spawn(settings).await?;
+    wait(&mut stop).await;
+    log::info!("event=draining");
+    handle.drain(wait(&mut stop)).await
+}
+
+async fn wait(signal: &mut Signal) {
+    if signal.recv().await.is_none() {
+        // No more signals can arrive.
+        std::future::pending::<()>().await;
+    }
+}
+
+fn parse() -> Result<Command, lexopt::Error> {
+    let mut parser = Parser::from_env();
+    let mut command = None;
+    let mut settings = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Short('V') | Arg::Long("version") => return Ok(Command::Version),
+            Arg::Short('s') | Arg::Long("settings") => {
+                settings = Some(PathBuf::from(parser.value()?));
+            }
+            Arg::Value(value) if command.is_none() => command = Some(value.string()?),
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    let settings = settings.ok_or("missing option --settings FILE; see --help");
+    match command.as_deref() {
+        Some("entry") => Ok(Command::Entry(settings?)),
+        Some("side") => Ok(Command::Side(settings?)),
+        Some(other) => Err(format!("unknown command {other:?}; see --help").into()),
+        None => Err("missing command; see --help".into()),
+    }
+}
--- /dev/null
+++ b/crates/hyssoppost/src/settings.rs
@@ -0,0 +1,247 @@
+//! Settings of a process, read from INI and checked before anything binds.
+
+use crate::Error;
+use kernel::{
+    document::Toggle,
+    ini::{Faults, Reader},
+    policy::Plugin,
+};
+use log::LevelFilter;
+use std::{fs, net::SocketAddr, path::Path, str::FromStr, time::Duration};
+use wire::proof::Keyring;
+
+/// Shortest shared key accepted, in characters.
+const KEY_CHARACTERS: usize = 16;
+
+const ADDRESS: &str = "an address as IP:port";
+
+/// Settings that entries and sides share.
+#[derive(Debug, Clone)]
+pub struct Common {
+    /// The process's name, unique in its environment.
+    pub name: String,
+    /// Environment.
+    pub environment: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address of the admin interface.
+    pub admin: SocketAddr,
+    /// Token that the admin interface asks for.
+    pub admin_token: String,
+    /// Keys shared by the environment's processes.
+    pub keys: Keyring,
+    /// Least severe log level.
+    pub level: LevelFilter,
+    /// Longest time that a planned stop waits for work in progress.
+    pub drain: Duration,
+}
+
+/// Settings of an entry.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// Shared settings.
+    pub common: Common,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for sides and other entries.
+    pub links: SocketAddr,
+    /// Address at which sides and other entries reach `links`, if another.
+    pub advertise: Option<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Addresses of other entries, besides those in the store.
+    pub peers: Vec<SocketAddr>,
+    /// Placement policy.
+    pub policy: &'static Plugin,
+    /// Largest body accepted from a caller, in bytes.
+    pub body_bytes: usize,
+    /// Most bytes of ended jobs' answers held.
+    pub archive_bytes: usize,
+    /// Seed for random choices; drawn at random if absent.
+    pub seed: Option<u64>,
+}
+
+/// Settings of a side.
+#[derive(Debug, Clone)]
+pub struct Side {
+    /// Shared settings.
+    pub common: Common,
+    /// Rack.
+    pub rack: String,
+    /// Address at which the upstream announces itself.
+    pub upstream: SocketAddr,
+    /// Addresses of entries to begin with.
+    pub entries: Vec<SocketAddr>,
+    /// Whether to connect to entries that others tell of, too.
+    pub discover: bool,
+}
+
+const DEFAULT_BODY_BYTES: usize = 4 << 20;
+const DEFAULT_ARCHIVE_BYTES: usize = 64 << 20;
+const DEFAULT_DRAIN_MS: u64 = 30_000;
+const MILLISECONDS: &str = "milliseconds";
+const BYTES: &str = "a number of bytes";
+
+/// A list of addresses, separated by commas.
+struct Addresses(Vec<SocketAddr>);
+
+impl FromStr for Addresses {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parts = text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
+        parts.map(str::parse).collect::<Result<_, _>>().map(Self)
+    }
+}
+
+impl Entry {
+    /// Reads and checks a file.
+    pub fn open(path: &Path) -> Result<Self, Error> {
+        read(path, Self::parse)
+    }
+
+    /// Checks settings in INI.
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        let mut reader = Reader::open(text)?;
+        check_sections(
+            &mut reader,
+            &[
+                "entry", "listen", "store", "security", "entries", "policy", "limits", "log",
+            ],
+        );
+        let common = read_common(&mut reader, "entry");
+        let callers = reader.required("listen", "callers", ADDRESS);
+        let links = reader.required("listen", "links", ADDRESS);
+        let advertise = reader.optional("listen", "advertise", ADDRESS);
+        let store = reader.required("store", "address", ADDRESS);
+        let peers = read_addresses(&mut reader, "peers");
+        let policy = read_policy(&mut reader);
+        let body_bytes = reader.optional("limits", "body_bytes", BYTES);
+        let archive_bytes = reader.optional("limits", "archive_bytes", BYTES);
+        let seed = reader.optional("policy", "seed", "a number");
+        reader.finish()?;
+        let missing = || Faults(Vec::new());
+        Ok(Self {
+            common: common.ok_or_else(missing)?,
+            callers: callers.ok_or_else(missing)?,
+            links: links.ok_or_else(missing)?,
+            advertise,
+            store: store.ok_or_else(missing)?,
+            peers,
+            policy: policy.ok_or_else(missing)?,
+            body_bytes: body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
+            archive_bytes: archive_bytes.unwrap_or(DEFAULT_ARCHIVE_BYTES),
+            seed,
+        })
+    }
+}
+
+impl Side {
+    /// Reads and checks a file.
+    pub fn open(path: &Path) -> Result<Self, Error> {
+        read(path, Self::parse)
+    }
+
+    /// Checks settings in INI.
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        let mut reader = Reader::open(text)?;
+        check_sections(
+            &mut reader,
+            &["side", "listen", "security", "entries", "log"],
+        );
+        let common = read_common(&mut reader, "side");
+        let rack = reader.required("side", "rack", "the rack's name");
+        let upstream = reader.required("listen", "upstream", ADDRESS);
+        let entries = read_addresses(&mut reader, "seeds");
+        if entries.is_empty() {
+            reader.fault("entries", "seeds", "at least one address as IP:port");
+        }
+        let discover: Option<Toggle> = reader.optional("entries", "discover", "yes or no");
+        reader.finish()?;
+        let missing = || Faults(Vec::new());
+        Ok(Self {
+            common: common.ok_or_else(missing)?,
+            rack: rack.ok_or_else(missing)?,
+            upstream: upstream.ok_or_else(missing)?,
+            entries,
+            discover: discover.is_none_or(|toggle| toggle.0),
+        })
+    }
+}
+
+fn read<T>(path: &Path, parse: impl Fn(&str) -> Result<T, Faults>) -> Result<T, Error> {
+    let file = path.to_owned();
+    let text = fs::read_to_string(path).map_err(|source| Error::Unreadable {
+        file: file.clone(),
+        source,
+    })?;
+    parse(&text).map_err(|faults| Error::Settings { file, faults })
+}
+
+fn check_sections(reader: &mut Reader<'_>, known: &[&str]) {
+    for section in reader.sections() {
+        if !known.contains(&section.as_str()) {
+            reader.fault(&section, "", &format!("one of: {}", known.join(", ")));
+        }
+    }
+}
+
+fn read_common(reader: &mut Reader<'_>, section: &str) -> Option<Common> {
+    let name = reader.required(section, "name", "the process's name");
+    let environment = reader.required(section, "environment", "the environment's name");
+    let domain = reader.required(section, "domain", "the failure domain's name");
+    let admin = reader.required("listen", "admin", ADDRESS);
+    let admin_token = reader.required("security", "admin_token", "the admin interface's token");
+    let keys = read_keys(reader);
+    let level = reader.optional("log", "level", "off, error, warn, info, debug or trace");
+    let drain = reader.optional(section, "drain_ms", MILLISECONDS);
+    Some(Common {
+        name: name?,
+        environment: environment?,
+        domain: domain?,
+        admin: admin?,
+        admin_token: admin_token?,
+        keys: keys?,
+        level: level.unwrap_or(LevelFilter::Info),
+        drain: Duration::from_millis(drain.unwrap_or(DEFAULT_DRAIN_MS)),
+    })
+}
+
+fn read_keys(reader: &mut Reader<'_>) -> Option<Keyring> {
+    const EXPECTED: &str = "a shared key of at least 16 characters";
+    let key: Option<String> = reader.required("security", "key", EXPECTED);
+    let previous: Option<String> = reader.optional("security", "previous_key", EXPECTED);
+    let pairs = [("key", &key), ("previous_key", &previous)];
+    for (name, value) in pairs {
+        let short = value
+            .as_ref()
+            .is_some_and(|value| value.chars().count() < KEY_CHARACTERS);
+        if short {
+            reader.fault("security", name, EXPECTED);
+        }
+    }
+    key.map(|key| Keyring::new(&key, previous.as_deref()))
+}
+
+fn read_addresses(reader: &mut Reader<'_>, key: &str) -> Vec<SocketAddr> {
+    const EXPECTED: &str = "addresses as IP:port, separated by commas";
+    reader
+        .optional::<Addresses>("entries", key, EXPECTED)
+        .map_or_else(Vec::new, |addresses| addresses.0)
+}
+
+fn read_policy(reader: &mut Reader<'_>) -> Option<&'static Plugin> {
+    let names: Vec<&str> = Plugin::all().map(|plugin| plugin.name).collect();
+    let expected = format!("one of: {}", names.join(", "));
+    let name = reader
+        .optional("policy", "name", &expected)
+        .unwrap_or_else(|| policies::DEFAULT.to_owned());
+    let plugin = Plugin::find(&name);
+    if plugin.is_none() {
+        reader.fault("policy", "name", &expected);
+    }
+    plugin
+}
--- /dev/null
+++ b/crates/hyssoppost/src/side/mod.rs
@@ -0,0 +1,151 @@
+//! The side process: one upstream on one hand, the entries on the other, and
+//! one task between them that owns all state.
+
+mod dump;
+mod process;
+mod upstream;
+
+use crate::{
+    Error, admin,
+    clock::Clock,
+    http,
+    link::{self, Local},
+    settings,
+};
+use kernel::side::Side;
+use std::net::SocketAddr;
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+};
+use wire::{
+    frame::{Hello, Role, VERSION},
+    id::Incarnation,
+};
+
+/// Events that wait for the process's task.
+const INBOX: usize = 16_384;
+
+/// What the process's task waits for.
+#[derive(Debug)]
+enum Event {
+    Link(link::Event),
+    Announced(upstream::Announcement),
+    Finished(upstream::Finished),
+    Leave,
+}
+
+impl From<link::Event> for Event {
+    fn from(event: link::Event) -> Self {
+        Self::Link(event)
+    }
+}
+
+/// What the process shows of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Status {
+    leaving: bool,
+    idle: bool,
+}
+
+/// A running side.
+#[derive(Debug)]
+pub struct Handle {
+    upstream: http::Handle,
+    admin: http::Handle,
+    incarnation: Incarnation,
+    events: mpsc::Sender<Event>,
+    status: watch::Receiver<Status>,
+    process: JoinHandle<()>,
+    drain: std::time::Duration,
+}
+
+/// Binds a side's listeners and starts it.
+pub async fn spawn(settings: settings::Side) -> Result<Handle, Error> {
+    let (events, inbox) = mpsc::channel(INBOX);
+    let (dump_requests, dumps) = mpsc::channel(1);
+    let incarnation = Incarnation(rand::random());
+    let common = &settings.common;
+    let hello = Hello {
+        version: VERSION,
+        role: Role::Side,
+        name: common.name.clone(),
+        incarnation,
+        domain: common.domain.clone(),
+        rack: settings.rack.clone(),
+        address: String::new(),
+        nonce: 0,
+    };
+    let local = Local::new(hello, common.keys.clone());
+    let kernel = Side::new(&common.name, &common.domain, incarnation);
+    let (status, watched) = watch::channel(Status::default());
+    let admin = admin::bind(common, dump_requests).await?;
+    let upstream = upstream::bind(settings.upstream, events.clone()).await?;
+    let entries = process::Directory {
+        seeds: settings.entries,
+        discover: settings.discover,
+    };
+    let process = process::Process::new(kernel, local, status, events.clone(), entries)?;
+    let process = tokio::spawn(process.run(Clock::default(), inbox, dumps));
+    log::info!(
+        "event=side_started name={} incarnation={incarnation} upstream={} admin={}",
+        common.name,
+        upstream.address(),
+        admin.address()
+    );
+    Ok(Handle {
+        upstream,
+        admin,
+        incarnation,
+        events,
+        status: watched,
+        process,
+        drain: settings.common.drain,
+    })
+}
+
+impl Handle {
+    /// Returns the address at which the upstream announces itself.
+    pub fn upstream(&self) -> SocketAddr {
+        self.upstream.address()
+    }
+
+    /// Returns the address of the admin interface.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Returns the side's incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Takes no new tasks, lets those running end within the bound of the
+    /// settings, or until `hurry` resolves, and stops.
+    pub async fn drain(mut self, hurry: impl Future<Output = ()>) -> Result<(), Error> {
+        // A process that has ended drains at once.
+        let _ = self.events.send(Event::Leave).await;
+        let idle = self.status.wait_for(|status| status.leaving && status.idle);
+        let whole = tokio::select! {
+            idle = tokio::time::timeout(self.drain, idle) => idle.is_ok(),
+            () = hurry => false,
+        };
+        self.process.abort();
+        // Ends once the process is gone and its connections are flushed.
+        let _ = (&mut self.process).await;
+        tokio::time::sleep(FLUSH).await;
+        if whole {
+            Ok(())
+        } else {
+            Err(Error::DrainIncomplete)
+        }
+    }
+
+    /// Stops at once, as if the process had been killed.
+    pub fn kill(self) {
+        self.process.abort();
+    }
+}
+
+/// Time for the last results to leave after the process's task has ended.
+const FLUSH: std::time::Duration = std::time::Duration::from_millis(100);
--- /dev/null
+++ b/crates/hyssoppost/src/side/process.rs
@@ -0,0 +1,256 @@
+//! The task that owns the side's state.
+
+use super::{
+    Event, Status, dump,
+    upstream::{self, Announcement},
+};
+use crate::{
+    Error,
+    admin::Dump,
+    clock::Clock,
+    link::{self, Joined, Link, Local},
+};
+use hashbrown::{HashMap, HashSet};
+use kernel::side::{Action, Side};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+};
+use wire::{
+    Frame,
+    frame::{Known, Offer, Role},
+    id::Incarnation,
+};
+
+/// Interval at which silences and queued tasks are looked for.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Silence after which the upstream counts as gone.
+const UPSTREAM_SILENCE: Duration = Duration::from_secs(3);
+
+/// Events handled before the actions that follow are carried out.
+const BATCH: usize = 128;
+
+#[derive(Debug)]
+pub(super) struct Process {
+    kernel: Side,
+    local: Local,
+    status: watch::Sender<Status>,
+    events: mpsc::Sender<Event>,
+    links: HashMap<Incarnation, Link>,
+    connections: HashMap<u64, Incarnation>,
+    dialers: HashMap<SocketAddr, JoinHandle<()>>,
+    seeds: Vec<SocketAddr>,
+    discover: bool,
+    client: upstream::Client,
+    announced: Option<Duration>,
+}
+
+/// Which entries to connect to.
+#[derive(Debug)]
+pub(super) struct Directory {
+    /// Addresses to begin with.
+    pub(super) seeds: Vec<SocketAddr>,
+    /// Whether to follow the entries' own list as well.
+    pub(super) discover: bool,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        for dialer in self.dialers.values() {
+            dialer.abort();
+        }
+        for (_, link) in self.links.drain() {
+            link.close();
+        }
+    }
+}
+
+impl Process {
+    pub(super) fn new(
+        kernel: Side,
+        local: Local,
+        status: watch::Sender<Status>,
+        events: mpsc::Sender<Event>,
+        entries: Directory,
+    ) -> Result<Self, Error> {
+        Ok(Self {
+            kernel,
+            local,
+            status,
+            client: upstream::Client::open(events.clone())?,
+            events,
+            links: HashMap::new(),
+            connections: HashMap::new(),
+            dialers: HashMap::new(),
+            seeds: entries.seeds,
+            discover: entries.discover,
+            announced: None,
+        })
+    }
+
+    pub(super) async fn run(
+        mut self,
+        clock: Clock,
+        mut inbox: mpsc::Receiver<Event>,
+        mut dumps: mpsc::Receiver<Dump>,
+    ) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut batch = Vec::with_capacity(BATCH);
+        self.dial(&[]);
+        loop {
+            tokio::select! {
+                count = inbox.recv_many(&mut batch, BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                    let now = clock.now();
+                    for event in batch.drain(..) {
+                        self.handle(now, event);
+                    }
+                }
+                Some(reply) = dumps.recv() => {
+                    let state = dump::side(&self.kernel, &self.local, clock.now());
+                    // The asker may have gone away.
+                    let _ = reply.send(state);
+                }
+                _ = tick.tick() => self.tick(clock.now()),
+            }
+            self.act(clock.now());
+            self.report();
+        }
+    }
+
+    fn handle(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
+            Event::Link(link::Event::Frame(number, frame)) => {
+                if let Some(from) = self.connections.get(&number) {
+                    self.kernel.frame(now, *from, frame);
+                }
+            }
+            Event::Link(link::Event::Lost(number)) => self.lost(number),
+            Event::Announced(announcement) => self.announced(now, announcement),
+            Event::Finished(finished) => {
+                let upstream::Finished {
+                    task,
+                    spent,
+                    outcome,
+                } = finished;
+                self.kernel.finished(now, task, spent, outcome);
+            }
+            Event::Leave => self.kernel.leave(now),
+        }
+    }
+
+    fn joined(&mut self, now: Duration, joined: Joined) {
+        let Joined { hello, link, .. } = joined;
+        if hello.role != Role::Entry {
+            link.close();
+            return;
+        }
+        let entry = hello.incarnation;
+        log::info!("event=entry_joined name={} incarnation={entry}", hello.name);
+        if let Some(old) = self.links.remove(&entry) {
+            self.connections.remove(&old.number());
+            old.close();
+        }
+        self.connections.insert(link.number(), entry);
+        self.links.insert(entry, link);
+        self.kernel.join(now, entry);
+    }
+
+    fn lost(&mut self, number: u64) {
+        let Some(entry) = self.connections.remove(&number) else {
+            return;
+        };
+        log::info!("event=entry_lost incarnation={entry}");
+        if let Some(link) = self.links.remove(&entry) {
+            link.close();
+        }
+        self.kernel.lose(entry);
+    }
+
+    fn announced(&mut self, now: Duration, announcement: Announcement) {
+        self.announced = Some(now);
+        self.client.target(announcement.address);
+        let offer = Offer {
+            service: announcement.service,
+            kinds: announcement.kinds,
+            slots: announcement.slots.min(upstream::MAX_CONNECTIONS),
+        };
+        self.kernel.announce(now, offer);
+    }
+
+    fn tick(&mut self, now: Duration) {
+        for entry in self.kernel.silent(now) {
+            log::warn!("event=entry_silent incarnation={entry}");
+            if let Some(link) = self.links.remove(&entry) {
+                self.connections.remove(&link.number());
+                link.close();
+            }
+            self.kernel.lose(entry);
+        }
+        let silent = self
+            .announced
+            .is_some_and(|at| now.saturating_sub(at) > UPSTREAM_SILENCE);
+        if silent {
+            log::warn!("event=upstream_silent");
+            self.announced = None;
+            self.kernel.withdraw(now);
+        }
+        self.kernel.tick(now);
+    }
+
+    fn act(&mut self, now: Duration) {
+        for action in self.kernel.take_actions() {
+            match action {
+                Action::Send(to, frame) => self.send(to, frame),
+                Action::Start(start) => self.client.start(now, start),
+                Action::Entries(entries) if self.discover => self.dial(&entries),
+                Action::Entries(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, to: Incarnation, frame: Frame) {
+        let sent = self.links.get(&to).is_some_and(|link| link.send(frame));
+        if !sent && let Some(link) = self.links.remove(&to) {
+            log::warn!("event=entry_slow incarnation={to}");
+            link.close();
+        }
+    }
+
+    /// Dials the entries known and the seeds, and no others.
+    fn dial(&mut self, entries: &[Known]) {
+        let known = entries
+            .iter()
+            .filter_map(|known| known.address.parse().ok());
+        let wanted: HashSet<SocketAddr> = known.chain(self.seeds.iter().copied()).collect();
+        self.dialers.retain(|address, dialer| {
+            let keep = wanted.contains(address);
+            if !keep {
+                dialer.abort();
+            }
+            keep
+        });
+        for address in wanted {
+            let (local, events) = (&self.local, &self.events);
+            self.dialers
+                .entry(address)
+                .or_insert_with(|| link::dial(address, local.clone(), events.clone()));
+        }
+    }
+
+    fn report(&self) {
+        let idle = self.kernel.is_idle();
+        self.status.send_if_modified(|status| {
+            let leaving = self.kernel.is_leaving();
+            let changed = status.idle != idle || status.leaving != leaving;
+            *status = Status { leaving, idle };
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/hyssoppost/tests/settings_faults.rs
@@ -0,0 +1,118 @@
+//! Settings are checked before anything binds.
+
+use hyssoppost::{Error, settings};
+use std::{fs, path::PathBuf};
+
+const ENTRY: &str = "\
+[entry]
+name = entry-1
+environment = trial
+domain = nord-a
+
+[listen]
+callers = 127.0.0.1:0
+links = 127.0.0.1:0
+admin = 127.0.0.1:0
+
+[store]
+address = 127.0.0.1:2379
+
+[security]
+key = 0123456789abcdef
+admin_token = secret
+";
+
+const SIDE: &str = "\
+[side]
+name = side-1
+environment = trial
+domain = nord-a
+rack = r1
+
+[listen]
+upstream = 127.0.0.1:0
+admin = 127.0.0.1:0
+
+[entries]
+seeds = 127.0.0.1:7100, 127.0.0.1:7101
+
+[security]
+key = 0123456789abcdef
+admin_token = secret
+";
+
+fn entry_faults(text: &str) -> Vec<String> {
+    let faults = settings::Entry::parse(text).unwrap_err();
+    faults.0.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn good_settings() {
+    let entry = settings::Entry::parse(ENTRY).unwrap();
+    assert_eq!(entry.policy.name, policies::DEFAULT);
+    let side = settings::Side::parse(SIDE).unwrap();
+    assert_eq!(side.entries.len(), 2);
+    assert!(side.discover);
+}
+
+#[test]
+fn unknown_key() {
+    let found = entry_faults(&ENTRY.replace("domain = nord-a", "domain = nord-a\nzone = b"));
+    assert_eq!(
+        found,
+        [r#"line=5 section="entry" key="zone" expected="a known key""#]
+    );
+}
+
+#[test]
+fn bad_address_and_missing_section() {
+    let text = ENTRY
+        .replace("callers = 127.0.0.1:0", "callers = localhost")
+        .replace("[store]\naddress = 127.0.0.1:2379\n", "");
+    assert_eq!(
+        entry_faults(&text),
+        [
+            r#"line=0 section="store" key="address" expected="an address as IP:port""#,
+            r#"line=7 section="listen" key="callers" expected="an address as IP:port""#,
+        ]
+    );
+}
+
+#[test]
+fn short_key() {
+    let found = entry_faults(&ENTRY.replace("0123456789abcdef", "short"));
+    assert!(found[0].contains(r#"key="key""#), "{found:?}");
+    assert!(!found[0].contains("short\""), "the key itself is not shown");
+}
+
+#[test]
+fn unknown_policy() {
+    let found = entry_faults(&format!("{ENTRY}\n[policy]\nname = best\n"));
+    assert!(found[0].contains("late-binding"), "{found:?}");
+}
+
+#[test]
+fn unknown_section() {
+    let faults = settings::Side::parse(&format!("{SIDE}\n[limits]\n")).unwrap_err();
+    assert_eq!(faults.0[0].section, "limits");
+}
+
+#[test]
+fn missing_file_named() {
+    let path = PathBuf::from("/nonexistent/entry.ini");
+    let error = settings::Entry::open(&path).unwrap_err();
+    assert_eq!(error.exit_code(), 3);
+    assert!(error.to_string().contains("/nonexistent/entry.ini"));
+}
+
+#[test]
+fn file_named_with_faults() {
+    let path = std::env::temp_dir().join(format!("hyssoppost-{}.ini", std::process::id()));
+    fs::write(&path, "[entry]\nname = x\n").unwrap();
+    let error = settings::Entry::open(&path).unwrap_err();
+    fs::remove_file(&path).unwrap();
+    assert!(matches!(error, Error::Settings { .. }));
+    for line in error.to_string().lines() {
+        assert!(line.starts_with("event=bad_settings file="), "{line}");
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/authority.rs
@@ -0,0 +1,72 @@
+//! Whether an entry may vouch for its configuration.
+//!
+//! An entry vouches while the platform's store has confirmed the revision
+//! recently, or another entry that vouches says so. While the store answers
+//! nobody, no change can be accepted there, so a majority of the known entries
+//! that hear each other may vouch as well. An entry that reaches neither the
+//! store nor a majority cannot tell an outage from its own isolation; it stops
+//! vouching, and work started on its word stops within [`crate::FRESH`].
+
+use crate::SILENCE;
+use hashbrown::HashMap;
+use std::time::Duration;
+
+/// What an entry knows about the freshness of its configuration.
+#[derive(Debug, Default)]
+pub struct Authority {
+    confirmed: Option<Duration>,
+    store_failed: bool,
+    heard: HashMap<String, Duration>,
+    known: Vec<String>,
+}
+
+impl Authority {
+    /// Records that the store confirmed the revision in force.
+    pub fn confirm(&mut self, now: Duration) {
+        self.store_failed = false;
+        self.confirmed = self.confirmed.max(Some(now));
+    }
+
+    /// Records that the store did not answer.
+    pub fn store_failed(&mut self) {
+        self.store_failed = true;
+    }
+
+    /// Records another entry's heartbeat. `age` is the age of its vouch if its
+    /// revision is the same as ours.
+    pub fn heard(&mut self, name: &str, now: Duration, age: Option<Duration>) {
+        self.heard.insert(name.to_owned(), now);
+        if let Some(age) = age {
+            self.confirmed = self.confirmed.max(Some(now.saturating_sub(age)));
+        }
+    }
+
+    /// Sets the names of all other entries of the environment.
+    pub fn know(&mut self, names: Vec<String>) {
+        self.known = names;
+    }
+
+    /// Vouches anew if a majority of the entries agrees that the store is out.
+    pub fn tick(&mut self, now: Duration) {
+        if self.store_failed && self.hears_majority(now) && self.confirmed.is_some() {
+            self.confirmed = Some(now);
+        }
+    }
+
+    /// Returns the time since the revision was last known to be the latest.
+    pub fn age(&self, now: Duration) -> Duration {
+        self.confirmed
+            .map_or(Duration::MAX, |at| now.saturating_sub(at))
+    }
+
+    fn hears_majority(&self, now: Duration) -> bool {
+        let heard = self
+            .known
+            .iter()
+            .filter_map(|name| self.heard.get(name))
+            .filter(|at| now.saturating_sub(**at) <= SILENCE)
+            .count();
+        let all = self.known.len() + 1;
+        (heard + 1) * 2 > all
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/entry/config.rs
@@ -0,0 +1,159 @@
+//! Configuration at the entry: adoption, freshness and the other entries.
+
+use super::{Action, Entry, Peer};
+use crate::{SILENCE, document::Document, ini::Faults};
+use std::time::Duration;
+use wire::{
+    Frame,
+    frame::{Beat, Config, Hello, Known},
+    id::Incarnation,
+};
+
+/// What became of a configuration that was offered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Adoption {
+    /// It is in force now.
+    Adopted,
+    /// It was in force already.
+    Same,
+    /// Its revision is lower than the one in force.
+    Stale,
+    /// Its revision is in force with another change.
+    Conflict,
+    /// It cannot be read.
+    Invalid(Faults),
+}
+
+impl Entry {
+    /// Takes a configuration from the store or from a peer. The revision in
+    /// force never falls.
+    pub fn adopt(&mut self, now: Duration, config: &Config) -> Adoption {
+        let adoption = judge(self.config.as_ref(), config);
+        match adoption {
+            Adoption::Adopted => {}
+            Adoption::Stale | Adoption::Conflict => {
+                self.stats.stale_configs += 1;
+                return adoption;
+            }
+            Adoption::Same | Adoption::Invalid(_) => return adoption,
+        }
+        match Document::parse(&config.text) {
+            Ok(document) => self.document = document,
+            Err(faults) => return Adoption::Invalid(faults),
+        }
+        self.config = Some(config.clone());
+        self.apply_rules();
+        self.push_config();
+        self.place(now);
+        Adoption::Adopted
+    }
+
+    /// Records what the store holds, which confirms the revision in force.
+    pub fn store_read(&mut self, now: Duration, config: &Config) -> Adoption {
+        let adoption = self.adopt(now, config);
+        if matches!(adoption, Adoption::Adopted | Adoption::Same) {
+            self.authority.confirm(now);
+        }
+        adoption
+    }
+
+    /// Records that the store did not answer.
+    pub fn store_failed(&mut self) {
+        self.authority.store_failed();
+    }
+
+    /// Sets the entries of the environment, without this one.
+    pub fn know_entries(&mut self, entries: &[Known]) {
+        let others = entries
+            .iter()
+            .filter(|known| known.name != self.identity.name);
+        self.authority
+            .know(others.map(|known| known.name.clone()).collect());
+        self.known = entries.to_vec();
+    }
+
+    /// Records a connection to another entry.
+    pub fn join_entry(&mut self, now: Duration, hello: &Hello) {
+        let peer = Peer {
+            name: hello.name.clone(),
+            heard: now,
+        };
+        self.peers.insert(hello.incarnation, peer);
+        let beat = self.make_beat(now);
+        self.send(hello.incarnation, Frame::Beat(beat));
+    }
+
+    /// Returns the entries that have been silent for too long.
+    pub fn silent_entries(&self, now: Duration) -> Vec<Incarnation> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| now.saturating_sub(peer.heard) > SILENCE)
+            .map(|(incarnation, _)| *incarnation)
+            .collect()
+    }
+
+    pub(super) fn entry_beat(&mut self, now: Duration, from: Incarnation, beat: &Beat) {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
+        peer.heard = now;
+        let name = peer.name.clone();
+        let ours = self.revision();
+        let same = (beat.revision == ours && ours > 0).then(|| Duration::from_millis(beat.age));
+        self.authority.heard(&name, now, same);
+        self.reconcile(from, beat.revision);
+    }
+
+    /// Brings whichever side of a connection is behind to the other's revision.
+    pub(super) fn reconcile(&mut self, peer: Incarnation, revision: u64) {
+        let ours = self.revision();
+        if revision > ours {
+            self.send(peer, Frame::Pull);
+        } else if revision < ours {
+            self.send_config(peer);
+        }
+    }
+
+    pub(super) fn send_config(&mut self, to: Incarnation) {
+        if let Some(config) = self.config.clone() {
+            self.send(to, Frame::Config(config));
+        }
+    }
+
+    pub(super) fn apply_rules(&mut self) {
+        let document = &self.document;
+        self.fleet
+            .allow(|member| document.allows(&member.domain, &member.name));
+    }
+
+    fn revision(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.revision)
+    }
+
+    fn push_config(&mut self) {
+        for peer in self.connected() {
+            self.send_config(peer);
+        }
+    }
+
+    pub(super) fn retire(&mut self) {
+        if !self.retired {
+            self.retired = true;
+            self.leaving = true;
+            self.actions.push(Action::Retire);
+        }
+    }
+}
+
+/// Compares an offered configuration with the one in force.
+pub fn judge(current: Option<&Config>, offered: &Config) -> Adoption {
+    let Some(current) = current else {
+        return Adoption::Adopted;
+    };
+    match offered.revision.cmp(&current.revision) {
+        std::cmp::Ordering::Greater => Adoption::Adopted,
+        std::cmp::Ordering::Less => Adoption::Stale,
+        std::cmp::Ordering::Equal if offered == current => Adoption::Same,
+        std::cmp::Ordering::Equal => Adoption::Conflict,
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/entry/place.rs
@@ -0,0 +1,277 @@
+//! Placement of waiting tasks, and the ends of jobs.
+
+use super::Entry;
+use crate::{
+    GRACE,
+    document::DEFAULT_TEAM,
+    fleet::{Key, Pool},
+    millis,
+    work::{Work, failed},
+};
+use hashbrown::HashMap;
+use std::{sync::Arc, time::Duration};
+use wire::{
+    Code, Frame,
+    frame::{Answer, Item, Run, Started, Void},
+    id::{Job, Task},
+};
+
+/// Advice to callers whose job was given up.
+pub(super) const RETRY: Duration = Duration::from_secs(1);
+
+/// Tasks chosen in one pass, by side and job.
+type Batches = HashMap<(Key, Job), Vec<u16>>;
+
+/// Why a queue's front job got no side.
+enum Blocked {
+    /// The team has its quota in use.
+    Team,
+    /// No side has a free slot.
+    Sides,
+}
+
+impl Entry {
+    /// Sends waiting tasks to sides as long as the policy names any.
+    pub(super) fn place(&mut self, now: Duration) {
+        if self.retired {
+            return;
+        }
+        let mut batches = Batches::new();
+        let classes: Vec<Vec<Pool>> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| queue.front().is_some())
+            .map(|(class, _)| class.clone())
+            .collect();
+        for class in classes {
+            self.place_class(&class, &mut batches);
+        }
+        for ((side, job), indices) in batches {
+            self.send_run(now, side, job, indices);
+        }
+    }
+
+    fn place_class(&mut self, class: &[Pool], batches: &mut Batches) {
+        let mut blocked_teams = 0;
+        while let Some(queue) = self.queues.get_mut(class) {
+            let Some(job) = queue.front() else { return };
+            let waiting = self
+                .open
+                .get(&job)
+                .is_some_and(|work| !work.waiting.is_empty());
+            if !waiting {
+                queue.pop();
+                continue;
+            }
+            if blocked_teams >= queue.teams() {
+                return;
+            }
+            match self.place_next(class, job, batches) {
+                Ok(()) => blocked_teams = 0,
+                Err(Blocked::Team) => blocked_teams += 1,
+                Err(Blocked::Sides) => return,
+            }
+            if let Some(queue) = self.queues.get_mut(class) {
+                queue.rotate();
+            }
+        }
+    }
+
+    fn place_next(
+        &mut self,
+        class: &[Pool],
+        job: Job,
+        batches: &mut Batches,
+    ) -> Result<(), Blocked> {
+        let Some(work) = self.open.get_mut(&job) else {
+            return Ok(());
+        };
+        let quota = quota(&self.document, &work.submission.team, self.known.len());
+        let load = self
+            .team_load
+            .entry_ref(work.submission.team.as_str())
+            .or_default();
+        if *load >= quota {
+            return Err(Blocked::Team);
+        }
+        let (fleet, random) = (&mut self.fleet, &mut self.random);
+        let side = class
+            .iter()
+            .find_map(|pool| (self.choose)(fleet, *pool, random))
+            .ok_or(Blocked::Sides)?;
+        let Some(index) = work.waiting.pop_front() else {
+            return Ok(());
+        };
+        *load += 1;
+        work.place(index, side);
+        self.queued -= 1;
+        self.placed
+            .entry(side)
+            .or_default()
+            .insert(Task { job, index });
+        self.fleet.update(side, |member| member.mine += 1);
+        batches.entry((side, job)).or_default().push(index);
+        Ok(())
+    }
+
+    fn send_run(&mut self, now: Duration, side: Key, job: Job, indices: Vec<u16>) {
+        let (Some(work), Some(member)) = (self.open.get(&job), self.fleet.get(side)) else {
+            return;
+        };
+        let items = indices.into_iter().map(|index| Item {
+            index,
+            payload: work.submission.tasks[usize::from(index)].clone(),
+        });
+        let run = Run {
+            job,
+            side: member.incarnation,
+            permit: member.clock,
+            kind: work.submission.kind.clone(),
+            remaining: u32::try_from(millis(work.deadline.saturating_sub(now))).unwrap_or(u32::MAX),
+            total: u16::try_from(work.tasks.len()).unwrap_or(u16::MAX),
+            tasks: items.collect(),
+        };
+        self.stats.runs += 1;
+        self.stats.tasks += run.tasks.len() as u64;
+        self.send(run.side, Frame::Run(run));
+    }
+
+    /// Puts a job with waiting tasks in its queue.
+    pub(super) fn enqueue(&mut self, job: Job, front: bool) {
+        let Some(work) = self.open.get(&job) else {
+            return;
+        };
+        let submission = &work.submission;
+        let class = self.fleet.serving(&submission.service, &submission.kind);
+        let queue = self.queues.entry(class.to_vec()).or_default();
+        if front {
+            queue.push_front(&submission.team, job);
+        } else {
+            queue.push(&submission.team, job);
+        }
+    }
+
+    /// Sorts all waiting jobs anew, after the set of pools has changed.
+    pub(super) fn rebuild_queues(&mut self) {
+        self.queues.clear();
+        let mut waiting: Vec<(Duration, Job)> = self
+            .open
+            .iter()
+            .filter(|(_, work)| !work.waiting.is_empty())
+            .map(|(job, work)| (work.accepted, *job))
+            .collect();
+        waiting.sort_unstable();
+        for (_, job) in waiting {
+            self.enqueue(job, false);
+        }
+    }
+
+    /// Frees the place that a task held at a side. Returns false if it held
+    /// none.
+    pub(super) fn free_place(&mut self, side: Key, task: Task) -> bool {
+        let held = self
+            .placed
+            .get_mut(&side)
+            .is_some_and(|tasks| tasks.remove(&task));
+        if held {
+            self.fleet
+                .update(side, |member| member.mine = member.mine.saturating_sub(1));
+        }
+        held
+    }
+
+    pub(super) fn free_team(&mut self, job: &Job) {
+        if let Some(work) = self.open.get(job)
+            && let Some(load) = self.team_load.get_mut(&work.submission.team)
+        {
+            *load = load.saturating_sub(1);
+        }
+    }
+
+    /// Ends a job whose tasks all have answers.
+    pub(super) fn complete(&mut self, job: Job, answer: Answer) {
+        let Some(work) = self.close(job) else { return };
+        self.stats.completed += 1;
+        self.finish(job, work, answer);
+    }
+
+    /// Gives a job up: answers its callers at once and voids what it has at
+    /// sides.
+    pub(super) fn fail(&mut self, job: Job, code: Code, started: Started, detail: &str) {
+        let Some(work) = self.close(job) else { return };
+        for side in &work.sides {
+            if let Some(member) = self.fleet.get(*side) {
+                let void = Void {
+                    job,
+                    indices: Vec::new(),
+                };
+                let incarnation = member.incarnation;
+                self.send(incarnation, Frame::Void(void));
+            }
+        }
+        self.count_failure(code);
+        let retry = if code.is_retryable() {
+            RETRY
+        } else {
+            Duration::ZERO
+        };
+        self.finish(job, work, failed(code, started, retry, detail));
+    }
+
+    /// Fails the jobs whose deadlines have passed.
+    pub(super) fn expire_jobs(&mut self, now: Duration) {
+        while let Some((deadline, job)) = self.deadlines.first().copied() {
+            if deadline > now {
+                return;
+            }
+            let Some(work) = self.open.get(&job) else {
+                self.deadlines.pop_first();
+                continue;
+            };
+            let started = work.started();
+            let code = match started {
+                Started::None => Code::NotPlaced,
+                Started::Some | Started::Unknown => Code::DeadlineExceeded,
+            };
+            self.fail(job, code, started, "the deadline has passed");
+        }
+    }
+
+    /// Returns when a lost side's tasks count as unknown.
+    pub(super) fn grace_over(lost: Duration, now: Duration) -> bool {
+        now.saturating_sub(lost) > GRACE
+    }
+
+    fn close(&mut self, job: Job) -> Option<Work> {
+        let work = self.open.remove(&job)?;
+        self.deadlines.remove(&(work.deadline, job));
+        self.queued -= work.waiting.len();
+        let placed = work
+            .tasks
+            .iter()
+            .filter(|task| matches!(task, crate::work::Task::Placed(_)))
+            .count();
+        if let Some(load) = self.team_load.get_mut(&work.submission.team) {
+            *load = load.saturating_sub(u32::try_from(placed).unwrap_or(u32::MAX));
+        }
+        Some(work)
+    }
+
+    fn finish(&mut self, job: Job, work: Work, answer: Answer) {
+        let answer = Arc::new(answer);
+        for caller in work.callers {
+            self.respond(caller, &answer);
+        }
+        self.archive.insert(job, Some(work.digest), answer);
+    }
+}
+
+/// Returns how many tasks a team may have placed from one of `entries` entries.
+fn quota(document: &crate::document::Document, team: &str, entries: usize) -> u32 {
+    let name = if team.is_empty() { DEFAULT_TEAM } else { team };
+    let share = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
+    document
+        .teams
+        .get(name)
+        .map_or(u32::MAX, |team| team.slots.div_ceil(share))
+}
--- /dev/null
+++ b/crates/kernel/src/fleet.rs
@@ -0,0 +1,446 @@
+//! The sides that an entry knows, indexed by free capacity.
+//!
+//! Sides with the same service and kinds form a pool. Each pool keeps its
+//! eligible sides in buckets by free capacity, so that a choice costs the same
+//! whatever the number of sides.
+
+use hashbrown::HashMap;
+use rand::{RngExt, rngs::SmallRng};
+use std::time::Duration;
+use wire::{
+    frame::{Load, Offer},
+    id::Incarnation,
+};
+
+/// Tasks sent to a side beyond its slots, to hide the round trip.
+pub const PREFETCH: u16 = 0;
+
+/// Consecutive failures after which a side is put aside.
+pub const FAILURES_TO_SET_ASIDE: u16 = 3;
+
+/// First and longest time for which a side is put aside.
+const ASIDE_FIRST: Duration = Duration::from_secs(1);
+const ASIDE_LONGEST: Duration = Duration::from_secs(30);
+
+/// Slots that a side gets at first after joining or returning.
+const RAMP_START: u16 = 2;
+
+/// Identifies a side within one entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(u32);
+
+/// Identifies a pool within one entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Pool(usize);
+
+/// Whether a side is connected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// Connected and heard.
+    Up,
+    /// Lost at the given time; may still reconnect.
+    Lost(Duration),
+}
+
+/// A side.
+#[derive(Debug)]
+pub struct Member {
+    /// The side's name.
+    pub name: String,
+    /// The side's incarnation.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its rack.
+    pub rack: String,
+    /// What it offers.
+    pub offer: Offer,
+    /// Connection state.
+    pub link: Link,
+    /// When anything was last heard from it.
+    pub heard: Duration,
+    /// Its clock at its last heartbeat, in milliseconds.
+    pub clock: u64,
+    /// Load at the last report, over all entries.
+    pub reported: Load,
+    /// Tasks of other entries at the last report.
+    pub others: u16,
+    /// Own tasks there now.
+    pub mine: u16,
+    /// False while the document forbids work there.
+    pub allowed: bool,
+    /// True while it or its upstream is leaving.
+    pub leaving: bool,
+    /// Failures without a success between them.
+    pub failures: u16,
+    /// End of the time for which it is put aside.
+    pub aside: Option<Duration>,
+    aside_for: Duration,
+    ramp: u16,
+    pool: Option<Pool>,
+    ready_at: Option<usize>,
+    bucket_at: Option<Position>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    bucket: usize,
+    index: usize,
+}
+
+impl Member {
+    /// Describes a side that has just joined.
+    pub fn new(name: &str, incarnation: Incarnation, domain: &str, rack: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            incarnation,
+            domain: domain.to_owned(),
+            rack: rack.to_owned(),
+            offer: Offer {
+                service: String::new(),
+                kinds: Vec::new(),
+                slots: 0,
+            },
+            link: Link::Up,
+            heard: Duration::ZERO,
+            clock: 0,
+            reported: Load::default(),
+            others: 0,
+            mine: 0,
+            allowed: false,
+            leaving: false,
+            failures: 0,
+            aside: None,
+            aside_for: ASIDE_FIRST,
+            ramp: RAMP_START,
+            pool: None,
+            ready_at: None,
+            bucket_at: None,
+        }
+    }
+
+    /// Returns whether new tasks may be sent.
+    pub fn is_eligible(&self) -> bool {
+        self.link == Link::Up
+            && self.allowed
+            && !self.leaving
+            && self.offer.slots > 0
+            && self.aside.is_none()
+    }
+
+    /// Returns how many more tasks the side should take now.
+    pub fn free(&self) -> u16 {
+        let capacity = (self.offer.slots + PREFETCH).min(self.ramp);
+        capacity.saturating_sub(self.others + self.mine)
+    }
+
+    fn reset_ramp(&mut self) {
+        self.ramp = RAMP_START;
+    }
+}
+
+#[derive(Debug, Default)]
+struct Index {
+    ready: Vec<Key>,
+    buckets: Vec<Vec<Key>>,
+    cursor: usize,
+}
+
+/// All sides that an entry knows.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    members: Vec<Option<Member>>,
+    vacant: Vec<Key>,
+    by_name: HashMap<String, Key>,
+    profiles: HashMap<(String, Vec<String>), Pool>,
+    serving: HashMap<String, HashMap<String, Vec<Pool>>>,
+    pools: Vec<Index>,
+    aside: Vec<Key>,
+}
+
+impl Fleet {
+    /// Adds a side, in place of an earlier one of the same name.
+    ///
+    /// # Panics
+    ///
+    /// With 2^32 sides.
+    pub fn insert(&mut self, member: Member) -> Key {
+        let key = self.vacant.pop().unwrap_or_else(|| {
+            self.members.push(None);
+            Key(u32::try_from(self.members.len() - 1).expect("fewer than 2^32 sides"))
+        });
+        self.by_name.insert(member.name.clone(), key);
+        self.members[key.0 as usize] = Some(member);
+        self.refresh(key);
+        key
+    }
+
+    /// Removes a side.
+    pub fn remove(&mut self, key: Key) -> Option<Member> {
+        self.withdraw(key);
+        let member = self.members[key.0 as usize].take()?;
+        if self.by_name.get(&member.name) == Some(&key) {
+            self.by_name.remove(&member.name);
+        }
+        self.aside.retain(|other| *other != key);
+        self.vacant.push(key);
+        Some(member)
+    }
+
+    /// Returns the side of this name.
+    pub fn find(&self, name: &str) -> Option<Key> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns a side.
+    pub fn get(&self, key: Key) -> Option<&Member> {
+        self.members.get(key.0 as usize)?.as_ref()
+    }
+
+    /// Returns all sides.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Member)> {
+        self.members.iter().enumerate().filter_map(|(index, slot)| {
+            let key = Key(u32::try_from(index).ok()?);
+            slot.as_ref().map(|member| (key, member))
+        })
+    }
+
+    /// Changes a side and moves it to the bucket that it then belongs to.
+    pub fn update<R>(&mut self, key: Key, change: impl FnOnce(&mut Member) -> R) -> Option<R> {
+        let member = self.members.get_mut(key.0 as usize)?.as_mut()?;
+        let result = change(member);
+        self.refresh(key);
+        Some(result)
+    }
+
+    /// Takes a new offer into account.
+    pub fn offer(&mut self, key: Key, offer: &Offer) {
+        self.withdraw(key);
+        let pool = self.pool_of(offer);
+        self.update(key, |member| {
+            member.offer = offer.clone();
+            member.pool = Some(pool);
+        });
+    }
+
+    /// Records a load report that covers all entries.
+    pub fn report(&mut self, key: Key, load: Load) {
+        self.update(key, |member| {
+            member.reported = load;
+            member.others = (load.running + load.queued).saturating_sub(member.mine);
+        });
+    }
+
+    /// Records that a task succeeded.
+    pub fn succeeded(&mut self, key: Key) {
+        self.update(key, |member| {
+            member.failures = 0;
+            member.aside_for = ASIDE_FIRST;
+            member.ramp = member.ramp.saturating_add(1).min(u16::MAX / 2);
+        });
+    }
+
+    /// Records that a task failed; returns true if the side is put aside now.
+    ///
+    /// At least half of a pool stays in use, since a fault that hits more is
+    /// not the fault of single sides.
+    pub fn failed(&mut self, key: Key, now: Duration) -> bool {
+        let may = self.may_set_aside(key);
+        let newly = self.update(key, |member| {
+            member.failures = member.failures.saturating_add(1);
+            let limit = member.failures >= FAILURES_TO_SET_ASIDE || member.aside_for > ASIDE_FIRST;
+            if !limit || !may || member.aside.is_some() {
+                return false;
+            }
+            member.aside = Some(now + member.aside_for);
+            member.aside_for = (member.aside_for * 2).min(ASIDE_LONGEST);
+            true
+        });
+        if newly == Some(true) {
+            self.aside.push(key);
+        }
+        newly == Some(true)
+    }
+
+    /// Gives sides whose time aside is over one slot to prove themselves.
+    pub fn probe(&mut self, now: Duration) {
+        let due: Vec<Key> = self.aside.clone();
+        for key in due {
+            let ended = self.update(key, |member| {
+                let ended = member.aside.is_none_or(|until| until <= now);
+                if ended {
+                    member.aside = None;
+                    member.ramp = 1;
+                }
+                ended
+            });
+            if ended != Some(false) {
+                self.aside.retain(|other| *other != key);
+            }
+        }
+    }
+
+    /// Marks a side lost or connected.
+    pub fn set_link(&mut self, key: Key, link: Link) {
+        self.update(key, |member| {
+            if member.link != Link::Up && link == Link::Up {
+                member.reset_ramp();
+            }
+            member.link = link;
+        });
+    }
+
+    /// Applies the document's rules to every side.
+    pub fn allow(&mut self, rule: impl Fn(&Member) -> bool) {
+        let keys: Vec<Key> = self.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.update(key, |member| {
+                let allowed = rule(member);
+                if allowed && !member.allowed {
+                    member.reset_ramp();
+                }
+                member.allowed = allowed;
+            });
+        }
+    }
+
+    /// Returns the pools whose sides answer the request kind.
+    pub fn serving(&self, service: &str, kind: &str) -> &[Pool] {
+        self.serving
+            .get(service)
+            .and_then(|kinds| kinds.get(kind))
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the number of pools ever seen.
+    pub fn pool_count(&self) -> usize {
+        self.pools.len()
+    }
+
+    /// Returns the eligible sides of a pool.
+    pub fn ready(&self, pool: Pool) -> &[Key] {
+        &self.pools[pool.0].ready
+    }
+
+    /// Returns and advances the pool's round-robin cursor.
+    pub fn advance(&mut self, pool: Pool) -> usize {
+        let index = &mut self.pools[pool.0];
+        index.cursor = index.cursor.wrapping_add(1);
+        index.cursor
+    }
+
+    /// Returns a random side among those with the most free capacity, or
+    /// `None` if no side has any.
+    pub fn freest(&self, pool: Pool, random: &mut SmallRng) -> Option<Key> {
+        let buckets = &self.pools[pool.0].buckets;
+        let bucket = buckets.iter().skip(1).rev().find(|keys| !keys.is_empty())?;
+        Some(bucket[random.random_range(0..bucket.len())])
+    }
+
+    fn may_set_aside(&self, key: Key) -> bool {
+        let Some(pool) = self.get(key).and_then(|member| member.pool) else {
+            return false;
+        };
+        let aside = self
+            .aside
+            .iter()
+            .filter(|other| {
+                self.get(**other)
+                    .is_some_and(|side| side.pool == Some(pool))
+            })
+            .count();
+        aside < self.pools[pool.0].ready.len()
+    }
+
+    fn pool_of(&mut self, offer: &Offer) -> Pool {
+        let mut kinds = offer.kinds.clone();
+        kinds.sort();
+        let profile = (offer.service.clone(), kinds);
+        if let Some(pool) = self.profiles.get(&profile) {
+            return *pool;
+        }
+        let pool = Pool(self.pools.len());
+        self.pools.push(Index::default());
+        let serving = self.serving.entry(profile.0.clone()).or_default();
+        for kind in &profile.1 {
+            serving.entry(kind.clone()).or_default().push(pool);
+        }
+        self.profiles.insert(profile, pool);
+        pool
+    }
+
+    fn refresh(&mut self, key: Key) {
+        let Some(member) = self.get(key) else { return };
+        let (Some(pool), true) = (member.pool, member.is_eligible()) else {
+            self.withdraw(key);
+            return;
+        };
+        let bucket = usize::from(member.free());
+        if member.bucket_at.is_some_and(|at| at.bucket == bucket) {
+            return;
+        }
+        self.leave_bucket(key, pool);
+        self.enter_bucket(key, pool, bucket);
+        self.enter_ready(key, pool);
+    }
+
+    fn withdraw(&mut self, key: Key) {
+        let Some(pool) = self.get(key).and_then(|member| member.pool) else {
+            return;
+        };
+        self.leave_bucket(key, pool);
+        self.leave_ready(key, pool);
+    }
+
+    fn enter_bucket(&mut self, key: Key, pool: Pool, bucket: usize) {
+        let buckets = &mut self.pools[pool.0].buckets;
+        if buckets.len() <= bucket {
+            buckets.resize_with(bucket + 1, Vec::new);
+        }
+        buckets[bucket].push(key);
+        let index = buckets[bucket].len() - 1;
+        if let Some(member) = self.slot(key) {
+            member.bucket_at = Some(Position { bucket, index });
+        }
+    }
+
+    fn leave_bucket(&mut self, key: Key, pool: Pool) {
+        let Some(at) = self.slot(key).and_then(|member| member.bucket_at.take()) else {
+            return;
+        };
+        let keys = &mut self.pools[pool.0].buckets[at.bucket];
+        keys.swap_remove(at.index);
+        let moved = keys.get(at.index).copied();
+        if let Some(member) = moved.and_then(|moved| self.slot(moved)) {
+            member.bucket_at = Some(at);
+        }
+    }
+
+    fn enter_ready(&mut self, key: Key, pool: Pool) {
+        let ready = &mut self.pools[pool.0].ready;
+        let index = ready.len();
+        let Some(member) = self.members[key.0 as usize].as_mut() else {
+            return;
+        };
+        if member.ready_at.is_none() {
+            ready.push(key);
+            member.ready_at = Some(index);
+        }
+    }
+
+    fn leave_ready(&mut self, key: Key, pool: Pool) {
+        let Some(index) = self.slot(key).and_then(|member| member.ready_at.take()) else {
+            return;
+        };
+        let ready = &mut self.pools[pool.0].ready;
+        ready.swap_remove(index);
+        let moved = ready.get(index).copied();
+        if let Some(member) = moved.and_then(|moved| self.slot(moved)) {
+            member.ready_at = Some(index);
+        }
+    }
+
+    fn slot(&mut self, key: Key) -> Option<&mut Member> {
+        self.members.get_mut(key.0 as usize)?.as_mut()
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/side/mod.rs
@@ -0,0 +1,516 @@
+//! The side: starts tasks on the upstream beside it, at most once each.
+//!
+//! A side refuses whatever it cannot show to be current: tasks for an earlier
+//! incarnation of itself, frames older than the permit, fenced homes,
+//! tombstoned jobs, and any work while its configuration is not vouched for.
+//! Every refusal is a proof that the task did not and will not start here.
+
+mod ledger;
+
+pub use ledger::KEEP_BYTES;
+
+use crate::{
+    FRESH, PERMIT, SILENCE,
+    document::Document,
+    entry::{Adoption, judge},
+    millis,
+};
+use hashbrown::{HashMap, HashSet};
+use ledger::Ledger;
+use std::{collections::BTreeMap, time::Duration};
+use wire::{
+    Code, Frame, Payload,
+    frame::{
+        Beat, Config, Done, Handover, Known, Load, Offer, Outcome, Recover, Refuse, Run, Void,
+    },
+    id::{Incarnation, Job, Task},
+};
+
+/// Tasks that wait at a side at most.
+pub const QUEUE_LIMIT: usize = 1_024;
+
+/// What the runtime must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a frame to the entry of this incarnation.
+    Send(Incarnation, Frame),
+    /// Start a task at the upstream; it must be started exactly once.
+    Start(Start),
+    /// The entries of the environment changed.
+    Entries(Vec<Known>),
+}
+
+/// A task to start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Start {
+    /// The task.
+    pub task: Task,
+    /// Request kind.
+    pub kind: String,
+    /// Input.
+    pub payload: Payload,
+    /// When its answer is of no use any more.
+    pub deadline: Duration,
+}
+
+#[derive(Debug)]
+struct Peer {
+    heard: Duration,
+    connected: bool,
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Tasks started.
+    pub started: u64,
+    /// Tasks refused, by code number.
+    pub refused: BTreeMap<u16, u64>,
+    /// Frames of no use.
+    pub wasted: u64,
+    /// Stale or conflicting configurations refused.
+    pub stale_configs: u64,
+}
+
+/// The side's state.
+#[derive(Debug)]
+pub struct Side {
+    name: String,
+    domain: String,
+    incarnation: Incarnation,
+    offer: Offer,
+    document: Document,
+    config: Option<Config>,
+    vouched: Option<Duration>,
+    ledger: Ledger,
+    running: u16,
+    peers: HashMap<Incarnation, Peer>,
+    fenced: HashSet<Incarnation>,
+    heirs: HashMap<Job, Vec<Incarnation>>,
+    entries: Vec<Known>,
+    leaving: bool,
+    last_beat: Duration,
+    stats: Stats,
+    actions: Vec<Action>,
+}
+
+impl Side {
+    /// Makes a side without upstream, entries or configuration.
+    pub fn new(name: &str, domain: &str, incarnation: Incarnation) -> Self {
+        Self {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            incarnation,
+            offer: Offer {
+                service: String::new(),
+                kinds: Vec::new(),
+                slots: 0,
+            },
+            document: Document::default(),
+            config: None,
+            vouched: None,
+            ledger: Ledger::default(),
+            running: 0,
+            peers: HashMap::new(),
+            fenced: HashSet::new(),
+            heirs: HashMap::new(),
+            entries: Vec::new(),
+            leaving: false,
+            last_beat: Duration::ZERO,
+            stats: Stats::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Drains what the runtime must do.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns this side's incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<&Config> {
+        self.config.as_ref()
+    }
+
+    /// Returns the time since the configuration was last vouched for.
+    pub fn config_age(&self, now: Duration) -> Duration {
+        self.vouched
+            .map_or(Duration::MAX, |at| now.saturating_sub(at))
+    }
+
+    /// Returns the load over all entries.
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.running,
+            queued: u16::try_from(self.ledger.queued()).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// Returns the number of jobs remembered.
+    pub fn remembered(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// Returns the offer of the upstream.
+    pub fn offered(&self) -> &Offer {
+        &self.offer
+    }
+
+    /// Returns whether the side is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns the counts since the start.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// Returns the connected entries.
+    pub fn connected(&self) -> impl Iterator<Item = Incarnation> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.connected)
+            .map(|(incarnation, _)| *incarnation)
+    }
+
+    /// Returns whether a task could start now.
+    pub fn may_start(&self, now: Duration) -> bool {
+        self.barrier(now).is_none()
+    }
+
+    /// Returns whether nothing runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.running == 0 && self.ledger.queued() == 0
+    }
+
+    /// Starts no more tasks; those running go on and queued ones are refused.
+    pub fn leave(&mut self, now: Duration) {
+        self.leaving = true;
+        self.flush(now);
+        self.beat(now);
+    }
+
+    /// Records what the upstream announced.
+    pub fn announce(&mut self, now: Duration, offer: Offer) {
+        if self.offer == offer {
+            return;
+        }
+        self.offer = offer;
+        for entry in self.connected().collect::<Vec<_>>() {
+            self.send(entry, Frame::Offer(self.offer.clone()));
+        }
+        self.flush(now);
+    }
+
+    /// Records that the upstream has left or is silent.
+    pub fn withdraw(&mut self, now: Duration) {
+        let gone = Offer {
+            slots: 0,
+            ..self.offer.clone()
+        };
+        self.announce(now, gone);
+    }
+
+    /// Records a connection to an entry and tells it what is held for it.
+    pub fn join(&mut self, now: Duration, entry: Incarnation) {
+        let peer = Peer {
+            heard: now,
+            connected: true,
+        };
+        self.peers.insert(entry, peer);
+        self.send(entry, Frame::Offer(self.offer.clone()));
+        let handover = Handover {
+            home: entry,
+            fenced: false,
+            kept: self.ledger.held_for(entry),
+        };
+        self.send(entry, Frame::Handover(handover));
+        let beat = self.make_beat(now);
+        self.send(entry, Frame::Beat(beat));
+    }
+
+    /// Records that the connection to an entry is lost.
+    pub fn lose(&mut self, entry: Incarnation) {
+        if let Some(peer) = self.peers.get_mut(&entry) {
+            peer.connected = false;
+        }
+    }
+
+    /// Returns the entries whose connections have been silent for too long.
+    pub fn silent(&self, now: Duration) -> Vec<Incarnation> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.connected && now.saturating_sub(peer.heard) > SILENCE)
+            .map(|(incarnation, _)| *incarnation)
+            .collect()
+    }
+
+    /// Takes a frame from an entry.
+    pub fn frame(&mut self, now: Duration, from: Incarnation, frame: Frame) {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            self.stats.wasted += 1;
+            return;
+        };
+        peer.heard = now;
+        match frame {
+            Frame::Run(run) => self.run(now, from, run),
+            Frame::Void(void) => self.void(from, &void),
+            Frame::Beat(beat) => self.heartbeat(now, from, beat),
+            Frame::Config(config) => self.adopt(now, &config),
+            Frame::Pull => self.send_config(from),
+            Frame::Recover(recover) => self.recover(now, from, &recover),
+            _ => self.stats.wasted += 1,
+        }
+    }
+
+    /// Records how a started task ended.
+    pub fn finished(&mut self, now: Duration, task: Task, spent: Duration, outcome: Outcome) {
+        self.running = self.running.saturating_sub(1);
+        self.ledger.end(task, &outcome);
+        self.start_queued(now);
+        let done = Done {
+            job: task.job,
+            index: task.index,
+            spent: u32::try_from(spent.as_micros()).unwrap_or(u32::MAX),
+            outcome,
+            load: self.load(),
+        };
+        for entry in self.receivers(task.job) {
+            self.send(entry, Frame::Done(done.clone()));
+        }
+    }
+
+    /// Does what is due: heartbeats, queued tasks, expired tickets.
+    pub fn tick(&mut self, now: Duration) {
+        for job in self.ledger.expire(now.as_secs()) {
+            self.heirs.remove(&job);
+        }
+        self.flush(now);
+        self.start_queued(now);
+        if now.saturating_sub(self.last_beat) >= crate::BEAT {
+            self.beat(now);
+        }
+    }
+
+    fn run(&mut self, now: Duration, from: Incarnation, run: Run) {
+        if let Some(code) = self.refusal(now, from, &run) {
+            let indices = run.tasks.iter().map(|item| item.index).collect();
+            self.refuse(from, run.job, code, indices);
+            return;
+        }
+        let deadline = now + Duration::from_millis(run.remaining.into());
+        for item in run.tasks {
+            let start = Start {
+                task: Task {
+                    job: run.job,
+                    index: item.index,
+                },
+                kind: run.kind.clone(),
+                payload: item.payload,
+                deadline,
+            };
+            if !self.ledger.push(run.total, start) {
+                self.stats.wasted += 1;
+            }
+        }
+        self.start_queued(now);
+    }
+
+    fn refusal(&self, now: Duration, from: Incarnation, run: &Run) -> Option<Code> {
+        let permit = Duration::from_millis(run.permit);
+        if run.side != self.incarnation {
+            Some(Code::WrongIncarnation)
+        } else if run.job.home != from || self.fenced.contains(&from) {
+            Some(Code::Fenced)
+        } else if now.as_secs() > run.job.expires {
+            Some(Code::ExpiredTicket)
+        } else if self.ledger.is_tombstoned(&run.job) {
+            Some(Code::Tombstoned)
+        } else if now.saturating_sub(permit) > PERMIT {
+            Some(Code::StalePermit)
+        } else if self.ledger.queued() + run.tasks.len() > QUEUE_LIMIT {
+            Some(Code::SideFull)
+        } else {
+            self.barrier(now)
+        }
+    }
+
+    /// Returns why no task may start now, if so.
+    fn barrier(&self, now: Duration) -> Option<Code> {
+        if self.leaving || self.offer.slots == 0 {
+            Some(Code::SideLeaving)
+        } else if self.config.is_none() || self.config_age(now) > FRESH {
+            Some(Code::StaleConfiguration)
+        } else if !self.document.is_in(&self.domain) {
+            Some(Code::DomainOut)
+        } else if self.document.draining.contains(&self.name) {
+            Some(Code::SideLeaving)
+        } else {
+            None
+        }
+    }
+
+    /// Refuses all queued tasks if none may start.
+    fn flush(&mut self, now: Duration) {
+        let Some(code) = self.barrier(now) else {
+            return;
+        };
+        for (job, indices) in self.ledger.void_queue() {
+            self.refuse(job.home, job, code, indices);
+        }
+    }
+
+    fn start_queued(&mut self, now: Duration) {
+        if !self.may_start(now) {
+            return;
+        }
+        while self.running < self.offer.slots {
+            let Some(start) = self.ledger.pop() else {
+                return;
+            };
+            self.running += 1;
+            self.stats.started += 1;
+            self.actions.push(Action::Start(start));
+        }
+    }
+
+    fn void(&mut self, from: Incarnation, void: &Void) {
+        if void.job.home != from {
+            self.stats.wasted += 1;
+            return;
+        }
+        let voided = if void.indices.is_empty() {
+            self.ledger.tombstone(void.job)
+        } else {
+            self.ledger.void(void.job, &void.indices)
+        };
+        if !voided.is_empty() {
+            self.refuse(from, void.job, Code::Voided, voided);
+        }
+    }
+
+    fn refuse(&mut self, to: Incarnation, job: Job, code: Code, indices: Vec<u16>) {
+        *self.stats.refused.entry(code.number()).or_default() += indices.len() as u64;
+        let refuse = Refuse {
+            job,
+            code,
+            indices,
+            load: self.load(),
+        };
+        self.send(to, Frame::Refuse(refuse));
+    }
+
+    fn heartbeat(&mut self, now: Duration, from: Incarnation, beat: Beat) {
+        let ours = self.config.as_ref().map_or(0, |config| config.revision);
+        if beat.revision == ours && ours > 0 {
+            let vouched = now.saturating_sub(Duration::from_millis(beat.age));
+            self.vouched = self.vouched.max(Some(vouched));
+        }
+        if beat.revision > ours {
+            self.send(from, Frame::Pull);
+        }
+        if !beat.entries.is_empty() && beat.entries != self.entries {
+            self.entries.clone_from(&beat.entries);
+            self.actions.push(Action::Entries(beat.entries));
+        }
+        self.flush(now);
+        self.start_queued(now);
+    }
+
+    fn adopt(&mut self, now: Duration, config: &Config) {
+        match judge(self.config.as_ref(), config) {
+            Adoption::Adopted => {}
+            Adoption::Stale | Adoption::Conflict => {
+                self.stats.stale_configs += 1;
+                return;
+            }
+            Adoption::Same | Adoption::Invalid(_) => return,
+        }
+        // An entry that is vouched for sent it; the next heartbeat says so.
+        match Document::parse(&config.text) {
+            Ok(document) => {
+                self.document = document;
+                self.config = Some(config.clone());
+                self.flush(now);
+                self.beat(now);
+            }
+            Err(_) => self.stats.stale_configs += 1,
+        }
+    }
+
+    fn send_config(&mut self, to: Incarnation) {
+        if let Some(config) = self.config.clone() {
+            self.send(to, Frame::Config(config));
+        }
+    }
+
+    fn recover(&mut self, now: Duration, from: Incarnation, recover: &Recover) {
+        let home = recover.home;
+        let hears = self
+            .peers
+            .get(&home)
+            .is_some_and(|peer| peer.connected && now.saturating_sub(peer.heard) <= SILENCE);
+        if hears && !self.fenced.contains(&home) {
+            let handover = Handover {
+                home,
+                fenced: false,
+                kept: Vec::new(),
+            };
+            self.send(from, Frame::Handover(handover));
+            return;
+        }
+        if self.fenced.insert(home) {
+            self.ledger.void_home(home);
+        }
+        for job in &recover.jobs {
+            let entries = self.heirs.entry(*job).or_default();
+            if !entries.contains(&from) {
+                entries.push(from);
+            }
+        }
+        let handover = Handover {
+            home,
+            fenced: true,
+            kept: self.ledger.held_of(&recover.jobs),
+        };
+        self.send(from, Frame::Handover(handover));
+    }
+
+    fn receivers(&self, job: Job) -> Vec<Incarnation> {
+        let heirs = self.heirs.get(&job).map_or(&[][..], Vec::as_slice);
+        std::iter::once(&job.home)
+            .chain(heirs)
+            .filter(|entry| self.peers.get(*entry).is_some_and(|peer| peer.connected))
+            .copied()
+            .collect()
+    }
+
+    fn beat(&mut self, now: Duration) {
+        self.last_beat = now;
+        let beat = self.make_beat(now);
+        for entry in self.connected().collect::<Vec<_>>() {
+            self.send(entry, Frame::Beat(beat.clone()));
+        }
+    }
+
+    fn make_beat(&self, now: Duration) -> Beat {
+        Beat {
+            clock: millis(now),
+            revision: self.config.as_ref().map_or(0, |config| config.revision),
+            age: millis(self.config_age(now)),
+            leaving: self.leaving,
+            load: self.load(),
+            entries: Vec::new(),
+        }
+    }
+
+    fn send(&mut self, to: Incarnation, frame: Frame) {
+        self.actions.push(Action::Send(to, frame));
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,16 @@
+//! Messages between the dispatcher's own processes.
+//!
+//! The crate holds data and codecs only: no sockets, clocks or policies. Every
+//! connection starts with [`frame::Hello`] and [`frame::Proof`] in both
+//! directions; all other frames follow only after a valid proof.
+
+pub mod code;
+pub mod codec;
+pub mod frame;
+pub mod id;
+pub mod payload;
+pub mod proof;
+
+pub use code::Code;
+pub use frame::Frame;
+pub use payload::Payload;
--- /dev/null
+++ b/crates/wire/tests/ticket_seal.rs
@@ -0,0 +1,94 @@
+//! Tickets and proofs hold only under the shared key.
+
+use proptest::prelude::*;
+use wire::{
+    frame::{Hello, Role, VERSION},
+    id::{Incarnation, Job},
+    proof::{Keyring, same},
+};
+
+fn job() -> Job {
+    Job {
+        home: Incarnation(0xfeed),
+        sequence: 7,
+        expires: 1_800_000_000,
+    }
+}
+
+fn hello(role: Role, incarnation: u64) -> Hello {
+    Hello {
+        version: VERSION,
+        role,
+        name: "a".to_owned(),
+        incarnation: Incarnation(incarnation),
+        domain: "d".to_owned(),
+        rack: String::new(),
+        address: String::new(),
+        nonce: 0,
+    }
+}
+
+#[test]
+fn own_ticket_opens() {
+    let keys = Keyring::new("key-one-key-one-", None);
+    assert_eq!(keys.unseal(&keys.seal(job())), Some(job()));
+}
+
+#[test]
+fn foreign_ticket_refused() {
+    let theirs = Keyring::new("key-two-key-two-", None);
+    let ours = Keyring::new("key-one-key-one-", None);
+    assert_eq!(ours.unseal(&theirs.seal(job())), None);
+}
+
+#[test]
+fn key_change_overlaps() {
+    let old = Keyring::new("key-one-key-one-", None);
+    let new = Keyring::new("key-two-key-two-", Some("key-one-key-one-"));
+    assert_eq!(new.unseal(&old.seal(job())), Some(job()));
+    assert_eq!(old.unseal(&new.seal(job())), None);
+}
+
+#[test]
+fn proof_binds_sender() {
+    let keys = Keyring::new("key-one-key-one-", None);
+    let mac = keys.sign_link(Role::Side, Incarnation(1), 99);
+    assert!(keys.verify_link(&hello(Role::Side, 1), 99, &mac));
+    assert!(!keys.verify_link(&hello(Role::Side, 1), 98, &mac));
+    assert!(!keys.verify_link(&hello(Role::Side, 2), 99, &mac));
+    assert!(!keys.verify_link(&hello(Role::Entry, 1), 99, &mac));
+}
+
+#[test]
+fn secrets_compare() {
+    assert!(same("token", "token"));
+    assert!(!same("token", "tokem"));
+    assert!(!same("", "token"));
+}
+
+proptest! {
+    #[test]
+    fn altered_ticket_refused(position in any::<prop::sample::Index>(), byte in 0x20_u8..0x7f) {
+        let keys = Keyring::new("key-one-key-one-", None);
+        let text = keys.seal(job());
+        let mut altered = text.clone().into_bytes();
+        let position = position.index(altered.len());
+        altered[position] = byte;
+        let altered = String::from_utf8(altered).unwrap();
+        // Hexadecimal digits have two cases.
+        prop_assume!(!altered.eq_ignore_ascii_case(&text));
+        prop_assert_eq!(keys.unseal(&altered), None);
+    }
+
+    #[test]
+    fn any_text_survives(text in ".{0,80}") {
+        let keys = Keyring::new("key-one-key-one-", None);
+        prop_assert_eq!(keys.unseal(&text), None);
+    }
+
+    #[test]
+    fn identifier_round_trip(home in any::<u64>(), sequence in any::<u64>(), expires in any::<u64>()) {
+        let job = Job { home: Incarnation(home), sequence, expires };
+        prop_assert_eq!(job.to_string().parse::<Job>().unwrap(), job);
+    }
+}
