Bench: whole sites under scenarios, policies side by side

Cause: the decisions need a measure. hyssopctl bench runs the real entry and side code over loopback with the sites' delays and a scenario's faults; all policies run at once under the same jobs.

--- a/crates/hyssopctl/src/cmd/mod.rs
+++ b/crates/hyssopctl/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, a file each.
 
+pub mod bench;
 pub mod check;
 pub mod demo;
 pub mod submit;
--- a/crates/hyssopctl/src/lab/load.rs
+++ b/crates/hyssopctl/src/lab/load.rs
@@ -46,6 +46,22 @@
     pub whole: bool,
 }
 
+impl Outcome {
+    /// Describes a job whose answer never came.
+    pub fn lost(item: &Item, start: Instant) -> Self {
+        Self {
+            at: item.at,
+            ended: start.elapsed(),
+            took: Duration::ZERO,
+            ideal: item.ideal,
+            work: item.work,
+            tasks: item.job.tasks.len(),
+            code: None,
+            whole: false,
+        }
+    }
+}
+
 /// How much load to make, and how it is disturbed.
 #[derive(Debug, Clone)]
 pub struct Load {
--- a/crates/hyssopctl/src/lab/site.rs
+++ b/crates/hyssopctl/src/lab/site.rs
@@ -42,6 +42,16 @@
     pub sides: Vec<Relay>,
 }
 
+impl Entry {
+    /// Cuts the entry off from all sides and entries, or heals the network.
+    pub fn partition(&self, cut: bool) {
+        self.peers.partition(cut);
+        for relay in &self.sides {
+            relay.partition(cut);
+        }
+    }
+}
+
 /// A side and the worker that it stands beside.
 #[derive(Debug)]
 pub struct Place {
--- a/crates/hyssopctl/src/main.rs
+++ b/crates/hyssopctl/src/main.rs
@@ -13,6 +13,7 @@
     hyssopctl --help | --version
 
 Commands:
+    bench    Measure placement policies on a whole site.
     check    Check an environment's document offline.
     demo     Run a whole site in one process and submit jobs to it.
     submit   Submit jobs and print their answers.
@@ -47,6 +48,7 @@
         Some(argument) => return Err(argument.unexpected().into()),
     };
     match command.as_str() {
+        "bench" => cmd::bench::run(parser),
         "check" => cmd::check::run(parser),
         "demo" => cmd::demo::run(parser),
         "submit" => cmd::submit::run(parser),
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -8,8 +8,6 @@
 pub enum Mutant {
     /// A tombstoned job's tasks are accepted.
     Tombstone,
-    /// A task received before is accepted again.
-    Duplicate,
     /// Tasks are placed on a side before it has said what it holds.
     Handover,
     /// Tasks start in a failure domain that is out.
--- a/crates/kernel/src/side/ledger.rs
+++ b/crates/kernel/src/side/ledger.rs
@@ -4,7 +4,6 @@
 //! starts twice; results are kept within a limit of bytes, for recovery.
 
 use super::Start;
-use crate::mutation::{Mutant, is_seeded};
 use hashbrown::HashMap;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use wire::{
@@ -88,12 +87,7 @@
         let task = start.task;
         let record = self.record(task.job);
         record.total = total;
-        let fresh = match record.tasks.get(&task.index) {
-            None | Some(State::Voided) => true,
-            Some(State::Queued(_) | State::Running | State::Ended(_) | State::Released) => {
-                is_seeded(Mutant::Duplicate)
-            }
-        };
+        let fresh = matches!(record.tasks.get(&task.index), None | Some(State::Voided));
         if fresh {
             record.tasks.insert(task.index, State::Queued(start));
             self.queue.push_back(task);
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -110,6 +110,14 @@
         self.shared.lock().faults = faults;
     }
 
+    /// Starts or ends an outage; other faults stay as they are.
+    pub fn set_outage(&self, outage: bool) {
+        let mut state = self.shared.lock();
+        state.faults.outage = outage;
+        // Waiting watches end with the outage's start.
+        self.shared.publish(&state);
+    }
+
     /// Returns the calls since the start.
     pub fn calls(&self) -> Calls {
         self.shared.lock().calls
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -54,13 +54,14 @@
         (starts.len(), twice)
     }
 
-    /// Returns the last start at any of the named workers.
-    pub fn last_start(&self, workers: &[String]) -> Option<Instant> {
+    /// Returns the last start at any of the named workers between two times.
+    pub fn last_start(&self, workers: &[String], from: Instant, to: Instant) -> Option<Instant> {
         self.lock()
             .values()
             .flatten()
             .filter(|start| workers.contains(&start.worker))
             .map(|start| start.at)
+            .filter(|at| *at > from && *at < to)
             .max()
     }
 
@@ -183,6 +184,11 @@
         self.shared.started.load(Ordering::SeqCst)
     }
 
+    /// Returns how many tasks run now.
+    pub fn running(&self) -> u32 {
+        self.shared.running.load(Ordering::SeqCst)
+    }
+
     /// Returns the most tasks that ever ran at a time.
     pub fn most_running(&self) -> u32 {
         self.shared.most.load(Ordering::SeqCst)
