--- a/crates/hyssopctl/src/lab/report.rs
+++ b/crates/hyssopctl/src/lab/report.rs
@@ -10,6 +10,9 @@
 /// Ratios are recorded in thousandths.
 const SCALE: f64 = 1e3;
 
+/// Highest ratio recorded, in thousandths; higher ones count as this.
+const HIGHEST: u64 = 10_000_000;
+
 /// Traffic of a site, summed over its processes.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Traffic {
@@ -85,9 +88,9 @@
     ///
     /// # Panics
     ///
-    /// Never: the histogram's precision is valid.
+    /// Never: the histogram's bounds are valid.
     pub fn new(outcomes: &[Outcome], traffic: Traffic, site: &Site) -> Self {
-        let mut ratios = Histogram::<u64>::new(3).expect("valid precision");
+        let mut ratios = Histogram::<u64>::new_with_bounds(1, HIGHEST, 3).expect("valid bounds");
         let mut failures = BTreeMap::new();
         let mut partial = 0;
         for outcome in outcomes {
--- a/crates/kernel/src/entry/place.rs
+++ b/crates/kernel/src/entry/place.rs
@@ -12,13 +12,16 @@
 use std::{sync::Arc, time::Duration};
 use wire::{
     Code, Frame,
-    frame::{Answer, Item, Run, Started, Void},
+    frame::{Answer, Item, Run, Started, Submission, Void},
     id::{Job, Task},
 };
 
 /// Advice to callers whose job was given up.
 pub(super) const RETRY: Duration = Duration::from_secs(1);
 
+/// Times its expected work that a job may wait before it goes first.
+const STRETCH: u32 = 4;
+
 /// Tasks chosen in one pass, by side and job.
 type Batches = HashMap<(Key, Job), Vec<u16>>;
 
@@ -137,32 +140,38 @@
     }
 
     /// Puts a job with waiting tasks in its queue.
-    pub(super) fn enqueue(&mut self, job: Job, front: bool) {
+    pub(super) fn enqueue(&mut self, job: Job) {
         let Some(work) = self.open.get(&job) else {
             return;
         };
         let submission = &work.submission;
         let class = self.fleet.serving(&submission.service, &submission.kind);
         let queue = self.queues.entry(class.to_vec()).or_default();
-        if front {
-            queue.push_front(&submission.team, job);
-        } else {
-            queue.push(&submission.team, job);
-        }
+        queue.push(&submission.team, work.rank, job);
+    }
+
+    /// Returns a job's rank: when it should have ended if its expected work
+    /// were stretched alike for all jobs.
+    ///
+    /// A short job thus overtakes long ones, but none waits for ever, since the
+    /// ranks of later jobs rise with time.
+    pub(super) fn rank(&self, now: Duration, submission: &Submission) -> Duration {
+        let mean = self.estimator.mean(&submission.service, &submission.kind);
+        let tasks = u32::try_from(submission.tasks.len()).unwrap_or(u32::MAX);
+        now + mean.saturating_mul(tasks.saturating_mul(STRETCH))
     }
 
     /// Sorts all waiting jobs anew, after the set of pools has changed.
     pub(super) fn rebuild_queues(&mut self) {
         self.queues.clear();
-        let mut waiting: Vec<(Duration, Job)> = self
+        let waiting: Vec<Job> = self
             .open
             .iter()
             .filter(|(_, work)| !work.waiting.is_empty())
-            .map(|(job, work)| (work.accepted, *job))
+            .map(|(job, _)| *job)
             .collect();
-        waiting.sort_unstable();
-        for (_, job) in waiting {
-            self.enqueue(job, false);
+        for job in waiting {
+            self.enqueue(job);
         }
     }
 
--- a/crates/kernel/src/entry/serve.rs
+++ b/crates/kernel/src/entry/serve.rs
@@ -115,13 +115,14 @@
             self.refuse(caller, code, Started::None);
             return;
         }
-        let mut work = Work::new(submission, now);
+        let rank = self.rank(now, &submission);
+        let mut work = Work::new(submission, now, rank);
         work.callers.push(caller);
         self.deadlines.insert((work.deadline, job));
         self.queued += work.waiting.len();
         self.open.insert(job, work);
         self.stats.jobs += 1;
-        self.enqueue(job, false);
+        self.enqueue(job);
         self.place(now);
     }
 
--- a/crates/kernel/src/entry/sides.rs
+++ b/crates/kernel/src/entry/sides.rs
@@ -158,6 +158,15 @@
             index: done.index,
         };
         self.stats.results += 1;
+        // A result that was handed over does not say how long it took.
+        if let Some(work) = self.open.get(&done.job)
+            && done.spent > 0
+        {
+            let submission = &work.submission;
+            let spent = Duration::from_micros(done.spent.into());
+            self.estimator
+                .record(&submission.service, &submission.kind, spent);
+        }
         let held = self.free_place(key, task);
         self.fleet.report(key, done.load);
         match done.outcome {
@@ -246,7 +255,7 @@
             .is_some_and(|work| work.unplace(task.index, key));
         if returned {
             self.queued += 1;
-            self.enqueue(task.job, true);
+            self.enqueue(task.job);
         }
     }
 
@@ -335,7 +344,7 @@
                     && work.unplace(task.index, key)
                 {
                     self.queued += 1;
-                    self.enqueue(task.job, true);
+                    self.enqueue(task.job);
                 }
             }
             return;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod ini;
+pub mod learn;
 pub mod mutation;
 pub mod policy;
 pub mod queue;
--- a/crates/kernel/src/queue.rs
+++ b/crates/kernel/src/queue.rs
@@ -1,32 +1,35 @@
 //! Jobs that wait for slots, fair between teams.
 
 use hashbrown::HashMap;
-use std::collections::VecDeque;
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 use wire::id::Job;
 
-/// Waiting jobs of one service: teams take turns, and within a team the oldest
-/// job goes first.
+/// Waiting jobs of one class: teams take turns, and within a team the job of
+/// the lowest rank goes first.
 #[derive(Debug, Default)]
 pub struct Queue {
-    teams: HashMap<String, VecDeque<Job>>,
+    teams: HashMap<String, BTreeSet<(Duration, Job)>>,
     turns: VecDeque<String>,
 }
 
 impl Queue {
-    /// Adds a job behind the others of its team.
-    pub fn push(&mut self, team: &str, job: Job) {
-        self.line(team).push_back(job);
-    }
-
-    /// Adds a job before the others of its team, for tasks that came back.
-    pub fn push_front(&mut self, team: &str, job: Job) {
-        self.line(team).push_front(job);
+    /// Adds a job, once.
+    pub fn push(&mut self, team: &str, rank: Duration, job: Job) {
+        if !self.teams.contains_key(team) {
+            self.turns.push_back(team.to_owned());
+        }
+        let line = self.teams.entry_ref(team).or_default();
+        line.insert((rank, job));
     }
 
     /// Returns the job whose turn it is, without removing it.
     pub fn front(&self) -> Option<Job> {
         let team = self.turns.front()?;
-        self.teams.get(team)?.front().copied()
+        let (_, job) = self.teams.get(team)?.first()?;
+        Some(*job)
     }
 
     /// Passes the turn to the next team.
@@ -43,20 +46,13 @@
 
     /// Removes the job whose turn it is.
     pub fn pop(&mut self) -> Option<Job> {
-        let team = self.turns.front()?.clone();
-        let line = self.teams.get_mut(&team)?;
-        let job = line.pop_front();
+        let team = self.turns.front()?;
+        let line = self.teams.get_mut(team)?;
+        let (_, job) = line.pop_first()?;
         if line.is_empty() {
-            self.teams.remove(&team);
+            self.teams.remove(team);
             self.turns.pop_front();
         }
-        job
-    }
-
-    fn line(&mut self, team: &str) -> &mut VecDeque<Job> {
-        if !self.teams.contains_key(team) {
-            self.turns.push_back(team.to_owned());
-        }
-        self.teams.entry(team.to_owned()).or_default()
+        Some(job)
     }
 }
--- a/crates/kernel/src/work.rs
+++ b/crates/kernel/src/work.rs
@@ -49,6 +49,8 @@
     pub digest: u64,
     /// When the job was accepted.
     pub accepted: Duration,
+    /// Place among the waiting jobs of its team; the lowest goes first.
+    pub rank: Duration,
     /// When the job fails if it has not ended.
     pub deadline: Duration,
     /// One state a task.
@@ -69,11 +71,12 @@
     /// # Panics
     ///
     /// With more than 65,535 tasks, which the document's limits exclude.
-    pub fn new(submission: Submission, now: Duration) -> Self {
+    pub fn new(submission: Submission, now: Duration, rank: Duration) -> Self {
         let count = u16::try_from(submission.tasks.len()).expect("limited on submission");
         Self {
             digest: digest(&submission),
             accepted: now,
+            rank,
             deadline: now + Duration::from_millis(submission.deadline.into()),
             tasks: vec![Task::Waiting; count.into()],
             waiting: (0..count).collect(),
