--- a/crates/hyssoppost/src/entry/callers.rs
+++ b/crates/hyssoppost/src/entry/callers.rs
@@ -264,6 +264,8 @@
     match answer {
         Answer::Complete(answers) => whole(ticket, answers),
         Answer::Failed(failure) => failure_response(ticket, failure),
+        // Callers' tickets come by another way.
+        Answer::Tickets(_) => refuse(Code::MalformedJob, "no answer of a job"),
     }
 }
 
--- a/crates/hyssoppost/src/entry/process.rs
+++ b/crates/hyssoppost/src/entry/process.rs
@@ -259,7 +259,9 @@
                 Ok(_) => return refuse(reply, Code::TicketRequired),
                 Err(code) => return refuse(reply, code),
             },
-            (None, Request::Answer | Request::Cancel) => return refuse(reply, Code::BadTicket),
+            (None, Request::Answer | Request::Cancel | Request::Issue(_)) => {
+                return refuse(reply, Code::BadTicket);
+            }
         };
         let pending = Pending {
             job: Some(job),
--- a/crates/kernel/src/entry/archive.rs
+++ b/crates/kernel/src/entry/archive.rs
@@ -112,5 +112,6 @@
     match answer {
         Answer::Complete(answers) => answers.iter().map(|answer| answer.0.len() + 32).sum(),
         Answer::Failed(failure) => failure.detail.len() + 32,
+        Answer::Tickets(_) => 0,
     }
 }
--- a/crates/kernel/src/entry/config.rs
+++ b/crates/kernel/src/entry/config.rs
@@ -83,6 +83,7 @@
             name: hello.name.clone(),
             heard: now,
             clock: 0,
+            leaving: false,
         };
         self.peers.insert(hello.incarnation, peer);
         self.beat_to(now, hello.incarnation, 0);
@@ -103,6 +104,7 @@
         };
         peer.heard = now;
         peer.clock = beat.clock;
+        peer.leaving = beat.leaving;
         let name = peer.name.clone();
         let echo = Duration::from_millis(beat.echo);
         let ours = self.revision();
--- a/crates/kernel/src/entry/mod.rs
+++ b/crates/kernel/src/entry/mod.rs
@@ -9,13 +9,14 @@
 mod recover;
 mod serve;
 mod sides;
+mod stock;
 
 pub use archive::Archive;
 pub use config::{Adoption, judge};
 pub use recover::Recovery;
 
 use crate::{
-    BEAT, TICKET_LIFE,
+    BEAT,
     authority::Authority,
     document::Document,
     fleet::{Fleet, Key, Pool},
@@ -89,6 +90,8 @@
     pub heard: Duration,
     /// Its clock at its last heartbeat, in milliseconds.
     pub clock: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
 }
 
 /// A request that another entry answers.
@@ -137,6 +140,7 @@
     next_call: u64,
     recoveries: HashMap<Incarnation, Recovery>,
     next_ticket: u64,
+    stock: stock::Stock,
     leaving: bool,
     retired: bool,
     last_beat: Duration,
@@ -170,6 +174,7 @@
             next_call: 0,
             recoveries: HashMap::new(),
             next_ticket: 0,
+            stock: stock::Stock::default(),
             leaving: false,
             retired: false,
             last_beat: Duration::ZERO,
@@ -183,16 +188,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Issues a ticket.
-    pub fn ticket(&mut self, now: Duration) -> Job {
-        self.next_ticket += 1;
-        Job {
-            home: self.identity.incarnation,
-            sequence: self.next_ticket,
-            expires: (now + TICKET_LIFE).as_secs(),
-        }
-    }
-
     /// Returns the document in force.
     pub fn document(&self) -> &Document {
         &self.document
@@ -329,6 +324,7 @@
                 let answer = answer.as_ref().clone();
                 self.send(entry, Frame::Reply(wire::frame::Reply { call, answer }));
             }
+            Caller::Stock => self.restock(Some(answer)),
         }
     }
 
--- a/crates/kernel/src/entry/serve.rs
+++ b/crates/kernel/src/entry/serve.rs
@@ -23,7 +23,7 @@
             // The sender takes this for a home that is gone and recovers.
             self.refuse(caller, Code::HomeUnreachable, Started::Unknown);
         } else if self.peers.contains_key(&job.home) {
-            self.forward(caller, job, request);
+            self.call(caller, job, request);
         } else {
             self.recover(now, caller, job);
         }
@@ -47,6 +47,10 @@
 
     /// Takes a request that another entry forwarded.
     pub(super) fn forwarded(&mut self, now: Duration, from: Incarnation, forward: Forward) {
+        if let Request::Issue(count) = forward.request {
+            self.issue(now, from, &forward, count);
+            return;
+        }
         let caller = Caller::Remote {
             entry: from,
             call: forward.call,
@@ -64,8 +68,10 @@
             .map(|(number, _)| *number)
             .collect();
         for number in lost {
-            if let Some(call) = self.calls.remove(&number) {
-                self.recover(now, call.caller, call.job);
+            match self.calls.remove(&number) {
+                Some(call) if call.caller == Caller::Stock => self.restock(None),
+                Some(call) => self.recover(now, call.caller, call.job),
+                None => {}
             }
         }
     }
@@ -86,10 +92,12 @@
             Request::Submit(submission) => self.submit(now, caller, job, submission),
             Request::Answer => self.answer(caller, job),
             Request::Cancel => self.cancel(caller, job),
+            Request::Issue(_) => self.refuse(caller, Code::MalformedJob, Started::None),
         }
     }
 
-    fn forward(&mut self, caller: Caller, job: Job, request: Request) {
+    /// Forwards a request to the job's home.
+    pub(super) fn call(&mut self, caller: Caller, job: Job, request: Request) {
         self.next_call += 1;
         let number = self.next_call;
         let call = Call {
--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -190,6 +190,16 @@
 }
 
 impl Fleet {
+    /// Returns the number of sides.
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Returns whether no side is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
     /// Adds a side, in place of an earlier one of the same name.
     ///
     /// # Panics
--- a/crates/kernel/src/work.rs
+++ b/crates/kernel/src/work.rs
@@ -27,6 +27,8 @@
         /// Its number for the request.
         call: u64,
     },
+    /// This entry's own stock of tickets.
+    Stock,
 }
 
 /// State of one task.
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -576,7 +576,7 @@
 
     pub fn ticket(&mut self, entry: usize) -> Job {
         let now = self.now;
-        self.entry(entry).ticket(now)
+        self.entry(entry).mint(now)
     }
 
     pub fn request(&mut self, entry: usize, job: Job, request: Request) -> u64 {
@@ -869,6 +869,7 @@
         match self.answer(caller)? {
             Answer::Complete(_) => Some(Code::Complete),
             Answer::Failed(failure) => Some(failure.code),
+            Answer::Tickets(_) => None,
         }
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -245,6 +245,8 @@
     Answer,
     /// Give the job up.
     Cancel,
+    /// Issue this many tickets; the job of the request means nothing.
+    Issue(u16),
 }
 
 /// Entry to entry: a request whose home is the receiver.
@@ -258,13 +260,15 @@
     pub request: Request,
 }
 
-/// A job's final answer.
+/// The answer to a [`Request`]; for a job, its final one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// Every task's answer, in order.
     Complete(Vec<Payload>),
     /// The job failed.
     Failed(Failure),
+    /// Tickets, in answer to [`Request::Issue`].
+    Tickets(Vec<Job>),
 }
 
 /// Why a job failed.
