Prove the promises over real sockets and in separate processes; operators' commands

Cause: the kernel's proofs say nothing about the runtime around it. Change: tests kill, silence, drain and partition whole sites over loopback; one test runs entry and side as processes of their own and stops them with SIGTERM while a request is in progress. hyssopctl gains publish, domain, dump and slopes.

--- a/crates/hyssopctl/src/cmd/mod.rs
+++ b/crates/hyssopctl/src/cmd/mod.rs
@@ -3,4 +3,9 @@
 pub mod bench;
 pub mod check;
 pub mod demo;
+pub mod domain;
+pub mod dump;
+pub mod publish;
+pub mod slopes;
+pub mod store;
 pub mod submit;
--- /dev/null
+++ b/crates/hyssopctl/src/cmd/slopes.rs
@@ -0,0 +1,220 @@
+//! `hyssopctl slopes`.
+
+use crate::{
+    Error,
+    lab::{
+        Plan, Site,
+        load::{Load, submit},
+        report::Traffic,
+        site::Runtimes,
+    },
+    util,
+};
+use hyssoppost::usage;
+use lexopt::{Arg, Parser, ValueExt};
+use std::{
+    collections::BTreeMap,
+    fs,
+    time::{Duration, Instant},
+};
+use tokio::task::JoinSet;
+
+/// Usage of the command.
+pub const USAGE: &str = "\
+Measures what one entry and its sides cost as the fleet and the rate grow, for
+docs/CAPACITY.md.
+
+Usage:
+    hyssopctl slopes [--sides N,N,...] [--seconds N] [--callers N]
+
+One entry and N sides run in this process over loopback, each role on threads
+of its own, so that processor time is told apart by role. For each N: first
+idle, then under as many jobs of 20 empty tasks as the callers can submit.
+
+Options:
+        --sides N,N,...   Fleet sizes; 12,100,300 by default.
+        --seconds N       Length of each phase; 8 by default.
+        --callers N       Callers that submit one job after another; 64 by
+                          default.
+    -h, --help            Print this text.
+";
+
+/// Tasks in each job, and slots of each side.
+const TASKS: u16 = 20;
+const SLOTS: u16 = 16;
+
+#[derive(Debug)]
+struct Arguments {
+    sides: Vec<usize>,
+    length: Duration,
+    callers: usize,
+}
+
+/// Processor time of the roles' threads, in seconds.
+type Times = BTreeMap<String, f64>;
+
+/// Runs the command.
+pub fn run(parser: Parser) -> Result<(), Error> {
+    let Some(arguments) = parse(parser)? else {
+        print!("{USAGE}");
+        return Ok(());
+    };
+    println!(
+        "sides | phase | tasks/s | entry CPU % | side CPU % each | entry us/task | side us/task | \
+         control B/s a side | frames a task | resident MB"
+    );
+    for sides in &arguments.sides {
+        let runtimes = Runtimes::open()?;
+        let plan = plan(*sides);
+        util::block_on(measure(&arguments, plan, &runtimes))?;
+    }
+    Ok(())
+}
+
+fn plan(workers: usize) -> Plan {
+    let mut plan = Plan::folia();
+    plan.domains.truncate(1);
+    plan.workers = workers;
+    plan.slots = SLOTS;
+    plan.domain_delay = Duration::ZERO;
+    plan.caller_delay = Duration::ZERO;
+    plan.kinds.truncate(1);
+    plan.kinds[0].tasks = (TASKS, TASKS);
+    plan.kinds[0].run_ms = (0.01, 0.011);
+    plan.kinds[0].share = 1.0;
+    plan
+}
+
+async fn measure(arguments: &Arguments, plan: Plan, runtimes: &Runtimes) -> Result<(), Error> {
+    let site = Site::spawn_on(plan, policies::DEFAULT, 1, Some(runtimes)).await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let idle = phase(&site, arguments, false).await?;
+    print_row(&site, "idle", &idle);
+    let loaded = phase(&site, arguments, true).await?;
+    print_row(&site, "loaded", &loaded);
+    Ok(())
+}
+
+/// What one phase took.
+struct Phase {
+    seconds: f64,
+    times: Times,
+    traffic: Traffic,
+    resident: u64,
+}
+
+async fn phase(site: &Site, arguments: &Arguments, loaded: bool) -> Result<Phase, Error> {
+    let traffic = Traffic::read(site).await?;
+    let before = times();
+    let begun = Instant::now();
+    if loaded {
+        keep_busy(site, arguments).await?;
+    } else {
+        tokio::time::sleep(arguments.length).await;
+    }
+    let seconds = begun.elapsed().as_secs_f64();
+    let after = times();
+    let times = after
+        .into_iter()
+        .map(|(role, time)| {
+            let earlier = before.get(&role).copied().unwrap_or_default();
+            (role, time - earlier)
+        })
+        .collect();
+    Ok(Phase {
+        seconds,
+        times,
+        traffic: Traffic::read(site).await?.since(traffic),
+        resident: usage::read().resident_bytes,
+    })
+}
+
+async fn keep_busy(site: &Site, arguments: &Arguments) -> Result<(), Error> {
+    let client = site.client(0)?;
+    let items = Load::steady(0.5, Duration::from_millis(50), 1).draw(&site.plan);
+    let Some(item) = items.into_iter().next() else {
+        return Err(Error::Broken("no job was drawn".to_owned()));
+    };
+    let end = Instant::now() + arguments.length;
+    let mut callers = JoinSet::new();
+    for _ in 0..arguments.callers {
+        let (client, item) = (client.clone(), item.clone());
+        callers.spawn(async move {
+            while Instant::now() < end {
+                submit(&client, &item, None, end).await;
+            }
+        });
+    }
+    callers.join_all().await;
+    Ok(())
+}
+
+fn print_row(site: &Site, name: &str, phase: &Phase) {
+    let sides = as_f64(site.places.len() as u64);
+    let time = |role: &str| phase.times.get(role).copied().unwrap_or_default();
+    let tasks = as_f64(phase.traffic.tasks);
+    let each = |seconds: f64| {
+        if tasks > 0.0 {
+            seconds * 1e6 / tasks
+        } else {
+            0.0
+        }
+    };
+    println!(
+        "{} | {name} | {:.0} | {:.2} | {:.3} | {:.1} | {:.1} | {:.0} | {:.2} | {:.0}",
+        site.places.len(),
+        tasks / phase.seconds,
+        time("entry") / phase.seconds * 100.0,
+        time("side") / phase.seconds * 100.0 / sides,
+        each(time("entry")),
+        each(time("side")),
+        as_f64(phase.traffic.control_bytes) / phase.seconds / sides,
+        as_f64(phase.traffic.frames) / tasks.max(1.0),
+        as_f64(phase.resident) / 1e6,
+    );
+}
+
+/// Reads the processor time of this process's threads, by thread name.
+fn times() -> Times {
+    let mut times = Times::new();
+    let Ok(threads) = fs::read_dir("/proc/self/task") else {
+        return times;
+    };
+    for thread in threads.flatten() {
+        let name = fs::read_to_string(thread.path().join("comm")).unwrap_or_default();
+        let text = fs::read_to_string(thread.path().join("schedstat")).unwrap_or_default();
+        let nanoseconds = text.split(' ').next().and_then(|field| field.parse().ok());
+        let seconds = nanoseconds.map_or(0.0, |value: u64| as_f64(value) / 1e9);
+        *times.entry(name.trim().to_owned()).or_default() += seconds;
+    }
+    times
+}
+
+#[expect(clippy::cast_precision_loss, reason = "figures for people")]
+fn as_f64(value: u64) -> f64 {
+    value as f64
+}
+
+fn parse(mut parser: Parser) -> Result<Option<Arguments>, lexopt::Error> {
+    let mut arguments = Arguments {
+        sides: vec![12, 100, 300],
+        length: Duration::from_secs(8),
+        callers: 64,
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            Arg::Long("sides") => {
+                let list = parser.value()?.string()?;
+                let numbers: Result<Vec<usize>, _> = list.split(',').map(str::parse).collect();
+                arguments.sides = numbers.map_err(|_| "--sides: numbers with commas")?;
+            }
+            Arg::Long("seconds") => {
+                arguments.length = Duration::from_secs(parser.value()?.parse()?);
+            }
+            Arg::Long("callers") => arguments.callers = parser.value()?.parse()?,
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    Ok(Some(arguments))
+}
--- a/crates/hyssopctl/src/lab/drive.rs
+++ b/crates/hyssopctl/src/lab/drive.rs
@@ -9,7 +9,7 @@
 use crate::{Error, client::Client};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
-    collections::HashMap,
+    collections::HashSet,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
@@ -59,7 +59,7 @@
 }
 
 /// Jobs that have not ended, by ticket.
-type Open = Arc<Mutex<HashMap<String, ()>>>;
+type Open = Arc<Mutex<HashSet<String>>>;
 
 /// What callers share.
 #[derive(Debug, Clone)]
@@ -140,7 +140,7 @@
                 .and_then(|mut tickets| tickets.pop());
         }
         if let Some(ticket) = &ticket {
-            desk.lock().insert(ticket.clone(), ());
+            desk.lock().insert(ticket.clone());
             let tried = super::load::submit(client, &item, Some(ticket.clone()), desk.start).await;
             desk.lock().remove(ticket);
             let again = TRY_AGAIN.contains(&tried.code.unwrap_or_default()) && !tried.whole;
@@ -157,12 +157,12 @@
 }
 
 impl Desk {
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, ()>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashSet<String>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn cancel(&self, share: f64, random: &mut SmallRng) {
-        let mut tickets: Vec<String> = self.lock().keys().cloned().collect();
+        let mut tickets: Vec<String> = self.lock().iter().cloned().collect();
         tickets.sort();
         tickets.retain(|_| random.random_bool(share));
         for (number, ticket) in tickets.into_iter().enumerate() {
@@ -242,7 +242,7 @@
             .collect();
         let choice = self.random.random_range(0..4);
         let entry = self.random.random_range(0..site.entries.len());
-        let side = self.random.random_range(0..site.places.len());
+        let place = self.random.random_range(0..site.places.len());
         let away = match choice {
             0 if away.is_empty() => {
                 site.kill_entry(entry);
@@ -252,9 +252,9 @@
                 site.entries[entry].partition(true);
                 Away::Partition(entry)
             }
-            _ if site.places[side].side.is_some() => {
-                site.kill_side(side);
-                Away::Side(side)
+            _ if site.places[place].side.is_some() => {
+                site.kill_side(place);
+                Away::Side(place)
             }
             _ => return,
         };
--- a/crates/hyssopctl/src/lab/report.rs
+++ b/crates/hyssopctl/src/lab/report.rs
@@ -22,6 +22,8 @@
     pub wasted: u64,
     /// Tasks that entries sent.
     pub tasks: u64,
+    /// Bytes of heartbeats, offers and configuration, sent by all processes.
+    pub control_bytes: u64,
 }
 
 impl Traffic {
@@ -32,6 +34,10 @@
         for dump in entries.iter().chain(&sides) {
             traffic.frames += dump["process"]["frames_sent"].as_u64().unwrap_or_default();
         }
+        for dump in entries.iter().chain(&sides) {
+            let bytes = &dump["process"]["control_bytes_sent"];
+            traffic.control_bytes += bytes.as_u64().unwrap_or_default();
+        }
         for dump in &entries {
             let counts = &dump["counts"];
             traffic.tasks += counts["tasks_sent"].as_u64().unwrap_or_default();
@@ -47,6 +53,7 @@
             frames: self.frames.saturating_sub(earlier.frames),
             wasted: self.wasted.saturating_sub(earlier.wasted),
             tasks: self.tasks.saturating_sub(earlier.tasks),
+            control_bytes: self.control_bytes.saturating_sub(earlier.control_bytes),
         }
     }
 }
--- a/crates/hyssopctl/src/lab/site.rs
+++ b/crates/hyssopctl/src/lab/site.rs
@@ -19,6 +19,7 @@
     net::SocketAddr,
     time::{Duration, Instant},
 };
+use tokio::runtime::{Handle, Runtime};
 
 /// Token of the admin interfaces.
 pub const TOKEN: &str = "lab-admin-token";
@@ -83,11 +84,74 @@
     policy: &'static Plugin,
     seed: u64,
     timer: Timer,
+    handles: Option<Handles>,
+}
+
+/// Runtimes whose threads carry their role's name.
+#[derive(Debug)]
+pub struct Runtimes {
+    entry: Runtime,
+    side: Runtime,
+}
+
+#[derive(Debug, Clone)]
+struct Handles {
+    entry: Handle,
+    side: Handle,
+}
+
+impl Runtimes {
+    /// Starts the threads.
+    pub fn open() -> Result<Self, Error> {
+        let open = |name: &str| {
+            tokio::runtime::Builder::new_multi_thread()
+                .thread_name(name)
+                .enable_all()
+                .build()
+        };
+        Ok(Self {
+            entry: open("entry")?,
+            side: open("side")?,
+        })
+    }
+
+    fn handles(&self) -> Handles {
+        Handles {
+            entry: self.entry.handle().clone(),
+            side: self.side.handle().clone(),
+        }
+    }
+}
+
+/// Runs a future on a role's threads, if it has its own.
+async fn on<T, F>(handle: Option<&Handle>, future: F) -> Result<T, Error>
+where
+    T: Send + 'static,
+    F: Future<Output = Result<T, hyssoppost::Error>> + Send + 'static,
+{
+    let result = match handle {
+        None => future.await,
+        Some(handle) => handle
+            .spawn(future)
+            .await
+            .map_err(|error| Error::Broken(error.to_string()))?,
+    };
+    Ok(result?)
 }
 
 impl Site {
     /// Starts a site and waits until every entry sees every side.
     pub async fn spawn(plan: Plan, policy: &str, seed: u64) -> Result<Self, Error> {
+        Self::spawn_on(plan, policy, seed, None).await
+    }
+
+    /// Starts a site with each role on threads of its own.
+    pub async fn spawn_on(
+        plan: Plan,
+        policy: &str,
+        seed: u64,
+        runtimes: Option<&Runtimes>,
+    ) -> Result<Self, Error> {
         let policy = Plugin::find(policy).ok_or_else(|| unknown_policy(policy))?;
         let store = Store::bind().await?;
         let operator = gateway::Client::open(&store.address().to_string())?;
@@ -101,6 +165,7 @@
             policy,
             seed,
             timer: Timer::spawn(),
+            handles: runtimes.map(Runtimes::handles),
         };
         site.publish(&[], "start").await?;
         for index in 0..site.plan.domains.len() {
@@ -133,7 +198,8 @@
     /// Starts an entry's process, for the first time or again.
     pub async fn start_entry(&mut self, index: usize) -> Result<(), Error> {
         let settings = self.entry_settings(index)?;
-        let handle = entry::spawn(settings).await?;
+        let threads = self.handles.as_ref().map(|handles| &handles.entry);
+        let handle = on(threads, entry::spawn(settings)).await?;
         let entry = &mut self.entries[index];
         entry.callers.aim(Some(handle.callers()));
         entry.peers.aim(Some(handle.links()));
@@ -159,7 +225,7 @@
 
     /// Starts a side's process again; its worker stays.
     pub async fn start_side(&mut self, index: usize) -> Result<(), Error> {
-        let handle = side::spawn(self.side_settings(index)?).await?;
+        let handle = self.spawn_side(index).await?;
         let place = &mut self.places[index];
         place.worker.attach(handle.upstream());
         place.side = Some(handle);
@@ -248,7 +314,7 @@
     }
 
     async fn new_place(&self, index: usize) -> Result<Place, Error> {
-        let handle = side::spawn(self.side_settings(index)?).await?;
+        let handle = self.spawn_side(index).await?;
         let name = worker_name(index);
         let profile = Profile {
             name: name.clone(),
@@ -270,6 +336,12 @@
         })
     }
 
+    async fn spawn_side(&self, index: usize) -> Result<side::Handle, Error> {
+        let settings = self.side_settings(index)?;
+        let threads = self.handles.as_ref().map(|handles| &handles.side);
+        on(threads, side::spawn(settings)).await
+    }
+
     fn entry_settings(&self, index: usize) -> Result<settings::Entry, Error> {
         let domain = &self.plan.domains[index];
         let text = format!(
--- a/crates/hyssopctl/src/main.rs
+++ b/crates/hyssopctl/src/main.rs
@@ -16,6 +16,10 @@
     bench    Measure placement policies on a whole site.
     check    Check an environment's document offline.
     demo     Run a whole site in one process and submit jobs to it.
+    domain   Take a failure domain out of service or bring it back.
+    dump     Print a process's whole state.
+    publish  Put an environment's document in force.
+    slopes   Measure what entries and sides cost.
     submit   Submit jobs and print their answers.
 
 Exit codes: 0 done, 2 arguments, 3 a file's content, 4 system or network,
@@ -51,6 +55,10 @@
         "bench" => cmd::bench::run(parser),
         "check" => cmd::check::run(parser),
         "demo" => cmd::demo::run(parser),
+        "domain" => cmd::domain::run(parser),
+        "dump" => cmd::dump::run(parser),
+        "publish" => cmd::publish::run(parser),
+        "slopes" => cmd::slopes::run(parser),
         "submit" => cmd::submit::run(parser),
         other => Err(lexopt::Error::from(format!("unknown command {other:?}; see --help")).into()),
     }
--- /dev/null
+++ b/crates/hyssopctl/tests/site_failures.rs
@@ -0,0 +1,324 @@
+//! Failures of a whole site over real sockets. Outcomes alone are asserted, no
+//! times; each wait ends with what it waits for.
+
+use hyssopctl::{
+    client::{Answer, Client, Job},
+    lab::{Plan, Site},
+};
+use serde_json::json;
+use standin::store::Faults;
+use std::time::Duration;
+
+fn plan() -> Plan {
+    Plan {
+        workers: 3,
+        slots: 2,
+        ..Plan::folia()
+    }
+}
+
+async fn site() -> Site {
+    Site::spawn(plan(), policies::DEFAULT, 1).await.unwrap()
+}
+
+fn job(ticket: &str, name: &str, tasks: usize, ms: u32) -> Job {
+    let tasks = (0..tasks).map(|index| json!({ "task": format!("{name}-{index}"), "ms": ms }));
+    Job {
+        service: "proofing".to_owned(),
+        ticket: Some(ticket.to_owned()),
+        kind: "die-check".to_owned(),
+        team: None,
+        deadline_ms: Some(20_000),
+        tasks: tasks.collect(),
+    }
+}
+
+async fn ticket(client: &Client) -> String {
+    client.tickets(1).await.unwrap().pop().unwrap()
+}
+
+/// The index of the entry that is the home of a ticket.
+fn home(site: &Site, ticket: &str) -> usize {
+    let named = |entry: &hyssopctl::lab::site::Entry| {
+        let incarnation = entry.handle.as_ref().unwrap().incarnation();
+        ticket.starts_with(&incarnation.to_string())
+    };
+    site.entries.iter().position(named).unwrap()
+}
+
+/// Submits under the same ticket until the answer is more than "not now".
+async fn insist(site: &Site, from: usize, job: &Job) -> Answer {
+    for attempt in from.. {
+        let index = attempt % site.entries.len();
+        if site.entries[index].handle.is_some()
+            && let Ok(answer) = site.client(index).unwrap().submit(job).await
+            && ![202, 203, 204, 206].contains(&answer.code)
+        {
+            return answer;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    unreachable!("the loop ends with an answer");
+}
+
+async fn started(site: &Site, name: &str, tasks: usize) {
+    let all = || (0..tasks).all(|index| !site.audit.starts(&format!("{name}-{index}")).is_empty());
+    while !all() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn home_killed_while_running() {
+    let mut site = site().await;
+    let ticket = ticket(&site.client(0).unwrap()).await;
+    let home = home(&site, &ticket);
+    let job = job(&ticket, "k", 4, 400);
+    let first = tokio::spawn({
+        let (client, job) = (site.client(home).unwrap(), job.clone());
+        async move { client.submit(&job).await }
+    });
+    started(&site, "k", 4).await;
+    site.kill_entry(home);
+    let answer = insist(&site, home + 1, &job).await;
+    assert!(answer.is_complete(), "{answer:?}");
+    assert_eq!(answer.answers.len(), 4);
+    assert_eq!(site.audit.totals(), (4, 0));
+    first.abort();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn side_killed_then_restarted() {
+    let mut site = site().await;
+    let ticket = ticket(&site.client(0).unwrap()).await;
+    let job = job(&ticket, "s", 6, 300);
+    let first = tokio::spawn({
+        let (client, job) = (site.client(0).unwrap(), job.clone());
+        async move { client.submit(&job).await }
+    });
+    started(&site, "s", 6).await;
+    site.kill_side(1);
+    site.start_side(1).await.unwrap();
+    let answer = first.await.unwrap().unwrap();
+    assert_eq!(
+        answer.name.as_deref(),
+        Some("outcome-unknown"),
+        "{answer:?}"
+    );
+    let again = insist(&site, 0, &job).await;
+    assert_eq!(
+        again.code, answer.code,
+        "the answer asked for again is the same"
+    );
+    assert_eq!(site.audit.totals(), (6, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_replaced() {
+    let site = site().await;
+    let ticket = ticket(&site.client(0).unwrap()).await;
+    let job = job(&ticket, "q", 6, 300);
+    let first = tokio::spawn({
+        let (client, job) = (site.client(0).unwrap(), job.clone());
+        async move { client.submit(&job).await }
+    });
+    started(&site, "q", 6).await;
+    for relay in site.entries.iter().flat_map(|entry| &entry.sides) {
+        relay.silence();
+    }
+    let answer = first.await.unwrap().unwrap();
+    assert!(answer.is_complete(), "{answer:?}");
+    assert_eq!(site.audit.totals(), (6, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_drains() {
+    let mut site = site().await;
+    let client = site.client(0).unwrap();
+    let ticket = ticket(&client).await;
+    let home = home(&site, &ticket);
+    let job = job(&ticket, "d", 4, 300);
+    let first = tokio::spawn({
+        let (client, job) = (site.client(home).unwrap(), job.clone());
+        async move { client.submit(&job).await }
+    });
+    started(&site, "d", 4).await;
+    let handle = site.entries[home].handle.take().unwrap();
+    handle.drain(std::future::pending()).await.unwrap();
+    let answer = first.await.unwrap().unwrap();
+    assert!(
+        answer.is_complete(),
+        "no request in progress is cut: {answer:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn side_drains() {
+    let mut site = site().await;
+    let client = site.client(0).unwrap();
+    let ticket = ticket(&client).await;
+    let job = job(&ticket, "e", 6, 300);
+    let first = tokio::spawn({
+        let (client, job) = (site.client(0).unwrap(), job.clone());
+        async move { client.submit(&job).await }
+    });
+    started(&site, "e", 6).await;
+    let handle = site.places[0].side.take().unwrap();
+    handle.drain(std::future::pending()).await.unwrap();
+    let answer = first.await.unwrap().unwrap();
+    assert!(answer.is_complete(), "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn domain_out_and_in() {
+    let site = site().await;
+    let client = site.client(0).unwrap();
+    site.publish(&["nord-a"], "out").await.unwrap();
+    // All entries have it when none offers the domain's side any more.
+    loop {
+        let (entries, sides) = site.dumps().await.unwrap();
+        let known = |dump: &serde_json::Value| dump["configuration"]["revision"] == 2;
+        if entries.iter().all(known) && sides.iter().all(known) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let out = ticket(&client).await;
+    let answer = client.submit(&job(&out, "o", 8, 20)).await.unwrap();
+    assert!(answer.is_complete());
+    let workers = site.workers_of("nord-a");
+    for index in 0..8 {
+        let starts = site.audit.starts(&format!("o-{index}"));
+        assert!(starts.iter().all(|start| !workers.contains(&start.worker)));
+    }
+    site.publish(&[], "in").await.unwrap();
+    site.wait_ready().await.unwrap();
+    let back = ticket(&client).await;
+    let answer = client.submit(&job(&back, "i", 6, 100)).await.unwrap();
+    assert!(answer.is_complete());
+    assert_eq!(site.places[0].worker.started(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn publish_with_lost_answer() {
+    let site = site().await;
+    let faults = |lost_answers| Faults {
+        lost_answers,
+        ..Faults::default()
+    };
+    site.store.inject(faults(1));
+    let record = site.publish(&["nord-b"], "lost").await.unwrap();
+    assert_eq!(
+        record.revision, 2,
+        "recognised by its change, not written twice"
+    );
+    let again = site.publish(&[], "next").await.unwrap();
+    assert_eq!(again.revision, 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn publish_in_outage() {
+    let site = site().await;
+    site.store.set_outage(true);
+    let error = site.publish(&["nord-b"], "out").await.unwrap_err();
+    assert_eq!(error.exit_code(), 4, "{error}");
+    let client = site.client(0).unwrap();
+    let ticket = ticket(&client).await;
+    let answer = client.submit(&job(&ticket, "x", 3, 10)).await.unwrap();
+    assert!(answer.is_complete(), "work goes on");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators() {
+    use platform::publication::{self, Change, Error};
+    let site = site().await;
+    let environment = &site.plan.environment;
+    let base = publication::read(&site.operator, environment)
+        .await
+        .unwrap();
+    let text = site.plan.document(&["nord-c"]);
+    let change = |id| Change {
+        id,
+        author: "ana",
+        time: 0,
+        text: &text,
+    };
+    let first = publication::publish(&site.operator, environment, base.as_ref(), change("one"));
+    assert_eq!(first.await.unwrap().revision, 2);
+    let second = publication::publish(&site.operator, environment, base.as_ref(), change("two"));
+    let Err(Error::Conflict {
+        revision, change, ..
+    }) = second.await
+    else {
+        panic!("the second must not win");
+    };
+    assert_eq!((revision, change.as_str()), (2, "one"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stale_store_refused() {
+    let site = site().await;
+    let environment = site.plan.environment.clone();
+    let key = platform::publication::key(&environment);
+    let old = platform::publication::read(&site.operator, &environment)
+        .await
+        .unwrap();
+    let old = serde_json::to_vec(&old.unwrap().record).unwrap();
+    site.publish(&["nord-b"], "newer").await.unwrap();
+    let all_at = |revision: u64, entries: &[serde_json::Value]| {
+        entries
+            .iter()
+            .all(|dump| dump["configuration"]["revision"] == revision)
+    };
+    while !all_at(2, &site.dumps().await.unwrap().0) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    site.store.restore(&key, &old);
+    let stale = |entries: &[serde_json::Value]| {
+        entries
+            .iter()
+            .all(|dump| dump["counts"]["stale_configs"].as_u64() > Some(0))
+    };
+    loop {
+        let (entries, _) = site.dumps().await.unwrap();
+        assert!(
+            all_at(2, &entries),
+            "a lower revision never comes into force"
+        );
+        if stale(&entries) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stranger_refused() {
+    use hyssoppost::link::{self, Local};
+    use wire::{frame::Hello, id::Incarnation, proof::Keyring};
+    let site = site().await;
+    let entry = site.entries[0].handle.as_ref().unwrap();
+    let hello = Hello {
+        version: wire::frame::VERSION,
+        role: wire::frame::Role::Side,
+        name: "stranger".to_owned(),
+        incarnation: Incarnation(42),
+        domain: "nord-a".to_owned(),
+        rack: String::new(),
+        address: String::new(),
+        number: 0,
+        nonce: 0,
+    };
+    let local = Local::new(hello, Keyring::new("another-shared-key", None));
+    let (events, mut inbox) = tokio::sync::mpsc::channel::<link::Event>(8);
+    let dialer = link::dial(entry.links(), local, events);
+    loop {
+        let (entries, _) = site.dumps().await.unwrap();
+        if entries[0]["process"]["connections_refused"].as_u64() > Some(0) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(inbox.try_recv().is_err(), "nothing was joined");
+    dialer.abort();
+}
--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -96,7 +96,7 @@
     Config {
         revision: current.record.revision,
         change: current.record.change,
-        text: current.record.text,
+        text: current.record.text.into(),
     }
 }
 
--- /dev/null
+++ b/crates/hyssoppost/tests/separate_processes.rs
@@ -0,0 +1,201 @@
+//! One request end to end through separate processes, and their planned stop.
+
+use platform::{
+    gateway,
+    publication::{self, Change},
+};
+use serde_json::{Value, json};
+use standin::{
+    store::Store,
+    timer::Timer,
+    worker::{Audit, Profile, Worker},
+};
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, ChildStdout, Command, Stdio},
+    time::Duration,
+};
+
+const DOCUMENT: &str = "\
+[environment]
+name = trial
+
+[service proofing]
+
+[kind proofing/preview]
+repeatable = yes
+
+[domain nord-a]
+";
+
+/// A process of the system; it is killed when dropped.
+struct Process {
+    child: Child,
+    output: BufReader<ChildStdout>,
+    settings: PathBuf,
+}
+
+impl Process {
+    fn spawn(role: &str, settings: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("hyssop-{role}-{}.ini", std::process::id()));
+        fs::write(&path, settings).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_hyssoppost"))
+            .args([role, "--settings"])
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let output = BufReader::new(child.stdout.take().unwrap());
+        Self {
+            child,
+            output,
+            settings: path,
+        }
+    }
+
+    /// Reads log lines up to the event and returns one of its values.
+    fn value(&mut self, event: &str, key: &str) -> SocketAddr {
+        loop {
+            let mut line = String::new();
+            assert!(self.output.read_line(&mut line).unwrap() > 0, "no {event}");
+            if !line.contains(&format!("event={event} ")) {
+                continue;
+            }
+            let prefix = format!("{key}=");
+            let word = line
+                .split_whitespace()
+                .find_map(|word| word.strip_prefix(&prefix));
+            return word.unwrap().parse().unwrap();
+        }
+    }
+
+    fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(
+            Command::new("kill")
+                .args(["-TERM", &id])
+                .status()
+                .unwrap()
+                .success()
+        );
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+async fn publish(store: &Store) {
+    let client = gateway::Client::open(&store.address().to_string()).unwrap();
+    let change = Change {
+        id: "one",
+        author: "test",
+        time: 0,
+        text: DOCUMENT,
+    };
+    publication::publish(&client, "trial", None, change)
+        .await
+        .unwrap();
+}
+
+fn entry_settings(store: SocketAddr) -> String {
+    format!(
+        "[entry]\nname = entry-1\nenvironment = trial\ndomain = nord-a\n\n\
+         [listen]\ncallers = 127.0.0.1:0\nlinks = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\n\
+         [store]\naddress = {store}\n\n\
+         [security]\nkey = 0123456789abcdef\nadmin_token = secret\n"
+    )
+}
+
+fn side_settings(entry: SocketAddr) -> String {
+    format!(
+        "[side]\nname = side-1\nenvironment = trial\ndomain = nord-a\nrack = r1\n\n\
+         [listen]\nupstream = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\n\
+         [entries]\nseeds = {entry}\n\n\
+         [security]\nkey = 0123456789abcdef\nadmin_token = secret\n"
+    )
+}
+
+/// Submits until the request is accepted for work.
+async fn submit(callers: SocketAddr, ms: u32) -> Value {
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    let job = json!({ "kind": "preview", "tasks": [{ "task": format!("t{ms}"), "ms": ms }] });
+    loop {
+        let url = format!("http://{callers}/v1/services/proofing/jobs");
+        let response = http.post(url).body(job.to_string()).send().await.unwrap();
+        let answer: Value = response.json().await.unwrap();
+        if ![203, 204].contains(&answer["code"].as_u64().unwrap()) {
+            return answer;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_and_drain() {
+    let store = Store::bind().await.unwrap();
+    publish(&store).await;
+    let mut entry = Process::spawn("entry", &entry_settings(store.address()));
+    let mut output = String::new();
+    entry.output.read_line(&mut output).unwrap();
+    let word = |key: &str| -> SocketAddr {
+        let prefix = format!("{key}=");
+        let word = output
+            .split_whitespace()
+            .find_map(|word| word.strip_prefix(&prefix));
+        word.unwrap().parse().unwrap()
+    };
+    let (callers, links) = (word("callers"), word("links"));
+    let mut side = Process::spawn("side", &side_settings(links));
+    let upstream = side.value("side_started", "upstream");
+    let profile = Profile {
+        name: "worker-1".to_owned(),
+        service: "proofing".to_owned(),
+        kinds: vec!["preview".to_owned()],
+        slots: 2,
+    };
+    let (audit, timer) = (Audit::default(), Timer::spawn());
+    let worker = Worker::bind(profile, upstream, &audit, &timer)
+        .await
+        .unwrap();
+    let answer = submit(callers, 1).await;
+    assert_eq!(answer["state"], "complete");
+    // A request is in progress when both are told to stop.
+    let last = tokio::spawn(submit(callers, 500));
+    while worker.started() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    entry.terminate();
+    side.terminate();
+    let answer = last.await.unwrap();
+    assert_eq!(answer["state"], "complete", "{answer}");
+    assert!(entry.child.wait().unwrap().success());
+    assert!(side.child.wait().unwrap().success());
+    assert_eq!(audit.totals(), (2, 0));
+}
+
+#[test]
+fn bad_settings_exit() {
+    let path = std::env::temp_dir().join(format!("hyssop-bad-{}.ini", std::process::id()));
+    fs::write(&path, "[entry]\nname = x\nzone = y\n").unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_hyssoppost"))
+        .args(["entry", "--settings"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    fs::remove_file(&path).unwrap();
+    assert_eq!(output.status.code(), Some(3));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        text.contains("line=3 section=\"entry\" key=\"zone\""),
+        "{text}"
+    );
+}
--- /dev/null
+++ b/crates/kernel/benches/decisions.rs
@@ -0,0 +1,251 @@
+//! Cost of the entry's decisions, without I/O, for fleets of three sizes, and
+//! the memory that sides and jobs take.
+//!
+//! `cargo bench -p hyssop-kernel`
+
+use criterion::{BatchSize, Criterion, Throughput};
+use kernel::{
+    entry::{Action, Entry, Identity},
+    policy::Plugin,
+    work::Caller,
+};
+use std::{fmt::Write, fs, hint::black_box, time::Duration};
+use wire::{
+    Frame, Payload,
+    frame::{
+        Beat, Config, Done, Handover, Hello, Load, Offer, Outcome, Request, Role, Submission,
+        VERSION,
+    },
+    id::Incarnation,
+};
+
+const FLEETS: [u64; 3] = [12, 2_200, 13_000];
+const TEAMS: usize = 400;
+const TASKS: u16 = 110;
+const SLOTS: u16 = 32;
+const NOW: Duration = Duration::from_secs(1_800_000_007);
+const OWN: Incarnation = Incarnation(1);
+
+fn document() -> String {
+    let mut text = String::from(
+        "[environment]\nname = bench\n\n[service s]\n\n[kind s/k]\nrepeatable = yes\n\n[domain d]\n",
+    );
+    for team in 0..TEAMS {
+        write!(text, "\n[team team-{team}]\nslots = 100000\n").unwrap();
+    }
+    text
+}
+
+fn entry(sides: u64) -> Entry {
+    let identity = Identity {
+        name: "bench".to_owned(),
+        incarnation: OWN,
+        seed: 1,
+        archive_bytes: 1 << 20,
+    };
+    let choose = Plugin::find(policies::DEFAULT).unwrap().choose;
+    let mut entry = Entry::new(identity, choose);
+    let config = Config {
+        revision: 1,
+        change: "bench".to_owned(),
+        text: document().into(),
+    };
+    entry.store_read(NOW, &config);
+    for side in 0..sides {
+        join(&mut entry, side);
+    }
+    entry.take_actions();
+    entry
+}
+
+fn join(entry: &mut Entry, side: u64) {
+    let incarnation = Incarnation(1_000 + side);
+    let hello = Hello {
+        version: VERSION,
+        role: Role::Side,
+        name: format!("side-{side}"),
+        incarnation,
+        domain: "d".to_owned(),
+        rack: format!("rack-{}", side / 3),
+        address: String::new(),
+        number: 1,
+        nonce: 0,
+    };
+    entry.join_side(NOW, &hello);
+    let offer = Offer {
+        service: "s".to_owned(),
+        kinds: vec!["k".to_owned()],
+        slots: SLOTS,
+    };
+    entry.frame(NOW, incarnation, Frame::Offer(offer));
+    let handover = Handover {
+        home: OWN,
+        fenced: false,
+        kept: Vec::new(),
+    };
+    entry.frame(NOW, incarnation, Frame::Handover(handover));
+    let beat = Beat {
+        clock: kernel::millis(NOW),
+        echo: kernel::millis(NOW),
+        revision: 1,
+        age: 0,
+        leaving: false,
+        ready: true,
+        load: Load::default(),
+        entries: Vec::new(),
+    };
+    entry.frame(NOW, incarnation, Frame::Beat(beat));
+    // Lifts the side's ramp to its slots.
+    entry.warm(incarnation);
+}
+
+fn submission(number: usize, tasks: u16) -> Submission {
+    Submission {
+        service: "s".to_owned(),
+        kind: "k".to_owned(),
+        team: format!("team-{}", number % TEAMS),
+        deadline: 60_000,
+        tasks: (0..tasks).map(|_| Payload::from("{\"plate\":1}")).collect(),
+    }
+}
+
+/// Places and completes one job; returns the frames that were exchanged.
+fn whole_job(entry: &mut Entry, number: usize, submission: Submission) -> usize {
+    let job = entry.mint(NOW);
+    entry.request(
+        NOW,
+        Caller::Local(number as u64),
+        job,
+        Request::Submit(submission),
+    );
+    let mut frames = 0;
+    for action in entry.take_actions() {
+        let Action::Send(side, Frame::Run(run)) = action else {
+            continue;
+        };
+        frames += 1 + run.tasks.len();
+        for item in run.tasks {
+            let done = Done {
+                job,
+                index: item.index,
+                spent: 100,
+                outcome: Outcome::Answer(Payload::from("{\"ok\":1}")),
+                load: Load::default(),
+            };
+            entry.frame(NOW, side, Frame::Done(done));
+        }
+    }
+    entry.take_actions();
+    frames
+}
+
+fn cancelled_job(entry: &mut Entry, number: usize, submission: Submission) -> usize {
+    let job = entry.mint(NOW);
+    entry.request(
+        NOW,
+        Caller::Local(number as u64),
+        job,
+        Request::Submit(submission),
+    );
+    let placed = entry.take_actions();
+    entry.request(NOW, Caller::Local(number as u64), job, Request::Cancel);
+    let frames = entry.take_actions().len();
+    for action in placed {
+        if let Action::Send(side, Frame::Run(run)) = action {
+            let refuse = wire::frame::Refuse {
+                job,
+                code: wire::Code::Voided,
+                indices: run.tasks.iter().map(|item| item.index).collect(),
+                load: Load::default(),
+            };
+            entry.frame(NOW, side, Frame::Refuse(refuse));
+        }
+    }
+    entry.take_actions();
+    frames
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("task");
+    group.throughput(Throughput::Elements(TASKS.into()));
+    group.measurement_time(Duration::from_secs(2));
+    group.warm_up_time(Duration::from_millis(500));
+    group.sample_size(20);
+    for sides in FLEETS {
+        let mut entry = entry(sides);
+        let mut number = 0;
+        group.bench_function(format!("place-and-complete/{sides}"), |bencher| {
+            bencher.iter_batched(
+                || {
+                    number += 1;
+                    (number, submission(number, TASKS))
+                },
+                |(number, job)| black_box(whole_job(&mut entry, number, job)),
+                BatchSize::SmallInput,
+            );
+        });
+        group.bench_function(format!("place-and-cancel/{sides}"), |bencher| {
+            bencher.iter_batched(
+                || {
+                    number += 1;
+                    (number, submission(number, TASKS))
+                },
+                |(number, job)| black_box(cancelled_job(&mut entry, number, job)),
+                BatchSize::SmallInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+fn resident() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap();
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .unwrap();
+    let kibibytes: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+    kibibytes * 1024
+}
+
+fn memory() {
+    const JOBS: u64 = 20_000;
+    let before = resident();
+    let mut entry = entry(13_000);
+    let with_sides = resident();
+    for number in 0..JOBS {
+        let job = entry.mint(NOW);
+        let submission = submission(usize::try_from(number).unwrap(), 10);
+        entry.request(NOW, Caller::Local(number), job, Request::Submit(submission));
+    }
+    entry.take_actions();
+    let with_jobs = resident();
+    println!("memory a side: {} bytes", (with_sides - before) / 13_000);
+    println!(
+        "memory an open job of 10 tasks: {} bytes",
+        (with_jobs - with_sides) / JOBS
+    );
+    black_box(&entry);
+}
+
+fn heartbeats() {
+    for sides in FLEETS {
+        let mut entry = entry(sides);
+        let begun = std::time::Instant::now();
+        let mut frames = 0;
+        for round in 1..=20 {
+            entry.tick(NOW + kernel::BEAT * round);
+            frames += entry.take_actions().len();
+        }
+        let each = begun.elapsed() / u32::try_from(frames).unwrap();
+        println!("a heartbeat to each of {sides} sides: {each:?} each");
+    }
+}
+
+fn main() {
+    memory();
+    heartbeats();
+    let mut criterion = Criterion::default().configure_from_args();
+    decisions(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/kernel/src/entry/sides.rs
+++ b/crates/kernel/src/entry/sides.rs
@@ -57,6 +57,13 @@
         self.stats.silences += 1;
     }
 
+    /// Gives a side all of its slots at once, without the ramp.
+    pub fn warm(&mut self, side: Incarnation) {
+        if let Some(key) = self.side(side) {
+            self.fleet.warm(key);
+        }
+    }
+
     /// Takes a frame from a side or another entry.
     pub fn frame(&mut self, now: Duration, from: Incarnation, frame: Frame) {
         if let Some(key) = self.side(from) {
--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -281,6 +281,13 @@
         });
     }
 
+    /// Lifts a side's ramp to its slots.
+    pub fn warm(&mut self, key: Key) {
+        self.update(key, |member| {
+            member.ramp = member.ramp.max(member.offer.slots);
+        });
+    }
+
     /// Records that a task failed; returns true if the side is put aside now.
     ///
     /// At least half of a pool stays in use, since a fault that hits more is
--- a/crates/kernel/tests/config_rules.rs
+++ b/crates/kernel/tests/config_rules.rs
@@ -11,7 +11,7 @@
     Config {
         revision,
         change: change.to_owned(),
-        text: document(&[], ""),
+        text: document(&[], "").into(),
     }
 }
 
@@ -42,7 +42,7 @@
         world.settle();
     }
     let now = world.now;
-    assert!(world.entry(0).config_age(now) >= now - begun);
+    assert!(world.entry(0).config_age(now) >= now.saturating_sub(begun));
     assert!(!world.side(0).may_start(now));
 }
 
@@ -59,7 +59,7 @@
     let mut world = World::new(1, 1, 1);
     let now = world.now;
     let broken = Config {
-        text: "[environment]\n".to_owned(),
+        text: "[environment]\n".into(),
         ..config(9, "broken")
     };
     assert!(matches!(
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -284,7 +284,7 @@
         let config = Config {
             revision,
             change: format!("change-{revision}"),
-            text: document(out, extra),
+            text: document(out, extra).into(),
         };
         self.store.push((self.now, config));
         self.known_since.push(None);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,6 +5,7 @@
     id::{Incarnation, Job},
 };
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// Version of the frames; peers with another version are refused.
 pub const VERSION: u16 = 1;
@@ -184,8 +185,8 @@
     pub revision: u64,
     /// Identifies the change that made the revision.
     pub change: String,
-    /// The document, in INI.
-    pub text: String,
+    /// The document, in INI; shared by all frames that carry it.
+    pub text: Arc<str>,
 }
 
 /// Entry to side: fence a lost entry and hand over what it left here.
