--- a/crates/hyssopctl/src/lab/drive.rs
+++ b/crates/hyssopctl/src/lab/drive.rs
@@ -100,6 +100,7 @@
             state.apply(event, &mut site, &desk).await?;
         }
         state.bring_back(&mut site, now).await?;
+        replace_fenced(&mut site).await?;
         state.sample(&site, &desk);
         tokio::time::sleep(SAMPLE).await;
     }
@@ -118,6 +119,21 @@
     })
 }
 
+/// Starts fenced entries anew, as the platform does with a process that ends.
+async fn replace_fenced(site: &mut Site) -> Result<(), Error> {
+    for index in 0..site.entries.len() {
+        let fenced = site.entries[index]
+            .handle
+            .as_ref()
+            .is_some_and(hyssoppost::entry::Handle::is_retired);
+        if fenced {
+            site.kill_entry(index);
+            site.start_entry(index).await?;
+        }
+    }
+    Ok(())
+}
+
 async fn submit_all(desk: Desk, items: Vec<Item>) -> Vec<Outcome> {
     let mut running = JoinSet::new();
     for (number, item) in items.into_iter().enumerate() {
@@ -161,7 +177,7 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn cancel(&self, share: f64, random: &mut SmallRng) {
+    fn cancel(&self, share: f64, random: &mut SmallRng) {
         let mut tickets: Vec<String> = self.lock().iter().cloned().collect();
         tickets.sort();
         tickets.retain(|_| random.random_bool(share));
@@ -213,7 +229,7 @@
             }
             Event::StoreOut => site.store.set_outage(true),
             Event::StoreBack => site.store.set_outage(false),
-            Event::Cancel(share) => desk.cancel(*share, &mut self.random).await,
+            Event::Cancel(share) => desk.cancel(*share, &mut self.random),
             Event::Disturb => self.disturb(site, desk.start.elapsed()),
         }
         Ok(())
--- a/crates/hyssoppost/src/entry/mod.rs
+++ b/crates/hyssoppost/src/entry/mod.rs
@@ -203,6 +203,11 @@
             .await;
     }
 
+    /// Returns whether the entry was fenced and must be replaced.
+    pub fn is_retired(&self) -> bool {
+        self.status.borrow().phase == Phase::Retired
+    }
+
     /// Waits until the entry was fenced.
     pub async fn retired(&mut self) {
         // As above.
--- a/crates/kernel/src/entry/config.rs
+++ b/crates/kernel/src/entry/config.rs
@@ -74,7 +74,10 @@
             .filter(|known| known.name != self.identity.name);
         self.authority
             .know(others.map(|known| known.name.clone()).collect());
-        self.known = entries.to_vec();
+        if self.known != entries {
+            self.known = entries.to_vec();
+            self.news = entries.to_vec();
+        }
     }
 
     /// Records a connection to another entry.
@@ -86,7 +89,7 @@
             leaving: false,
         };
         self.peers.insert(hello.incarnation, peer);
-        self.beat_to(now, hello.incarnation, 0);
+        self.beat_to(now, hello.incarnation, 0, &[]);
     }
 
     /// Returns the entries that have been silent for too long.
--- a/crates/kernel/src/entry/mod.rs
+++ b/crates/kernel/src/entry/mod.rs
@@ -136,6 +136,8 @@
     deadlines: BTreeSet<(Duration, Job)>,
     peers: HashMap<Incarnation, Peer>,
     known: Vec<Known>,
+    /// The known entries, if the peers have not been told since they changed.
+    news: Vec<Known>,
     calls: HashMap<u64, Call>,
     next_call: u64,
     recoveries: HashMap<Incarnation, Recovery>,
@@ -170,6 +172,7 @@
             deadlines: BTreeSet::new(),
             peers: HashMap::new(),
             known: Vec::new(),
+            news: Vec::new(),
             calls: HashMap::new(),
             next_call: 0,
             recoveries: HashMap::new(),
@@ -284,12 +287,13 @@
             .map(|(_, member)| (member.incarnation, member.clock));
         let entries = self.peers.iter().map(|(id, peer)| (*id, peer.clock));
         let all: Vec<(Incarnation, u64)> = sides.chain(entries).collect();
+        let entries = std::mem::take(&mut self.news);
         for (peer, clock) in all {
-            self.beat_to(now, peer, clock);
+            self.beat_to(now, peer, clock, &entries);
         }
     }
 
-    fn beat_to(&mut self, now: Duration, peer: Incarnation, echo: u64) {
+    fn beat_to(&mut self, now: Duration, peer: Incarnation, echo: u64, entries: &[Known]) {
         let beat = Beat {
             clock: millis(now),
             echo,
@@ -298,7 +302,7 @@
             leaving: self.leaving,
             ready: true,
             load: wire::frame::Load::default(),
-            entries: self.known.clone(),
+            entries: entries.to_vec(),
         };
         self.send(peer, Frame::Beat(beat));
     }
--- a/crates/kernel/src/entry/sides.rs
+++ b/crates/kernel/src/entry/sides.rs
@@ -110,7 +110,8 @@
 
     fn greet(&mut self, now: Duration, incarnation: Incarnation) {
         self.send_config(incarnation);
-        self.beat_to(now, incarnation, 0);
+        let known = self.known.clone();
+        self.beat_to(now, incarnation, 0, &known);
     }
 
     fn resume(&mut self, now: Duration, key: Key) {
@@ -153,7 +154,7 @@
             self.reconcile(incarnation, beat.revision);
             if first {
                 // The side cannot start before a heartbeat echoes its clock.
-                self.beat_to(now, incarnation, beat.clock);
+                self.beat_to(now, incarnation, beat.clock, &[]);
             }
         }
         self.place(now);
--- a/crates/kernel/src/side/ledger.rs
+++ b/crates/kernel/src/side/ledger.rs
@@ -16,7 +16,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum State {
-    Queued(Start),
+    Queued(Box<Start>),
     Running,
     Ended(Outcome),
     /// Proved not to have started; its home may send it again.
@@ -29,10 +29,23 @@
 struct Record {
     total: u16,
     tombstone: bool,
-    tasks: BTreeMap<u16, State>,
+    /// By position, unordered; a side holds few tasks of one job.
+    tasks: Vec<(u16, State)>,
 }
 
 impl Record {
+    fn get(&mut self, index: u16) -> Option<&mut State> {
+        let entry = self.tasks.iter_mut().find(|(other, _)| *other == index);
+        entry.map(|(_, state)| state)
+    }
+
+    fn insert(&mut self, index: u16, state: State) {
+        match self.get(index) {
+            Some(old) => *old = state,
+            None => self.tasks.push((index, state)),
+        }
+    }
+
     fn kept(&self, job: Job) -> impl Iterator<Item = Kept> {
         self.tasks.iter().filter_map(move |(index, state)| {
             let outcome = match state {
@@ -51,7 +64,7 @@
 
     fn is_busy(&self) -> bool {
         let busy = |state: &State| matches!(state, State::Running | State::Queued(_));
-        self.tasks.values().any(busy)
+        self.tasks.iter().any(|(_, state)| busy(state))
     }
 }
 
@@ -87,9 +100,9 @@
         let task = start.task;
         let record = self.record(task.job);
         record.total = total;
-        let fresh = matches!(record.tasks.get(&task.index), None | Some(State::Voided));
+        let fresh = matches!(record.get(task.index), None | Some(State::Voided));
         if fresh {
-            record.tasks.insert(task.index, State::Queued(start));
+            record.insert(task.index, State::Queued(Box::new(start)));
             self.queue.push_back(task);
         }
         fresh
@@ -101,7 +114,7 @@
             if let Some(state @ State::Queued(_)) = self.state(task)
                 && let State::Queued(start) = std::mem::replace(state, State::Running)
             {
-                return Some(start);
+                return Some(*start);
             }
         }
         None
@@ -123,7 +136,7 @@
     pub(super) fn tombstone(&mut self, job: Job) -> Vec<u16> {
         let record = self.record(job);
         record.tombstone = true;
-        let all: Vec<u16> = record.tasks.keys().copied().collect();
+        let all: Vec<u16> = record.tasks.iter().map(|(index, _)| *index).collect();
         self.void(job, &all)
     }
 
@@ -208,7 +221,7 @@
         let Some(record) = self.jobs.remove(&job) else {
             return;
         };
-        for state in record.tasks.values() {
+        for (_, state) in &record.tasks {
             if let State::Ended(outcome) = state {
                 self.kept_bytes -= size(outcome);
             }
@@ -237,7 +250,7 @@
     }
 
     fn state(&mut self, task: Task) -> Option<&mut State> {
-        self.jobs.get_mut(&task.job)?.tasks.get_mut(&task.index)
+        self.jobs.get_mut(&task.job)?.get(task.index)
     }
 
     /// Voids a task unless it has started.
