--- a/crates/hyssopctl/src/cmd/slopes.rs
+++ b/crates/hyssopctl/src/cmd/slopes.rs
@@ -12,6 +12,7 @@
 };
 use hyssoppost::usage;
 use lexopt::{Arg, Parser, ValueExt};
+use standin::store::Calls;
 use std::{
     collections::BTreeMap,
     fs,
@@ -61,7 +62,7 @@
     };
     println!(
         "sides | phase | tasks/s | entry CPU % | side CPU % each | entry us/task | side us/task | \
-         control B/s a side | frames a task | resident MB"
+         control B/s a side | frames a task | store reads/s | store writes/s | resident MB"
     );
     for sides in &arguments.sides {
         let runtimes = Runtimes::open()?;
@@ -100,12 +101,14 @@
     seconds: f64,
     times: Times,
     traffic: Traffic,
+    calls: Calls,
     resident: u64,
 }
 
 async fn phase(site: &Site, arguments: &Arguments, loaded: bool) -> Result<Phase, Error> {
     let traffic = Traffic::read(site).await?;
     let before = times();
+    let calls = site.store.calls();
     let begun = Instant::now();
     if loaded {
         keep_busy(site, arguments).await?;
@@ -114,6 +117,10 @@
     }
     let seconds = begun.elapsed().as_secs_f64();
     let after = times();
+    let calls = Calls {
+        reads: site.store.calls().reads - calls.reads,
+        writes: site.store.calls().writes - calls.writes,
+    };
     let times = after
         .into_iter()
         .map(|(role, time)| {
@@ -124,6 +131,7 @@
     Ok(Phase {
         seconds,
         times,
+        calls,
         traffic: Traffic::read(site).await?.since(traffic),
         resident: usage::read().resident_bytes,
     })
@@ -161,7 +169,7 @@
         }
     };
     println!(
-        "{} | {name} | {:.0} | {:.2} | {:.3} | {:.1} | {:.1} | {:.0} | {:.2} | {:.0}",
+        "{} | {name} | {:.0} | {:.2} | {:.3} | {:.1} | {:.1} | {:.0} | {:.2} | {:.1} | {:.1} | {:.0}",
         site.places.len(),
         tasks / phase.seconds,
         time("entry") / phase.seconds * 100.0,
@@ -170,6 +178,8 @@
         each(time("side")),
         as_f64(phase.traffic.control_bytes) / phase.seconds / sides,
         as_f64(phase.traffic.frames) / tasks.max(1.0),
+        as_f64(phase.calls.reads) / phase.seconds,
+        as_f64(phase.calls.writes) / phase.seconds,
         as_f64(phase.resident) / 1e6,
     );
 }
--- a/crates/kernel/benches/decisions.rs
+++ b/crates/kernel/benches/decisions.rs
@@ -9,7 +9,12 @@
     policy::Plugin,
     work::Caller,
 };
-use std::{fmt::Write, fs, hint::black_box, time::Duration};
+use std::{
+    fmt::Write,
+    fs,
+    hint::black_box,
+    time::{Duration, Instant},
+};
 use wire::{
     Frame, Payload,
     frame::{
@@ -211,7 +216,9 @@
 fn memory() {
     const JOBS: u64 = 20_000;
     let before = resident();
+    let begun = Instant::now();
     let mut entry = entry(13_000);
+    println!("a side that joins: {:?}", begun.elapsed() / 13_000);
     let with_sides = resident();
     for number in 0..JOBS {
         let job = entry.mint(NOW);
@@ -228,10 +235,17 @@
     black_box(&entry);
 }
 
+fn parse() {
+    let text = document();
+    let begun = Instant::now();
+    kernel::document::Document::parse(&text).unwrap();
+    println!("a document of {} bytes: {:?}", text.len(), begun.elapsed());
+}
+
 fn heartbeats() {
     for sides in FLEETS {
         let mut entry = entry(sides);
-        let begun = std::time::Instant::now();
+        let begun = Instant::now();
         let mut frames = 0;
         for round in 1..=20 {
             entry.tick(NOW + kernel::BEAT * round);
@@ -244,6 +258,7 @@
 
 fn main() {
     memory();
+    parse();
     heartbeats();
     let mut criterion = Criterion::default().configure_from_args();
     decisions(&mut criterion);
--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -19,12 +19,20 @@
 /// Steps in which the free share of a side's capacity is told apart.
 const LEVELS: usize = 64;
 
-/// Consecutive failures after which a side is put aside.
-pub const FAILURES_TO_SET_ASIDE: u16 = 3;
+/// Consecutive failures after which a side is put aside: fewer while failures
+/// are rare everywhere, since then they are hardly the jobs' fault.
+const FAILURES_WHEN_RARE: u16 = 2;
+const FAILURES_WHEN_COMMON: u16 = 3;
+
+/// Share of failures among recent results up to which they count as rare.
+const RARE: f64 = 0.04;
+
+/// Weight of one result in the share of failures.
+const RESULT_WEIGHT: f64 = 1.0 / 64.0;
 
 /// First and longest time for which a side is put aside.
-const ASIDE_FIRST: Duration = Duration::from_secs(1);
-const ASIDE_LONGEST: Duration = Duration::from_secs(30);
+const ASIDE_FIRST: Duration = Duration::from_secs(4);
+const ASIDE_LONGEST: Duration = Duration::from_mins(1);
 
 /// Slots that a side gets at first after joining or returning.
 const RAMP_START: u16 = 2;
@@ -187,6 +195,8 @@
     serving: HashMap<String, HashMap<String, Vec<Pool>>>,
     pools: Vec<Index>,
     aside: Vec<Key>,
+    /// Share of failures among recent results of all sides.
+    failing: f64,
 }
 
 impl Fleet {
@@ -274,6 +284,7 @@
 
     /// Records that a task succeeded.
     pub fn succeeded(&mut self, key: Key) {
+        self.failing -= self.failing * RESULT_WEIGHT;
         self.update(key, |member| {
             member.failures = 0;
             member.aside_for = ASIDE_FIRST;
@@ -294,9 +305,15 @@
     /// not the fault of single sides.
     pub fn failed(&mut self, key: Key, now: Duration) -> bool {
         let may = self.may_set_aside(key);
+        let enough = if self.failing <= RARE {
+            FAILURES_WHEN_RARE
+        } else {
+            FAILURES_WHEN_COMMON
+        };
+        self.failing += (1.0 - self.failing) * RESULT_WEIGHT;
         let newly = self.update(key, |member| {
             member.failures = member.failures.saturating_add(1);
-            let limit = member.failures >= FAILURES_TO_SET_ASIDE || member.aside_for > ASIDE_FIRST;
+            let limit = member.failures >= enough || member.aside_for > ASIDE_FIRST;
             if !limit || !may || member.aside.is_some() {
                 return false;
             }
