--- a/crates/hyssopctl/src/lab/drive.rs
+++ b/crates/hyssopctl/src/lab/drive.rs
@@ -227,6 +227,7 @@
                     relay.silence();
                 }
             }
+            Event::StoreSlow(delay) => site.store.set_delay(*delay),
             Event::StoreOut => site.store.set_outage(true),
             Event::StoreBack => site.store.set_outage(false),
             Event::Cancel(share) => desk.cancel(*share, &mut self.random),
--- a/crates/hyssopctl/src/lab/scenario.rs
+++ b/crates/hyssopctl/src/lab/scenario.rs
@@ -21,6 +21,8 @@
     RackLost(String),
     /// All open connections between sides and entries go silent.
     Silence,
+    /// Every call to the store takes longer by this time.
+    StoreSlow(Duration),
     /// The store goes out.
     StoreOut,
     /// The store comes back.
@@ -134,6 +136,10 @@
     if reader.has("silent-connections") {
         add(time(reader, "silent-connections", "at_ms"), Event::Silence);
     }
+    if reader.has("store-slow") {
+        let delay = time(reader, "store-slow", "delay_ms").unwrap_or_default();
+        add(time(reader, "store-slow", "at_ms"), Event::StoreSlow(delay));
+    }
     if reader.has("store-outage") {
         add(time(reader, "store-outage", "at_ms"), Event::StoreOut);
         add(time(reader, "store-outage", "back_ms"), Event::StoreBack);
--- a/crates/hyssopctl/tests/http_session.rs
+++ b/crates/hyssopctl/tests/http_session.rs
@@ -210,3 +210,35 @@
     let refused = hyssopctl::client::dump(admin, "wrong").await;
     assert!(refused.is_err());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_show_counts() {
+    let site = Site::spawn(small_plan(), policies::DEFAULT, 1)
+        .await
+        .unwrap();
+    let client = site.client(0).unwrap();
+    let job = hyssopctl::client::Job {
+        service: "proofing".to_owned(),
+        ticket: None,
+        kind: "nudge".to_owned(),
+        team: None,
+        deadline_ms: None,
+        tasks: vec![json!({ "task": "m", "ms": 1 })],
+    };
+    assert!(client.submit(&job).await.unwrap().is_complete());
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    let admin = site.entries[0].handle.as_ref().unwrap().admin();
+    // Metrics follow within a second; whichever entry was the home counts it.
+    loop {
+        let request = http.get(format!("http://{admin}/metrics"));
+        let request = request.bearer_auth(hyssopctl::lab::site::TOKEN);
+        let text = request.send().await.unwrap().text().await.unwrap();
+        let counted = text.lines().any(|line| {
+            line.starts_with("hyssoppost_jobs_completed_total{") && !line.ends_with(" 0")
+        });
+        if counted && text.contains("hyssoppost_tasks_started_total{") {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+}
--- a/crates/hyssoppost/src/admin.rs
+++ b/crates/hyssoppost/src/admin.rs
@@ -54,6 +54,7 @@
 
 /// Serves the admin interface; `dumps` receives requests for the state.
 pub async fn bind(common: &Common, dumps: mpsc::Sender<Dump>) -> Result<http::Handle, Error> {
+    recorder();
     let app = Route::new()
         .at("/metrics", get(render))
         .at("/state", get(dump))
--- a/crates/hyssoppost/src/entry/mod.rs
+++ b/crates/hyssoppost/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod dump;
+mod meter;
 mod process;
 mod registry;
 
--- a/crates/hyssoppost/src/entry/process.rs
+++ b/crates/hyssoppost/src/entry/process.rs
@@ -1,6 +1,6 @@
 //! The task that owns the entry's state.
 
-use super::{Call, Event, Phase, Reply, Status, dump, registry};
+use super::{Call, Event, Phase, Reply, Status, dump, meter, registry};
 use crate::{
     admin::Dump,
     clock::Clock,
@@ -55,6 +55,7 @@
     seeds: Vec<SocketAddr>,
     registered: Vec<Known>,
     retired: bool,
+    published: Duration,
 }
 
 impl Drop for Process {
@@ -90,6 +91,7 @@
             seeds,
             registered: Vec::new(),
             retired: false,
+            published: Duration::ZERO,
         }
     }
 
@@ -373,6 +375,10 @@
             }
         }
         self.kernel.tick(now);
+        if now.saturating_sub(self.published) >= crate::meter::INTERVAL {
+            self.published = now;
+            meter::publish(&self.kernel, &self.local, now);
+        }
     }
 
     fn act(&mut self) {
--- a/crates/hyssoppost/src/lib.rs
+++ b/crates/hyssoppost/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod link;
 pub mod logging;
+mod meter;
 pub mod settings;
 pub mod side;
 pub mod usage;
--- a/crates/hyssoppost/src/side/mod.rs
+++ b/crates/hyssoppost/src/side/mod.rs
@@ -2,6 +2,7 @@
 //! one task between them that owns all state.
 
 mod dump;
+mod meter;
 mod process;
 mod upstream;
 
--- a/crates/hyssoppost/src/side/process.rs
+++ b/crates/hyssoppost/src/side/process.rs
@@ -1,7 +1,7 @@
 //! The task that owns the side's state.
 
 use super::{
-    Event, Status, dump,
+    Event, Status, dump, meter,
     upstream::{self, Announcement},
 };
 use crate::{
@@ -46,6 +46,7 @@
     discover: bool,
     client: upstream::Client,
     announced: Option<Duration>,
+    published: Duration,
 }
 
 /// Which entries to connect to.
@@ -89,6 +90,7 @@
             seeds: entries.seeds,
             discover: entries.discover,
             announced: None,
+            published: Duration::ZERO,
         })
     }
 
@@ -208,6 +210,10 @@
             self.kernel.withdraw(now);
         }
         self.kernel.tick(now);
+        if now.saturating_sub(self.published) >= crate::meter::INTERVAL {
+            self.published = now;
+            meter::publish(&self.kernel, &self.local, now);
+        }
     }
 
     fn act(&mut self, now: Duration) {
--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet/mod.rs
@@ -5,19 +5,14 @@
 //! choice costs the same whatever the number of sides. The share, not the
 //! number, lets a side that has just come back prove itself at low load.
 
+mod member;
+
+pub use member::{Link, Member};
+
 use hashbrown::HashMap;
 use rand::{RngExt, rngs::SmallRng};
 use std::time::Duration;
-use wire::{
-    frame::{Load, Offer},
-    id::Incarnation,
-};
-
-/// Tasks sent to a side beyond its slots, to hide the round trip.
-pub const PREFETCH: u16 = 0;
-
-/// Steps in which the free share of a side's capacity is told apart.
-const LEVELS: usize = 64;
+use wire::frame::{Load, Offer};
 
 /// Consecutive failures after which a side is put aside: fewer while failures
 /// are rare everywhere, since then they are hardly the jobs' fault.
@@ -30,13 +25,6 @@
 /// Weight of one result in the share of failures.
 const RESULT_WEIGHT: f64 = 1.0 / 64.0;
 
-/// First and longest time for which a side is put aside.
-const ASIDE_FIRST: Duration = Duration::from_secs(4);
-const ASIDE_LONGEST: Duration = Duration::from_mins(1);
-
-/// Slots that a side gets at first after joining or returning.
-const RAMP_START: u16 = 2;
-
 /// Identifies a side within one entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key(u32);
@@ -45,139 +33,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Pool(usize);
 
-/// Whether a side is connected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Link {
-    /// Connected; has not said yet what it holds.
-    Joining,
-    /// Connected, and what it holds is known.
-    Up,
-    /// Lost at the given time; may still reconnect.
-    Lost(Duration),
-}
-
-/// A side.
-#[derive(Debug)]
-pub struct Member {
-    /// The side's name.
-    pub name: String,
-    /// The side's incarnation.
-    pub incarnation: Incarnation,
-    /// Its failure domain.
-    pub domain: String,
-    /// Its rack.
-    pub rack: String,
-    /// What it offers.
-    pub offer: Offer,
-    /// Connection state.
-    pub link: Link,
-    /// When anything was last heard from it.
-    pub heard: Duration,
-    /// Its clock at its last heartbeat, in milliseconds.
-    pub clock: u64,
-    /// Load at the last report, over all entries.
-    pub reported: Load,
-    /// Tasks of other entries at the last report.
-    pub others: u16,
-    /// Own tasks there now.
-    pub mine: u16,
-    /// False while the document forbids work there.
-    pub allowed: bool,
-    /// True while it or its upstream is leaving.
-    pub leaving: bool,
-    /// False from a refusal until the side says that it would start a task.
-    pub ready: bool,
-    /// Failures without a success between them.
-    pub failures: u16,
-    /// End of the time for which it is put aside.
-    pub aside: Option<Duration>,
-    aside_for: Duration,
-    ramp: u16,
-    pool: Option<Pool>,
-    ready_at: Option<usize>,
-    bucket_at: Option<Position>,
-}
-
+/// Where a side stands in its pool's buckets.
 #[derive(Debug, Clone, Copy)]
 struct Position {
     bucket: usize,
     index: usize,
 }
 
-impl Link {
-    /// Returns whether frames can be sent.
-    pub fn is_connected(self) -> bool {
-        matches!(self, Self::Joining | Self::Up)
-    }
-}
-
-impl Member {
-    /// Describes a side that has just joined.
-    pub fn new(name: &str, incarnation: Incarnation, domain: &str, rack: &str) -> Self {
-        Self {
-            name: name.to_owned(),
-            incarnation,
-            domain: domain.to_owned(),
-            rack: rack.to_owned(),
-            offer: Offer {
-                service: String::new(),
-                kinds: Vec::new(),
-                slots: 0,
-            },
-            link: Link::Joining,
-            heard: Duration::ZERO,
-            clock: 0,
-            reported: Load::default(),
-            others: 0,
-            mine: 0,
-            allowed: false,
-            leaving: false,
-            ready: false,
-            failures: 0,
-            aside: None,
-            aside_for: ASIDE_FIRST,
-            ramp: RAMP_START,
-            pool: None,
-            ready_at: None,
-            bucket_at: None,
-        }
-    }
-
-    /// Returns whether new tasks may be sent.
-    pub fn is_eligible(&self) -> bool {
-        self.link == Link::Up && self.is_present() && self.ready && self.aside.is_none()
-    }
-
-    /// Returns whether the side is connected and may get tasks, now or soon.
-    pub fn is_present(&self) -> bool {
-        self.link.is_connected() && self.allowed && !self.leaving && self.offer.slots > 0
-    }
-
-    /// Returns whether the side's upstream answers the request kind.
-    pub fn serves(&self, service: &str, kind: &str) -> bool {
-        self.offer.service == service && self.offer.kinds.iter().any(|other| other == kind)
-    }
-
-    /// Returns how many more tasks the side should take now.
-    pub fn free(&self) -> u16 {
-        self.capacity().saturating_sub(self.others + self.mine)
-    }
-
-    fn capacity(&self) -> u16 {
-        (self.offer.slots + PREFETCH).min(self.ramp)
-    }
-
-    /// Returns the free share of the capacity, in [`LEVELS`], rounded up.
-    fn level(&self) -> usize {
-        let free = usize::from(self.free()) * LEVELS;
-        free.div_ceil(usize::from(self.capacity()).max(1))
-    }
-
-    fn reset_ramp(&mut self) {
-        self.ramp = RAMP_START;
-    }
-}
-
 #[derive(Debug, Default)]
 struct Index {
     ready: Vec<Key>,
@@ -286,17 +148,13 @@
     pub fn succeeded(&mut self, key: Key) {
         self.failing -= self.failing * RESULT_WEIGHT;
         self.update(key, |member| {
-            member.failures = 0;
-            member.aside_for = ASIDE_FIRST;
-            member.ramp = member.ramp.saturating_add(1).min(u16::MAX / 2);
+            member.succeeded();
         });
     }
 
     /// Lifts a side's ramp to its slots.
     pub fn warm(&mut self, key: Key) {
-        self.update(key, |member| {
-            member.ramp = member.ramp.max(member.offer.slots);
-        });
+        self.update(key, Member::warm);
     }
 
     /// Records that a task failed; returns true if the side is put aside now.
@@ -311,16 +169,7 @@
             FAILURES_WHEN_COMMON
         };
         self.failing += (1.0 - self.failing) * RESULT_WEIGHT;
-        let newly = self.update(key, |member| {
-            member.failures = member.failures.saturating_add(1);
-            let limit = member.failures >= enough || member.aside_for > ASIDE_FIRST;
-            if !limit || !may || member.aside.is_some() {
-                return false;
-            }
-            member.aside = Some(now + member.aside_for);
-            member.aside_for = (member.aside_for * 2).min(ASIDE_LONGEST);
-            true
-        });
+        let newly = self.update(key, |member| member.failed(now, enough, may));
         if newly == Some(true) {
             self.aside.push(key);
         }
@@ -331,14 +180,7 @@
     pub fn probe(&mut self, now: Duration) {
         let due: Vec<Key> = self.aside.clone();
         for key in due {
-            let ended = self.update(key, |member| {
-                let ended = member.aside.is_none_or(|until| until <= now);
-                if ended {
-                    member.aside = None;
-                    member.ramp = 1;
-                }
-                ended
-            });
+            let ended = self.update(key, |member| member.probe(now));
             if ended != Some(false) {
                 self.aside.retain(|other| *other != key);
             }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -110,6 +110,11 @@
         self.shared.lock().faults = faults;
     }
 
+    /// Makes every call take longer; other faults stay as they are.
+    pub fn set_delay(&self, delay: Duration) {
+        self.shared.lock().faults.delay = delay;
+    }
+
     /// Starts or ends an outage; other faults stay as they are.
     pub fn set_outage(&self, outage: bool) {
         let mut state = self.shared.lock();
