Send sides their rule, not the document

Change: a side gets its rule (revision and in, out or draining) and asks for a copy of the document once a minute, for entries that start while the store is out. An entry with an older copy than the sides' rule does not vouch.

--- a/crates/hyssoppost/src/side/dump.rs
+++ b/crates/hyssoppost/src/side/dump.rs
@@ -10,11 +10,12 @@
         .connected()
         .map(|incarnation| incarnation.to_string())
         .collect();
-    let configuration = kernel.config().map(|config| {
+    let configuration = kernel.state().map(|state| {
         json!({
-            "revision": config.revision,
-            "change": config.change,
+            "revision": kernel.revision(),
+            "state": format!("{state:?}"),
             "age_ms": millis(kernel.config_age(now)),
+            "copy": kernel.config().map(|config| config.revision),
         })
     });
     let load = kernel.load();
--- a/crates/hyssoppost/src/side/mod.rs
+++ b/crates/hyssoppost/src/side/mod.rs
@@ -79,7 +79,7 @@
         nonce: 0,
     };
     let local = Local::new(hello, common.keys.clone());
-    let kernel = Side::new(&common.name, &common.domain, incarnation);
+    let kernel = Side::new(incarnation);
     let (status, watched) = watch::channel(Status::default());
     let admin = admin::bind(common, dump_requests).await?;
     let upstream = upstream::bind(settings.upstream, events.clone()).await?;
--- a/crates/kernel/src/document.rs
+++ b/crates/kernel/src/document.rs
@@ -5,6 +5,7 @@
     collections::{BTreeMap, BTreeSet},
     str::FromStr,
 };
+use wire::frame::State;
 
 /// Team that jobs without a team belong to.
 pub const DEFAULT_TEAM: &str = "default";
@@ -81,9 +82,9 @@
 }
 
 /// `in` or `out`.
-struct State(bool);
+struct InOut(bool);
 
-impl FromStr for State {
+impl FromStr for InOut {
     type Err = ();
 
     fn from_str(text: &str) -> Result<Self, ()> {
@@ -119,8 +120,14 @@
     }
 
     /// Returns whether work may run at the side of this name and domain.
-    pub fn allows(&self, domain: &str, side: &str) -> bool {
-        self.is_in(domain) && !self.draining.contains(side)
+    pub fn state_of(&self, domain: &str, side: &str) -> State {
+        if !self.is_in(domain) {
+            State::DomainOut
+        } else if self.draining.contains(side) {
+            State::Draining
+        } else {
+            State::Allowed
+        }
     }
 
     fn read_section(&mut self, reader: &mut Reader<'_>, section: &str) {
@@ -158,7 +165,7 @@
     }
 
     fn read_domain(&mut self, reader: &mut Reader<'_>, section: &str, name: &str) {
-        let state = reader.optional::<State>(section, "state", "in or out");
+        let state = reader.optional::<InOut>(section, "state", "in or out");
         self.domains.insert(name.to_owned());
         if state.is_some_and(|switch| !switch.0) {
             self.out.insert(name.to_owned());
--- a/crates/kernel/src/entry/config.rs
+++ b/crates/kernel/src/entry/config.rs
@@ -4,16 +4,20 @@
 use crate::{
     SILENCE,
     document::Document,
+    fleet::Key,
     ini::Faults,
     mutation::{Mutant, is_seeded},
 };
 use std::time::Duration;
 use wire::{
     Frame,
-    frame::{Beat, Config, Hello, Known},
+    frame::{Beat, Config, Hello, Known, Rule, State},
     id::Incarnation,
 };
 
+/// Least time between two requests for sides' copies of the document.
+const PULL: Duration = Duration::from_secs(1);
+
 /// What became of a configuration that was offered.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Adoption {
@@ -117,8 +121,9 @@
         self.reconcile(from, beat.revision);
     }
 
-    /// Brings whichever side of a connection is behind to the other's revision.
-    pub(super) fn reconcile(&mut self, peer: Incarnation, revision: u64) {
+    /// Brings whichever end of a connection to an entry is behind to the
+    /// other's revision.
+    fn reconcile(&mut self, peer: Incarnation, revision: u64) {
         let ours = self.revision();
         if revision > ours {
             self.send(peer, Frame::Pull);
@@ -127,6 +132,36 @@
         }
     }
 
+    /// The same for a connection to a side, which needs its rule alone.
+    pub(super) fn reconcile_side(&mut self, now: Duration, key: Key, revision: u64) {
+        let Some(incarnation) = self.fleet.get(key).map(|member| member.incarnation) else {
+            return;
+        };
+        let ours = self.revision();
+        self.authority.seen(revision);
+        if revision > ours && now >= self.next_pull {
+            // The side's copy may be older than its rule; do not ask for it
+            // with every heartbeat.
+            self.next_pull = now + PULL;
+            self.send(incarnation, Frame::Pull);
+        } else if revision < ours {
+            self.send_rule(key);
+        }
+    }
+
+    pub(super) fn send_rule(&mut self, key: Key) {
+        let revision = self.revision();
+        let Some(member) = self.fleet.get(key) else {
+            return;
+        };
+        if revision == 0 {
+            return;
+        }
+        let state = self.document.state_of(&member.domain, &member.name);
+        let incarnation = member.incarnation;
+        self.send(incarnation, Frame::Rule(Rule { revision, state }));
+    }
+
     pub(super) fn send_config(&mut self, to: Incarnation) {
         if let Some(config) = self.config.clone() {
             self.send(to, Frame::Config(config));
@@ -136,7 +171,7 @@
     pub(super) fn apply_rules(&mut self) {
         let document = &self.document;
         self.fleet
-            .allow(|member| document.allows(&member.domain, &member.name));
+            .allow(|member| document.state_of(&member.domain, &member.name) == State::Allowed);
     }
 
     pub(super) fn revision(&self) -> u64 {
@@ -144,8 +179,18 @@
     }
 
     fn push_config(&mut self) {
-        for peer in self.connected() {
-            self.send_config(peer);
+        let sides: Vec<Key> = self
+            .fleet
+            .iter()
+            .filter(|(_, member)| member.link.is_connected())
+            .map(|(key, _)| key)
+            .collect();
+        for side in sides {
+            self.send_rule(side);
+        }
+        let entries: Vec<Incarnation> = self.peers.keys().copied().collect();
+        for entry in entries {
+            self.send_config(entry);
         }
     }
 
--- a/crates/kernel/src/entry/mod.rs
+++ b/crates/kernel/src/entry/mod.rs
@@ -146,6 +146,7 @@
     leaving: bool,
     retired: bool,
     last_beat: Duration,
+    next_pull: Duration,
     stats: Stats,
     actions: Vec<Action>,
 }
@@ -181,6 +182,7 @@
             leaving: false,
             retired: false,
             last_beat: Duration::ZERO,
+            next_pull: Duration::ZERO,
             stats: Stats::default(),
             actions: Vec::new(),
         }
@@ -307,16 +309,6 @@
         self.send(peer, Frame::Beat(beat));
     }
 
-    /// Returns all connected sides and entries.
-    fn connected(&self) -> Vec<Incarnation> {
-        self.fleet
-            .iter()
-            .filter(|(_, member)| member.link.is_connected())
-            .map(|(_, member)| member.incarnation)
-            .chain(self.peers.keys().copied())
-            .collect()
-    }
-
     fn send(&mut self, to: Incarnation, frame: Frame) {
         self.actions.push(Action::Send(to, frame));
     }
--- a/crates/kernel/src/entry/sides.rs
+++ b/crates/kernel/src/entry/sides.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use wire::{
     Code, Frame, Payload,
-    frame::{Beat, Done, Handover, Hello, Offer, Outcome, Refuse, Started},
+    frame::{Beat, Done, Handover, Hello, Offer, Outcome, Refuse, Started, State},
     id::{Incarnation, Job, Task},
 };
 
@@ -28,7 +28,8 @@
         }
         let mut member = Member::new(&hello.name, hello.incarnation, &hello.domain, &hello.rack);
         member.heard = now;
-        member.allowed = self.document.allows(&hello.domain, &hello.name);
+        let state = self.document.state_of(&hello.domain, &hello.name);
+        member.allowed = self.revision() > 0 && state == State::Allowed;
         let key = self.fleet.insert(member);
         self.side_index.insert(hello.incarnation, key);
         self.greet(now, hello.incarnation);
@@ -109,7 +110,9 @@
     }
 
     fn greet(&mut self, now: Duration, incarnation: Incarnation) {
-        self.send_config(incarnation);
+        if let Some(key) = self.side(incarnation) {
+            self.send_rule(key);
+        }
         let known = self.known.clone();
         self.beat_to(now, incarnation, 0, &known);
     }
@@ -151,7 +154,7 @@
         });
         self.fleet.report(key, beat.load);
         if let Some(incarnation) = self.fleet.get(key).map(|member| member.incarnation) {
-            self.reconcile(incarnation, beat.revision);
+            self.reconcile_side(now, key, beat.revision);
             if first {
                 // The side cannot start before a heartbeat echoes its clock.
                 self.beat_to(now, incarnation, beat.clock, &[]);
--- a/crates/kernel/src/side/admit.rs
+++ b/crates/kernel/src/side/admit.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use wire::{
     Code, Frame,
-    frame::{Handover, Recover, Refuse, Run, Void},
+    frame::{Handover, Recover, Refuse, Run, State, Void},
     id::{Incarnation, Job, Task},
 };
 
@@ -60,16 +60,15 @@
     pub(super) fn barrier(&self, now: Duration) -> Option<Code> {
         if self.leaving || self.offer.slots == 0 {
             Some(Code::SideLeaving)
-        } else if self.config.is_none()
-            || (self.config_age(now) > FRESH && !is_seeded(Mutant::Vouch))
+        } else if self.rule.is_none() || (self.config_age(now) > FRESH && !is_seeded(Mutant::Vouch))
         {
             Some(Code::StaleConfiguration)
-        } else if !self.document.is_in(&self.domain) && !is_seeded(Mutant::DomainOut) {
-            Some(Code::DomainOut)
-        } else if self.document.draining.contains(&self.name) {
-            Some(Code::SideLeaving)
         } else {
-            None
+            match self.rule.map(|rule| rule.state) {
+                Some(State::DomainOut) if !is_seeded(Mutant::DomainOut) => Some(Code::DomainOut),
+                Some(State::Draining) => Some(Code::SideLeaving),
+                _ => None,
+            }
         }
     }
 
--- a/crates/kernel/src/side/mod.rs
+++ b/crates/kernel/src/side/mod.rs
@@ -12,19 +12,22 @@
 
 use crate::{
     SILENCE,
-    document::Document,
     entry::{Adoption, judge},
     millis,
+    mutation::{Mutant, is_seeded},
 };
 use hashbrown::{HashMap, HashSet};
 use ledger::Ledger;
 use std::{collections::BTreeMap, time::Duration};
 use wire::{
     Frame, Payload,
-    frame::{Beat, Config, Done, Handover, Known, Load, Offer, Outcome},
+    frame::{Beat, Config, Done, Handover, Known, Load, Offer, Outcome, Rule, State},
     id::{Incarnation, Job, Task},
 };
 
+/// Least time between two copies of the document.
+const COPY: Duration = Duration::from_mins(1);
+
 /// Tasks that wait at a side at most.
 pub const QUEUE_LIMIT: usize = 1_024;
 
@@ -74,12 +77,11 @@
 /// The side's state.
 #[derive(Debug)]
 pub struct Side {
-    name: String,
-    domain: String,
     incarnation: Incarnation,
     offer: Offer,
-    document: Document,
+    rule: Option<Rule>,
     config: Option<Config>,
+    next_copy: Duration,
     vouched: Option<Duration>,
     ledger: Ledger,
     running: u16,
@@ -96,18 +98,17 @@
 
 impl Side {
     /// Makes a side without upstream, entries or configuration.
-    pub fn new(name: &str, domain: &str, incarnation: Incarnation) -> Self {
+    pub fn new(incarnation: Incarnation) -> Self {
         Self {
-            name: name.to_owned(),
-            domain: domain.to_owned(),
             incarnation,
             offer: Offer {
                 service: String::new(),
                 kinds: Vec::new(),
                 slots: 0,
             },
-            document: Document::default(),
+            rule: None,
             config: None,
+            next_copy: Duration::ZERO,
             vouched: None,
             ledger: Ledger::default(),
             running: 0,
@@ -133,7 +134,18 @@
         self.incarnation
     }
 
-    /// Returns the configuration in force.
+    /// Returns the revision in force; 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.rule.map_or(0, |rule| rule.revision)
+    }
+
+    /// Returns what the document in force says of this side.
+    pub fn state(&self) -> Option<State> {
+        self.rule.map(|rule| rule.state)
+    }
+
+    /// Returns the copy of the document, which may be older than the revision
+    /// in force.
     pub fn config(&self) -> Option<&Config> {
         self.config.as_ref()
     }
@@ -262,8 +274,9 @@
         match frame {
             Frame::Run(run) => self.run(now, from, run),
             Frame::Void(void) => self.void(from, &void),
-            Frame::Beat(beat) => self.heartbeat(now, from, beat),
-            Frame::Config(config) => self.adopt(now, &config),
+            Frame::Beat(beat) => self.heartbeat(now, beat),
+            Frame::Config(config) => self.keep_copy(config),
+            Frame::Rule(rule) => self.obey(now, from, rule),
             Frame::Pull => self.send_config(from),
             Frame::Recover(recover) => self.recover(now, from, &recover),
             _ => self.stats.wasted += 1,
@@ -313,15 +326,12 @@
         }
     }
 
-    fn heartbeat(&mut self, now: Duration, from: Incarnation, beat: Beat) {
-        let ours = self.config.as_ref().map_or(0, |config| config.revision);
+    fn heartbeat(&mut self, now: Duration, beat: Beat) {
+        let ours = self.revision();
         if beat.revision == ours && ours > 0 {
             let vouched = Duration::from_millis(beat.echo.saturating_sub(beat.age));
             self.vouched = self.vouched.max(Some(vouched));
         }
-        if beat.revision > ours {
-            self.send(from, Frame::Pull);
-        }
         if !beat.entries.is_empty() && beat.entries != self.entries {
             self.entries.clone_from(&beat.entries);
             self.actions.push(Action::Entries(beat.entries));
@@ -333,24 +343,34 @@
         }
     }
 
-    fn adopt(&mut self, now: Duration, config: &Config) {
-        match judge(self.config.as_ref(), config) {
-            Adoption::Adopted => {}
-            Adoption::Stale | Adoption::Conflict => {
-                self.stats.stale_configs += 1;
-                return;
-            }
-            Adoption::Same | Adoption::Invalid(_) => return,
+    /// Takes what a document says of this side. The revision never falls.
+    fn obey(&mut self, now: Duration, from: Incarnation, rule: Rule) {
+        let ours = self.revision();
+        let lower = rule.revision < ours && !is_seeded(Mutant::Revert);
+        let other = rule.revision == ours && self.rule != Some(rule);
+        if lower || other {
+            self.stats.stale_configs += 1;
+            return;
         }
-        // An entry that is vouched for sent it; the next heartbeat says so.
-        match Document::parse(&config.text) {
-            Ok(document) => {
-                self.document = document;
-                self.config = Some(config.clone());
-                self.flush(now);
-                self.beat(now);
-            }
-            Err(_) => self.stats.stale_configs += 1,
+        if rule.revision == ours {
+            return;
+        }
+        self.rule = Some(rule);
+        self.flush(now);
+        self.beat(now);
+        if now >= self.next_copy {
+            self.next_copy = now + COPY;
+            self.send(from, Frame::Pull);
+        }
+    }
+
+    /// Keeps a copy of the document, for entries that start while the store is
+    /// out.
+    fn keep_copy(&mut self, config: Config) {
+        match judge(self.config.as_ref(), &config) {
+            Adoption::Adopted => self.config = Some(config),
+            Adoption::Stale | Adoption::Conflict => self.stats.stale_configs += 1,
+            Adoption::Same | Adoption::Invalid(_) => {}
         }
     }
 
@@ -373,7 +393,7 @@
         Beat {
             clock: millis(now),
             echo: 0,
-            revision: self.config.as_ref().map_or(0, |config| config.revision),
+            revision: self.revision(),
             age: millis(self.config_age(now)),
             leaving: self.leaving,
             ready: self.may_start(now),
--- a/crates/kernel/tests/config_rules.rs
+++ b/crates/kernel/tests/config_rules.rs
@@ -89,10 +89,44 @@
     world.read_store(0);
     world.settle();
     for side in 0..3 {
-        assert_eq!(world.side(side).config().unwrap().revision, 2);
+        assert_eq!(world.side(side).revision(), 2);
     }
     for entry in 0..3 {
         assert_eq!(world.entry(entry).config().unwrap().revision, 2);
     }
     world.assert_sound();
 }
+
+#[test]
+fn older_copy_does_not_vouch() {
+    let mut world = World::new(1, 2, 1);
+    // The sides obey revision 2, but their copy is still of revision 1.
+    world.publish(&["nord-a"], "");
+    world.beat();
+    assert_eq!(world.side(1).revision(), 2);
+    assert_eq!(world.side(1).config().unwrap().revision, 1);
+    world.set_store(false);
+    world.cut_all(Process::Entry(0));
+    world.kill(Process::Entry(0));
+    world.start_entry(0);
+    world.connect_all();
+    world.pass(Duration::from_secs(10));
+    assert_eq!(world.entry(0).config().unwrap().revision, 1);
+    let now = world.now;
+    assert!(!world.side(0).may_start(now) && !world.side(1).may_start(now));
+    // The store is back, and so is work.
+    world.set_store(true);
+    world.pass(Duration::from_secs(2));
+    let now = world.now;
+    assert!(!world.side(0).may_start(now) && world.side(1).may_start(now));
+    world.assert_sound();
+}
+
+#[test]
+fn copy_follows_in_time() {
+    let mut world = World::new(1, 1, 1);
+    world.pass(Duration::from_mins(1));
+    world.publish(&["nord-b"], "");
+    world.pass(Duration::from_secs(1));
+    assert_eq!(world.side(0).config().unwrap().revision, 2);
+}
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -21,7 +21,9 @@
 };
 use wire::{
     Code, Frame, Payload,
-    frame::{Answer, Config, Hello, Known, Offer, Outcome, Request, Role, Submission, VERSION},
+    frame::{
+        Answer, Config, Hello, Known, Offer, Outcome, Request, Role, State, Submission, VERSION,
+    },
     id::{Incarnation, Job, Task},
 };
 
@@ -220,7 +222,7 @@
     pub fn start_side(&mut self, index: usize) {
         let incarnation = self.draw(Process::Side(index));
         self.side_ids[index] = incarnation;
-        let mut side = Side::new(&format!("side-{index}"), Self::domain(index), incarnation);
+        let mut side = Side::new(incarnation);
         let offer = Offer {
             service: SERVICE.to_owned(),
             kinds: vec![KIND.to_owned()],
@@ -552,7 +554,12 @@
             };
             matches!(
                 frame,
-                Frame::Run(_) | Frame::Void(_) | Frame::Done(_) | Frame::Beat(_) | Frame::Config(_)
+                Frame::Run(_)
+                    | Frame::Void(_)
+                    | Frame::Done(_)
+                    | Frame::Beat(_)
+                    | Frame::Config(_)
+                    | Frame::Rule(_)
             )
         };
         if free(items.front()) && free(items.get(1)) {
@@ -784,12 +791,7 @@
         let domain = Self::domain(index);
         let out_here = self.sides[index]
             .as_ref()
-            .and_then(Side::config)
-            .is_some_and(|config| {
-                config
-                    .text
-                    .contains(&format!("[domain {domain}]\nstate = out"))
-            });
+            .is_some_and(|side| side.state() == Some(State::DomainOut));
         if out_here {
             self.violations.push(format!(
                 "{task:?} started in {domain}, which the side knows is out"
@@ -812,12 +814,13 @@
 
     fn check_revision(&mut self, process: Process) {
         let revision = match process {
-            Process::Entry(index) => self.entries[index].as_ref().and_then(Entry::config),
-            Process::Side(index) => self.sides[index].as_ref().and_then(Side::config),
-        };
-        let Some(revision) = revision.map(|config| config.revision) else {
-            return;
+            Process::Entry(index) => self.entries[index]
+                .as_ref()
+                .and_then(Entry::config)
+                .map(|config| config.revision),
+            Process::Side(index) => self.sides[index].as_ref().map(Side::revision),
         };
+        let revision = revision.unwrap_or(0);
         let highest = self.revisions.entry(self.id(process)).or_default();
         if revision < *highest {
             self.violations
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -189,6 +189,26 @@
     pub text: Arc<str>,
 }
 
+/// What a document says of one side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// Tasks may start.
+    Allowed,
+    /// The side's failure domain is out.
+    DomainOut,
+    /// The upstream takes no new tasks.
+    Draining,
+}
+
+/// Entry to side: all that the side needs of a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rule {
+    /// The document's revision.
+    pub revision: u64,
+    /// What it says of the side.
+    pub state: State,
+}
+
 /// Entry to side: fence a lost entry and hand over what it left here.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Recover {
@@ -339,6 +359,8 @@
     Pull,
     /// See [`Config`].
     Config(Config),
+    /// See [`Rule`].
+    Rule(Rule),
     /// See [`Recover`].
     Recover(Recover),
     /// See [`Handover`].
