Let the revision ride on heartbeats; check freshness at each start in the model

Change: heartbeats to a side carry what the revision says of it; a frame of its own goes only to sides for which that changes. Test change_reaches_all asserted the revision at all sides before any heartbeat; it now asserts the changed side at once and the rest after one heartbeat, which is what the 9 s allow. The model now checks at every start that the side's configuration is fresh by its own clock, which is stricter.

--- a/crates/kernel/benches/decisions.rs
+++ b/crates/kernel/benches/decisions.rs
@@ -94,6 +94,7 @@
         echo: kernel::millis(NOW),
         revision: 1,
         age: 0,
+        state: wire::frame::State::Allowed,
         leaving: false,
         ready: true,
         load: Load::default(),
--- a/crates/kernel/src/entry/config.rs
+++ b/crates/kernel/src/entry/config.rs
@@ -4,7 +4,7 @@
 use crate::{
     SILENCE,
     document::Document,
-    fleet::Key,
+    fleet::{Key, Member},
     ini::Faults,
     mutation::{Mutant, is_seeded},
 };
@@ -46,13 +46,14 @@
             }
             Adoption::Same | Adoption::Invalid(_) => return adoption,
         }
-        match Document::parse(&config.text) {
-            Ok(document) => self.document = document,
+        let document = match Document::parse(&config.text) {
+            Ok(document) => document,
             Err(faults) => return Adoption::Invalid(faults),
-        }
-        self.config = Some(config.clone());
+        };
+        let before = std::mem::replace(&mut self.document, document);
+        let first = self.config.replace(config.clone()).is_none();
         self.apply_rules();
-        self.push_config();
+        self.push_config(&before, first);
         self.place(now);
         Adoption::Adopted
     }
@@ -93,7 +94,8 @@
             leaving: false,
         };
         self.peers.insert(hello.incarnation, peer);
-        self.beat_to(now, hello.incarnation, 0, &[]);
+        let beat = self.make_beat(now, 0, State::default(), &[]);
+        self.send(hello.incarnation, Frame::Beat(beat));
     }
 
     /// Returns the entries that have been silent for too long.
@@ -132,7 +134,8 @@
         }
     }
 
-    /// The same for a connection to a side, which needs its rule alone.
+    /// The same for a connection to a side, which learns its rule from the next
+    /// heartbeat if it is behind.
     pub(super) fn reconcile_side(&mut self, now: Duration, key: Key, revision: u64) {
         let Some(incarnation) = self.fleet.get(key).map(|member| member.incarnation) else {
             return;
@@ -144,8 +147,6 @@
             // with every heartbeat.
             self.next_pull = now + PULL;
             self.send(incarnation, Frame::Pull);
-        } else if revision < ours {
-            self.send_rule(key);
         }
     }
 
@@ -157,11 +158,16 @@
         if revision == 0 {
             return;
         }
-        let state = self.document.state_of(&member.domain, &member.name);
+        let state = self.state_of(member);
         let incarnation = member.incarnation;
         self.send(incarnation, Frame::Rule(Rule { revision, state }));
     }
 
+    /// Returns what the document in force says of a side.
+    pub(super) fn state_of(&self, member: &Member) -> State {
+        self.document.state_of(&member.domain, &member.name)
+    }
+
     pub(super) fn send_config(&mut self, to: Incarnation) {
         if let Some(config) = self.config.clone() {
             self.send(to, Frame::Config(config));
@@ -178,11 +184,16 @@
         self.config.as_ref().map_or(0, |config| config.revision)
     }
 
-    fn push_config(&mut self) {
+    /// Sends the document to entries, and their rule to those sides for which
+    /// it changes; the others learn the revision from the next heartbeat.
+    fn push_config(&mut self, before: &Document, first: bool) {
+        let changed = |member: &Member| {
+            first || before.state_of(&member.domain, &member.name) != self.state_of(member)
+        };
         let sides: Vec<Key> = self
             .fleet
             .iter()
-            .filter(|(_, member)| member.link.is_connected())
+            .filter(|(_, member)| member.link.is_connected() && changed(member))
             .map(|(key, _)| key)
             .collect();
         for side in sides {
--- a/crates/kernel/src/entry/mod.rs
+++ b/crates/kernel/src/entry/mod.rs
@@ -35,7 +35,7 @@
 };
 use wire::{
     Code, Frame,
-    frame::{Answer, Beat, Config, Known, Started},
+    frame::{Answer, Beat, Config, Known, Started, State},
     id::{Incarnation, Job, Task},
 };
 
@@ -286,27 +286,29 @@
             .fleet
             .iter()
             .filter(|(_, member)| member.link.is_connected())
-            .map(|(_, member)| (member.incarnation, member.clock));
-        let entries = self.peers.iter().map(|(id, peer)| (*id, peer.clock));
-        let all: Vec<(Incarnation, u64)> = sides.chain(entries).collect();
+            .map(|(_, member)| (member.incarnation, member.clock, self.state_of(member)));
+        let state = State::default();
+        let entries = self.peers.iter().map(|(id, peer)| (*id, peer.clock, state));
+        let all: Vec<(Incarnation, u64, State)> = sides.chain(entries).collect();
         let entries = std::mem::take(&mut self.news);
-        for (peer, clock) in all {
-            self.beat_to(now, peer, clock, &entries);
+        for (peer, echo, state) in all {
+            let beat = self.make_beat(now, echo, state, &entries);
+            self.send(peer, Frame::Beat(beat));
         }
     }
 
-    fn beat_to(&mut self, now: Duration, peer: Incarnation, echo: u64, entries: &[Known]) {
-        let beat = Beat {
+    fn make_beat(&self, now: Duration, echo: u64, state: State, entries: &[Known]) -> Beat {
+        Beat {
             clock: millis(now),
             echo,
             revision: self.revision(),
             age: millis(self.authority.age(now)),
+            state,
             leaving: self.leaving,
             ready: true,
             load: wire::frame::Load::default(),
             entries: entries.to_vec(),
-        };
-        self.send(peer, Frame::Beat(beat));
+        }
     }
 
     fn send(&mut self, to: Incarnation, frame: Frame) {
--- a/crates/kernel/src/entry/sides.rs
+++ b/crates/kernel/src/entry/sides.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use wire::{
     Code, Frame, Payload,
-    frame::{Beat, Done, Handover, Hello, Offer, Outcome, Refuse, Started, State},
+    frame::{Beat, Done, Handover, Hello, Known, Offer, Outcome, Refuse, Started, State},
     id::{Incarnation, Job, Task},
 };
 
@@ -28,8 +28,7 @@
         }
         let mut member = Member::new(&hello.name, hello.incarnation, &hello.domain, &hello.rack);
         member.heard = now;
-        let state = self.document.state_of(&hello.domain, &hello.name);
-        member.allowed = self.revision() > 0 && state == State::Allowed;
+        member.allowed = self.revision() > 0 && self.state_of(&member) == State::Allowed;
         let key = self.fleet.insert(member);
         self.side_index.insert(hello.incarnation, key);
         self.greet(now, hello.incarnation);
@@ -114,7 +113,16 @@
             self.send_rule(key);
         }
         let known = self.known.clone();
-        self.beat_to(now, incarnation, 0, &known);
+        self.beat_side(now, incarnation, &known);
+    }
+
+    /// Sends a heartbeat to a side out of turn.
+    fn beat_side(&mut self, now: Duration, incarnation: Incarnation, known: &[Known]) {
+        let Some(member) = self.side(incarnation).and_then(|key| self.fleet.get(key)) else {
+            return;
+        };
+        let beat = self.make_beat(now, member.clock, self.state_of(member), known);
+        self.send(incarnation, Frame::Beat(beat));
     }
 
     fn resume(&mut self, now: Duration, key: Key) {
@@ -157,7 +165,7 @@
             self.reconcile_side(now, key, beat.revision);
             if first {
                 // The side cannot start before a heartbeat echoes its clock.
-                self.beat_to(now, incarnation, beat.clock, &[]);
+                self.beat_side(now, incarnation, &[]);
             }
         }
         self.place(now);
--- a/crates/kernel/src/side/mod.rs
+++ b/crates/kernel/src/side/mod.rs
@@ -274,7 +274,7 @@
         match frame {
             Frame::Run(run) => self.run(now, from, run),
             Frame::Void(void) => self.void(from, &void),
-            Frame::Beat(beat) => self.heartbeat(now, beat),
+            Frame::Beat(beat) => self.heartbeat(now, from, beat),
             Frame::Config(config) => self.keep_copy(config),
             Frame::Rule(rule) => self.obey(now, from, rule),
             Frame::Pull => self.send_config(from),
@@ -326,7 +326,13 @@
         }
     }
 
-    fn heartbeat(&mut self, now: Duration, beat: Beat) {
+    fn heartbeat(&mut self, now: Duration, from: Incarnation, beat: Beat) {
+        if beat.revision > self.revision() {
+            let Beat {
+                revision, state, ..
+            } = beat;
+            self.obey(now, from, Rule { revision, state });
+        }
         let ours = self.revision();
         if beat.revision == ours && ours > 0 {
             let vouched = Duration::from_millis(beat.echo.saturating_sub(beat.age));
@@ -395,6 +401,7 @@
             echo: 0,
             revision: self.revision(),
             age: millis(self.config_age(now)),
+            state: State::default(),
             leaving: self.leaving,
             ready: self.may_start(now),
             load: self.load(),
--- a/crates/kernel/tests/config_rules.rs
+++ b/crates/kernel/tests/config_rules.rs
@@ -4,7 +4,7 @@
 
 use kernel::entry::Adoption;
 use std::time::Duration;
-use wire::frame::Config;
+use wire::frame::{Config, State};
 use world::{Process, World, document};
 
 fn config(revision: u64, change: &str) -> Config {
@@ -88,6 +88,9 @@
     // One entry alone reads the store; the others hear of it.
     world.read_store(0);
     world.settle();
+    assert_eq!(world.side(2).state(), Some(State::DomainOut));
+    // Sides for which nothing changes learn the revision with a heartbeat.
+    world.beat();
     for side in 0..3 {
         assert_eq!(world.side(side).revision(), 2);
     }
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -797,6 +797,12 @@
                 "{task:?} started in {domain}, which the side knows is out"
             ));
         }
+        let now = self.now;
+        let age = self.sides[index].as_ref().map(|side| side.config_age(now));
+        if age.is_some_and(|age| age > kernel::FRESH) {
+            let violation = format!("{task:?} started without a fresh configuration");
+            self.violations.push(violation);
+        }
         let limit = self.now.saturating_sub(DOMAIN_OUT_BOUND);
         let due = |since: &Option<Duration>| since.is_some_and(|since| since <= limit);
         let standing = self.known_since.iter().rposition(due);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -168,6 +168,8 @@
     /// Time since that revision was last known to be the latest, in
     /// milliseconds.
     pub age: u64,
+    /// What the revision says of the receiver, if that is a side.
+    pub state: State,
     /// Whether the sender is leaving.
     pub leaving: bool,
     /// Whether a side would start a task now; true for entries.
@@ -190,9 +192,10 @@
 }
 
 /// What a document says of one side.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// Tasks may start.
+    #[default]
     Allowed,
     /// The side's failure domain is out.
     DomainOut,
