--- a/crates/hyssopctl/src/cmd/bench.rs
+++ b/crates/hyssopctl/src/cmd/bench.rs
@@ -1,5 +1,6 @@
 //! `hyssopctl bench`.
 
+use super::progress::Progress;
 use crate::{
     Error,
     lab::{drive, scenario::Scenario, table},
@@ -64,7 +65,7 @@
         scenario.load.share,
         scenario.load.length.as_secs_f64()
     );
-    let progress = util::Progress::spawn(scenario.load.length);
+    let progress = Progress::spawn(scenario.load.length);
     let runs = arguments
         .policies
         .iter()
--- a/crates/hyssopctl/src/util.rs
+++ b/crates/hyssopctl/src/util.rs
@@ -43,30 +43,3 @@
         .build()?
         .block_on(future)
 }
-
-/// Prints how much of a run has passed until it is dropped.
-#[derive(Debug)]
-pub struct Progress(tokio::task::JoinHandle<()>);
-
-/// Interval between progress lines.
-const PROGRESS: Duration = Duration::from_secs(5);
-
-impl Progress {
-    /// Starts printing to standard error.
-    pub fn spawn(length: Duration) -> Self {
-        Self(tokio::spawn(async move {
-            let begun = std::time::Instant::now();
-            loop {
-                tokio::time::sleep(PROGRESS).await;
-                let passed = begun.elapsed().as_secs();
-                eprintln!("{passed} s of about {} s", length.as_secs());
-            }
-        }))
-    }
-}
-
-impl Drop for Progress {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
--- a/crates/hyssoppost/src/entry/mod.rs
+++ b/crates/hyssoppost/src/entry/mod.rs
@@ -113,17 +113,7 @@
     let (events, inbox) = mpsc::channel(INBOX);
     let (dump_requests, dumps) = mpsc::channel(1);
     let incarnation = Incarnation(rand::random());
-    let hello = Hello {
-        version: VERSION,
-        role: Role::Entry,
-        name: settings.common.name.clone(),
-        incarnation,
-        domain: settings.common.domain.clone(),
-        rack: String::new(),
-        address: String::new(),
-        number: 0,
-        nonce: 0,
-    };
+    let hello = hello(&settings.common, incarnation);
     let mut local = Local::new(hello, settings.common.keys.clone());
     let listener = link::listen(settings.links).await?;
     let links = listener.local_addr()?;
@@ -174,6 +164,20 @@
     })
 }
 
+fn hello(common: &settings::Common, incarnation: Incarnation) -> Hello {
+    Hello {
+        version: VERSION,
+        role: Role::Entry,
+        name: common.name.clone(),
+        incarnation,
+        domain: common.domain.clone(),
+        rack: String::new(),
+        address: String::new(),
+        number: 0,
+        nonce: 0,
+    }
+}
+
 impl Handle {
     /// Returns the address for callers.
     pub fn callers(&self) -> SocketAddr {
--- a/crates/kernel/tests/model_check.rs
+++ b/crates/kernel/tests/model_check.rs
@@ -180,15 +180,7 @@
             }
             Step::ReadStore(entry) => self.world.read_store(usize::from(entry) % ENTRIES),
             Step::Store(up) => self.world.set_store(up),
-            Step::Domains(bits) => {
-                let out: Vec<&str> = (0..DOMAINS.len())
-                    .filter(|bit| bits & (1 << bit) != 0)
-                    .map(|bit| DOMAINS[bit])
-                    .collect();
-                if self.world.store_up {
-                    self.world.publish(&out, "");
-                }
-            }
+            Step::Domains(bits) => self.publish(bits),
             Step::Cut {
                 entry,
                 other: number,
@@ -220,6 +212,17 @@
         }
     }
 
+    /// Takes out the domains whose bits are set, if the store is up.
+    fn publish(&mut self, bits: u8) {
+        let out: Vec<&str> = (0..DOMAINS.len())
+            .filter(|bit| bits & (1 << bit) != 0)
+            .map(|bit| DOMAINS[bit])
+            .collect();
+        if self.world.store_up {
+            self.world.publish(&out, "");
+        }
+    }
+
     /// Heals everything and lets all work end.
     fn heal(&mut self) {
         self.world.set_store(true);
--- /dev/null
+++ b/crates/kernel/tests/world/actions.rs
@@ -0,0 +1,165 @@
+//! What the kernels ask for is done, and every promise is checked as it is.
+
+use super::{DOMAIN_OUT_BOUND, Process, World, network::Item, result};
+use kernel::{
+    entry::{Action, Entry},
+    side::{self, Side},
+};
+use std::{sync::Arc, time::Duration};
+use wire::{
+    Frame, Payload,
+    frame::{Answer, Config, State},
+    id::{Incarnation, Job, Task},
+};
+
+impl World {
+    pub(super) fn act(&mut self, process: Process) {
+        match process {
+            Process::Entry(index) => self.act_entry(index),
+            Process::Side(index) => self.act_side(index),
+        }
+        self.check_revision(process);
+        self.check_known();
+    }
+
+    pub(super) fn act_entry(&mut self, index: usize) {
+        let Some(entry) = &mut self.entries[index] else {
+            return;
+        };
+        for action in entry.take_actions() {
+            match action {
+                Action::Send(to, frame) => self.send(self.entry_ids[index], to, frame),
+                Action::Answer(caller, answer) => self.answered(caller, answer),
+                Action::Retire => {
+                    self.retired.insert(index);
+                }
+            }
+        }
+    }
+
+    pub(super) fn act_side(&mut self, index: usize) {
+        let Some(side) = &mut self.sides[index] else {
+            return;
+        };
+        for action in side.take_actions() {
+            match action {
+                side::Action::Send(to, frame) => self.send(self.side_ids[index], to, frame),
+                side::Action::Start(start) => self.start(index, start),
+                side::Action::Entries(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, from: Incarnation, to: Incarnation, frame: Frame) {
+        let pipe = self.pipes.iter_mut().rev().find_map(|pipe| {
+            let end = pipe.ends.iter().position(|end| *end == to)?;
+            (pipe.ends[1 - end] == from && pipe.current[1 - end]).then_some((pipe, end))
+        });
+        if let Some((pipe, end)) = pipe
+            && pipe.open
+        {
+            pipe.items[end].push_back(Item::Frame(frame));
+        }
+    }
+
+    pub(super) fn start(&mut self, index: usize, start: side::Start) {
+        let count = self.starts.entry(start.task).or_default();
+        *count += 1;
+        if *count > 1 {
+            self.violations
+                .push(format!("{:?} started twice", start.task));
+        }
+        if self.voided.contains(&(index, start.task.job)) {
+            self.violations
+                .push(format!("{:?} started after its tombstone", start.task));
+        }
+        if self.barred.contains(&start.task.job) {
+            self.violations
+                .push(format!("{:?} started after \"not run\"", start.task));
+        }
+        self.started.push((self.now, index, start.task));
+        self.check_domain(index, start.task);
+        self.running[index].push(start);
+    }
+
+    /// No task starts in a domain whose removal was accepted a while ago.
+    pub(super) fn check_domain(&mut self, index: usize, task: Task) {
+        let domain = Self::domain(index);
+        let out_here = self.sides[index]
+            .as_ref()
+            .is_some_and(|side| side.state() == Some(State::DomainOut));
+        if out_here {
+            self.violations.push(format!(
+                "{task:?} started in {domain}, which the side knows is out"
+            ));
+        }
+        let now = self.now;
+        let age = self.sides[index].as_ref().map(|side| side.config_age(now));
+        if age.is_some_and(|age| age > kernel::FRESH) {
+            let violation = format!("{task:?} started without a fresh configuration");
+            self.violations.push(violation);
+        }
+        let limit = self.now.saturating_sub(DOMAIN_OUT_BOUND);
+        let due = |since: &Option<Duration>| since.is_some_and(|since| since <= limit);
+        let standing = self.known_since.iter().rposition(due);
+        let Some(standing) = standing else { return };
+        let out = |config: &Config| {
+            let line = format!("[domain {domain}]\nstate = out");
+            config.text.contains(&line)
+        };
+        let since_then = &self.store[standing..];
+        if since_then.iter().all(|(_, config)| out(config)) {
+            self.violations
+                .push(format!("{task:?} started in {domain}, which is out"));
+        }
+    }
+
+    pub(super) fn check_revision(&mut self, process: Process) {
+        let revision = match process {
+            Process::Entry(index) => self.entries[index]
+                .as_ref()
+                .and_then(Entry::config)
+                .map(|config| config.revision),
+            Process::Side(index) => self.sides[index].as_ref().map(Side::revision),
+        };
+        let revision = revision.unwrap_or(0);
+        let highest = self.revisions.entry(self.id(process)).or_default();
+        if revision < *highest {
+            self.violations
+                .push(format!("{process:?} went back to revision {revision}"));
+        }
+        *highest = revision.max(*highest);
+    }
+
+    pub(super) fn answered(&mut self, caller: u64, answer: Arc<Answer>) {
+        let job = self.submitted.get(&caller).map(|(_, job)| *job);
+        if let (Answer::Complete(answers), Some(job)) = (answer.as_ref(), job) {
+            let own = |(index, answer): (usize, &Payload)| {
+                let index = u16::try_from(index).unwrap();
+                *answer == result(Task { job, index })
+            };
+            if !answers.iter().enumerate().all(own) || answers.len() != self.tasks_of(job) {
+                self.violations.push(format!("{job} was answered in part"));
+            }
+        }
+        if let Some(job) = job {
+            self.check_not_run(caller, job, &answer);
+        }
+        if self.answers.insert(caller, answer).is_some() {
+            self.violations
+                .push(format!("caller {caller} was answered twice"));
+        }
+    }
+
+    /// Jobs of these tests have a number of tasks that follows from their own.
+    pub(super) fn tasks_of(&self, job: Job) -> usize {
+        self.sizes(job)
+    }
+
+    pub(super) fn sizes(&self, job: Job) -> usize {
+        let most = self.starts.keys().filter(|task| task.job == job);
+        most.map(|task| usize::from(task.index) + 1)
+            .max()
+            .unwrap_or(0)
+    }
+}
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -6,29 +6,35 @@
 //! connection that was replaced no longer count.
 #![allow(dead_code, reason = "each test uses a part")]
 
+mod actions;
+mod network;
+
+use network::Pipe;
+
 use kernel::{
-    entry::{Action, Adoption, Entry, Identity},
+    entry::{Adoption, Entry, Identity},
     policy::Plugin,
     side::{self, Side},
     work::Caller,
 };
 use policies as _;
 use std::{
-    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, HashMap, HashSet},
     fmt::Write,
     sync::Arc,
     time::Duration,
 };
 use wire::{
-    Code, Frame, Payload,
-    frame::{
-        Answer, Config, Hello, Known, Offer, Outcome, Request, Role, State, Submission, VERSION,
-    },
+    Code, Payload,
+    frame::{Answer, Config, Known, Offer, Outcome, Request, Submission},
     id::{Incarnation, Job, Task},
 };
 
+/// The service of all jobs.
 pub const SERVICE: &str = "proofing";
+/// The request kind of all jobs.
 pub const KIND: &str = "preview";
+/// The failure domains; sides are spread over them in turn.
 pub const DOMAINS: [&str; 3] = ["nord-a", "nord-b", "nord-c"];
 
 /// Frames after which an exchange counts as endless.
@@ -37,27 +43,6 @@
 /// Start of time, in seconds since the Unix epoch.
 const EPOCH: Duration = Duration::from_secs(1_800_000_007);
 
-/// What travels on a connection.
-#[derive(Debug, Clone)]
-enum Item {
-    Join,
-    Frame(Frame),
-    Lost,
-}
-
-/// A connection between an entry and another process.
-#[derive(Debug)]
-struct Pipe {
-    ends: [Incarnation; 2],
-    /// Items on their way to each end.
-    items: [VecDeque<Item>; 2],
-    /// Which ends count this connection as current.
-    current: [bool; 2],
-    /// Which ends ever took it.
-    joined: [bool; 2],
-    open: bool,
-}
-
 /// A process that can be scheduled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Process {
@@ -65,6 +50,7 @@
     Side(usize),
 }
 
+/// Entries and sides with injected time, and what became of their work.
 pub struct World {
     pub now: Duration,
     pub entries: Vec<Option<Entry>>,
@@ -102,6 +88,7 @@
     barred: HashSet<Job>,
 }
 
+/// Returns a document with some domains out.
 pub fn document(out: &[&str], extra: &str) -> String {
     let mut text = format!(
         "[environment]\nname = trial\n\n[service {SERVICE}]\n\n[kind {SERVICE}/{KIND}]\nrepeatable = yes\n\n"
@@ -113,6 +100,7 @@
     text + extra
 }
 
+/// Returns a job of some tasks.
 pub fn submission(tasks: u16) -> Submission {
     Submission {
         service: SERVICE.to_owned(),
@@ -334,251 +322,6 @@
         }
     }
 
-    // The network.
-
-    pub fn connect_all(&mut self) {
-        for entry in 0..self.entries.len() {
-            for side in 0..self.sides.len() {
-                self.connect(entry, Process::Side(side));
-            }
-            for other in 0..entry {
-                self.connect(entry, Process::Entry(other));
-            }
-        }
-    }
-
-    /// Opens a connection; each end learns of it when it is scheduled.
-    pub fn connect(&mut self, entry: usize, other: Process) {
-        if !self.is_alive(Process::Entry(entry)) || !self.is_alive(other) {
-            return;
-        }
-        self.pipes.push(Pipe {
-            ends: self.ends(entry, other),
-            items: [VecDeque::from([Item::Join]), VecDeque::from([Item::Join])],
-            current: [false, false],
-            joined: [false, false],
-            open: true,
-        });
-    }
-
-    /// Returns two processes in the order that connections name them.
-    fn ends(&self, entry: usize, other: Process) -> [Incarnation; 2] {
-        let mut ends = [self.entry_ids[entry], self.id(other)];
-        if matches!(other, Process::Entry(_)) {
-            ends.sort_unstable();
-        }
-        ends
-    }
-
-    /// Breaks the connections between two processes. Of what is on its way,
-    /// `kept` items arrive in each direction. If `told`, both ends learn it.
-    pub fn cut(&mut self, entry: usize, other: Process, kept: usize, told: bool) {
-        let ends = self.ends(entry, other);
-        for pipe in self
-            .pipes
-            .iter_mut()
-            .filter(|pipe| pipe.ends == ends && pipe.open)
-        {
-            pipe.open = false;
-            for items in &mut pipe.items {
-                items.truncate(kept);
-                if told {
-                    items.push_back(Item::Lost);
-                }
-            }
-        }
-    }
-
-    /// Cuts a process off from all others; the others learn of it.
-    pub fn cut_all(&mut self, process: Process) {
-        match process {
-            Process::Entry(entry) => {
-                for side in 0..self.sides.len() {
-                    self.cut(entry, Process::Side(side), 0, true);
-                }
-                for other in 0..self.entries.len() {
-                    self.cut(entry, Process::Entry(other), 0, true);
-                }
-            }
-            Process::Side(_) => {
-                for entry in 0..self.entries.len() {
-                    self.cut(entry, process, 0, true);
-                }
-            }
-        }
-        self.settle();
-    }
-
-    /// Delivers the next item of one connection to one end.
-    pub fn deliver(&mut self, pipe: usize, end: usize) -> bool {
-        let Some(item) = self.pipes[pipe].items[end].pop_front() else {
-            return false;
-        };
-        let receiver = self.pipes[pipe].ends[end];
-        let Some(process) = self.incarnations.get(&receiver).copied() else {
-            return true;
-        };
-        match item {
-            Item::Join => self.joined(pipe, end, process),
-            Item::Frame(frame) => {
-                if self.pipes[pipe].current[end] {
-                    self.receive(process, self.pipes[pipe].ends[1 - end], frame);
-                }
-            }
-            Item::Lost => {
-                if std::mem::take(&mut self.pipes[pipe].current[end]) {
-                    self.lose(process, self.pipes[pipe].ends[1 - end]);
-                }
-            }
-        }
-        self.act(process);
-        true
-    }
-
-    fn joined(&mut self, pipe: usize, end: usize, process: Process) {
-        let ends = self.pipes[pipe].ends;
-        let peer = ends[1 - end];
-        let newer = (pipe + 1..self.pipes.len())
-            .any(|other| self.pipes[other].ends == ends && self.pipes[other].joined[end]);
-        if newer {
-            return;
-        }
-        self.pipes[pipe].joined[end] = true;
-        let replaced: Vec<usize> = (0..self.pipes.len())
-            .filter(|other| *other != pipe && self.pipes[*other].ends == ends)
-            .filter(|other| self.pipes[*other].current[end])
-            .collect();
-        for old in replaced {
-            self.pipes[old].current[end] = false;
-            self.lose(process, peer);
-        }
-        self.pipes[pipe].current[end] = true;
-        let now = self.now;
-        let Some(hello) = self.hello(peer) else {
-            return;
-        };
-        match process {
-            Process::Entry(index) => {
-                let entry = self.entries[index].as_mut().unwrap();
-                match hello.role {
-                    Role::Side => entry.join_side(now, &hello),
-                    Role::Entry => entry.join_entry(now, &hello),
-                }
-            }
-            Process::Side(index) => self.sides[index].as_mut().unwrap().join(now, peer),
-        }
-    }
-
-    fn hello(&self, incarnation: Incarnation) -> Option<Hello> {
-        let process = self.incarnations.get(&incarnation)?;
-        let (role, name, domain) = match process {
-            Process::Entry(index) => (Role::Entry, format!("entry-{index}"), DOMAINS[index % 3]),
-            Process::Side(index) => (Role::Side, format!("side-{index}"), Self::domain(*index)),
-        };
-        Some(Hello {
-            version: VERSION,
-            role,
-            name,
-            incarnation,
-            domain: domain.to_owned(),
-            rack: String::new(),
-            address: String::new(),
-            number: 0,
-            nonce: 0,
-        })
-    }
-
-    fn lose(&mut self, process: Process, peer: Incarnation) {
-        let now = self.now;
-        let is_side = self.side_ids.contains(&peer);
-        match process {
-            Process::Entry(index) => {
-                let Some(entry) = &mut self.entries[index] else {
-                    return;
-                };
-                if is_side {
-                    entry.lose_side(now, peer);
-                } else {
-                    entry.lose_side(now, peer);
-                    entry.lose_entry(now, peer);
-                }
-            }
-            Process::Side(index) => {
-                if let Some(side) = &mut self.sides[index] {
-                    side.lose(peer);
-                }
-            }
-        }
-    }
-
-    fn receive(&mut self, process: Process, from: Incarnation, frame: Frame) {
-        let now = self.now;
-        match process {
-            Process::Entry(index) => {
-                if let Some(entry) = &mut self.entries[index] {
-                    entry.frame(now, from, frame);
-                }
-            }
-            Process::Side(index) => {
-                if let Frame::Void(void) = &frame
-                    && void.indices.is_empty()
-                    && void.job.home == from
-                {
-                    self.voided.insert((index, void.job));
-                }
-                if let Some(side) = &mut self.sides[index] {
-                    side.frame(now, from, frame);
-                }
-            }
-        }
-    }
-
-    /// Repeats the next frame of one connection if it is a result.
-    ///
-    /// A connection itself neither repeats nor reorders, and refusals and
-    /// lists of what is held rely on that; results must not.
-    pub fn duplicate(&mut self, pipe: usize, end: usize) {
-        let items = &mut self.pipes[pipe].items[end];
-        if let Some(Item::Frame(frame @ Frame::Done(_))) = items.front().cloned() {
-            items.push_front(Item::Frame(frame));
-        }
-    }
-
-    /// Swaps the next two frames of one connection, unless one of them relies
-    /// on the order.
-    pub fn reorder(&mut self, pipe: usize, end: usize) {
-        let items = &mut self.pipes[pipe].items[end];
-        let free = |item: Option<&Item>| {
-            let Some(Item::Frame(frame)) = item else {
-                return false;
-            };
-            matches!(
-                frame,
-                Frame::Run(_)
-                    | Frame::Void(_)
-                    | Frame::Done(_)
-                    | Frame::Beat(_)
-                    | Frame::Config(_)
-                    | Frame::Rule(_)
-            )
-        };
-        if free(items.front()) && free(items.get(1)) {
-            items.swap(0, 1);
-        }
-    }
-
-    pub fn pipes(&self) -> usize {
-        self.pipes.len()
-    }
-
-    /// Returns the connections on which something is on its way.
-    pub fn busy(&self) -> Vec<(usize, usize)> {
-        (0..self.pipes.len())
-            .flat_map(|pipe| [(pipe, 0), (pipe, 1)])
-            .filter(|(pipe, end)| !self.pipes[*pipe].items[*end].is_empty())
-            .collect()
-    }
-
     // Work.
 
     pub fn ticket(&mut self, entry: usize) -> Job {
@@ -660,25 +403,6 @@
         self.act(process);
     }
 
-    /// Closes one end's connections to a peer.
-    fn drop_pipes(&mut self, process: Process, peer: Incarnation) {
-        let own = self.id(process);
-        for pipe in &mut self.pipes {
-            let Some(end) = pipe.ends.iter().position(|end| *end == own) else {
-                continue;
-            };
-            if pipe.ends[1 - end] == peer && pipe.current[end] {
-                pipe.current[end] = false;
-                pipe.items[end].clear();
-                if pipe.open {
-                    pipe.open = false;
-                    pipe.items[1 - end].push_back(Item::Lost);
-                }
-            }
-        }
-        self.lose(process, peer);
-    }
-
     pub fn tick_all(&mut self) {
         for index in 0..self.entries.len() {
             self.tick(Process::Entry(index));
@@ -715,158 +439,6 @@
         }
     }
 
-    // Actions.
-
-    fn act(&mut self, process: Process) {
-        match process {
-            Process::Entry(index) => self.act_entry(index),
-            Process::Side(index) => self.act_side(index),
-        }
-        self.check_revision(process);
-        self.check_known();
-    }
-
-    fn act_entry(&mut self, index: usize) {
-        let Some(entry) = &mut self.entries[index] else {
-            return;
-        };
-        for action in entry.take_actions() {
-            match action {
-                Action::Send(to, frame) => self.send(self.entry_ids[index], to, frame),
-                Action::Answer(caller, answer) => self.answered(caller, answer),
-                Action::Retire => {
-                    self.retired.insert(index);
-                }
-            }
-        }
-    }
-
-    fn act_side(&mut self, index: usize) {
-        let Some(side) = &mut self.sides[index] else {
-            return;
-        };
-        for action in side.take_actions() {
-            match action {
-                side::Action::Send(to, frame) => self.send(self.side_ids[index], to, frame),
-                side::Action::Start(start) => self.start(index, start),
-                side::Action::Entries(_) => {}
-            }
-        }
-    }
-
-    fn send(&mut self, from: Incarnation, to: Incarnation, frame: Frame) {
-        let pipe = self.pipes.iter_mut().rev().find_map(|pipe| {
-            let end = pipe.ends.iter().position(|end| *end == to)?;
-            (pipe.ends[1 - end] == from && pipe.current[1 - end]).then_some((pipe, end))
-        });
-        if let Some((pipe, end)) = pipe
-            && pipe.open
-        {
-            pipe.items[end].push_back(Item::Frame(frame));
-        }
-    }
-
-    fn start(&mut self, index: usize, start: side::Start) {
-        let count = self.starts.entry(start.task).or_default();
-        *count += 1;
-        if *count > 1 {
-            self.violations
-                .push(format!("{:?} started twice", start.task));
-        }
-        if self.voided.contains(&(index, start.task.job)) {
-            self.violations
-                .push(format!("{:?} started after its tombstone", start.task));
-        }
-        if self.barred.contains(&start.task.job) {
-            self.violations
-                .push(format!("{:?} started after \"not run\"", start.task));
-        }
-        self.started.push((self.now, index, start.task));
-        self.check_domain(index, start.task);
-        self.running[index].push(start);
-    }
-
-    /// No task starts in a domain whose removal was accepted a while ago.
-    fn check_domain(&mut self, index: usize, task: Task) {
-        let domain = Self::domain(index);
-        let out_here = self.sides[index]
-            .as_ref()
-            .is_some_and(|side| side.state() == Some(State::DomainOut));
-        if out_here {
-            self.violations.push(format!(
-                "{task:?} started in {domain}, which the side knows is out"
-            ));
-        }
-        let now = self.now;
-        let age = self.sides[index].as_ref().map(|side| side.config_age(now));
-        if age.is_some_and(|age| age > kernel::FRESH) {
-            let violation = format!("{task:?} started without a fresh configuration");
-            self.violations.push(violation);
-        }
-        let limit = self.now.saturating_sub(DOMAIN_OUT_BOUND);
-        let due = |since: &Option<Duration>| since.is_some_and(|since| since <= limit);
-        let standing = self.known_since.iter().rposition(due);
-        let Some(standing) = standing else { return };
-        let out = |config: &Config| {
-            let line = format!("[domain {domain}]\nstate = out");
-            config.text.contains(&line)
-        };
-        let since_then = &self.store[standing..];
-        if since_then.iter().all(|(_, config)| out(config)) {
-            self.violations
-                .push(format!("{task:?} started in {domain}, which is out"));
-        }
-    }
-
-    fn check_revision(&mut self, process: Process) {
-        let revision = match process {
-            Process::Entry(index) => self.entries[index]
-                .as_ref()
-                .and_then(Entry::config)
-                .map(|config| config.revision),
-            Process::Side(index) => self.sides[index].as_ref().map(Side::revision),
-        };
-        let revision = revision.unwrap_or(0);
-        let highest = self.revisions.entry(self.id(process)).or_default();
-        if revision < *highest {
-            self.violations
-                .push(format!("{process:?} went back to revision {revision}"));
-        }
-        *highest = revision.max(*highest);
-    }
-
-    fn answered(&mut self, caller: u64, answer: Arc<Answer>) {
-        let job = self.submitted.get(&caller).map(|(_, job)| *job);
-        if let (Answer::Complete(answers), Some(job)) = (answer.as_ref(), job) {
-            let own = |(index, answer): (usize, &Payload)| {
-                let index = u16::try_from(index).unwrap();
-                *answer == result(Task { job, index })
-            };
-            if !answers.iter().enumerate().all(own) || answers.len() != self.tasks_of(job) {
-                self.violations.push(format!("{job} was answered in part"));
-            }
-        }
-        if let Some(job) = job {
-            self.check_not_run(caller, job, &answer);
-        }
-        if self.answers.insert(caller, answer).is_some() {
-            self.violations
-                .push(format!("caller {caller} was answered twice"));
-        }
-    }
-
-    /// Jobs of these tests have a number of tasks that follows from their own.
-    fn tasks_of(&self, job: Job) -> usize {
-        self.sizes(job)
-    }
-
-    fn sizes(&self, job: Job) -> usize {
-        let most = self.starts.keys().filter(|task| task.job == job);
-        most.map(|task| usize::from(task.index) + 1)
-            .max()
-            .unwrap_or(0)
-    }
-
     // Checks.
 
     /// Returns a caller's answer.
