--- a/crates/hyssopctl/tests/site_failures.rs
+++ b/crates/hyssopctl/tests/site_failures.rs
@@ -322,3 +322,90 @@
     assert!(inbox.try_recv().is_err(), "nothing was joined");
     dialer.abort();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_goes_away() {
+    let site = site().await;
+    let client = site.client(0).unwrap();
+    let left = ticket(&client).await;
+    let abandoned = job(&left, "g", 2, 300);
+    let gone = tokio::spawn({
+        let (client, job) = (client.clone(), abandoned.clone());
+        async move { client.submit(&job).await }
+    });
+    started(&site, "g", 2).await;
+    gone.abort();
+    // Jobs on the same client, whose connections are reused, get their own.
+    for round in 0..5 {
+        let name = format!("r{round}");
+        let next = ticket(&client).await;
+        let answer = client.submit(&job(&next, &name, 2, 5)).await.unwrap();
+        let own = |answer: &serde_json::value::RawValue| answer.get().contains(&name);
+        assert!(
+            answer.answers.iter().all(|answer| own(answer)),
+            "{answer:?}"
+        );
+    }
+    let answer = client.answer(&left).await.unwrap();
+    assert!(answer.is_complete(), "the job went on without its caller");
+    assert_eq!(site.audit.totals(), (12, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_refused() {
+    use tokio::io::AsyncWriteExt;
+    let site = site().await;
+    let links = site.entries[0].handle.as_ref().unwrap().links();
+    let oversized = [0xff; 64].to_vec();
+    let malformed = [&[0, 0, 0, 4][..], &[0xee; 4]].concat();
+    let truncated = vec![0, 0, 1, 0, 7];
+    for bytes in [oversized, malformed, truncated] {
+        let mut stream = tokio::net::TcpStream::connect(links).await.unwrap();
+        stream.write_all(&bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+    }
+    loop {
+        let (entries, _) = site.dumps().await.unwrap();
+        if entries[0]["process"]["connections_refused"].as_u64() >= Some(3) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let client = site.client(0).unwrap();
+    let next = ticket(&client).await;
+    let answer = client.submit(&job(&next, "z", 2, 5)).await.unwrap();
+    assert!(answer.is_complete(), "the entry stays up");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn other_version_refused() {
+    use futures::StreamExt;
+    use tokio::io::AsyncWriteExt;
+    use tokio_util::codec::{Encoder, FramedRead};
+    use wire::{Frame, codec::Codec, frame::Hello, id::Incarnation};
+    let site = site().await;
+    let links = site.entries[0].handle.as_ref().unwrap().links();
+    let hello = Hello {
+        version: wire::frame::VERSION + 1,
+        role: wire::frame::Role::Side,
+        name: "newer".to_owned(),
+        incarnation: Incarnation(42),
+        domain: "nord-a".to_owned(),
+        rack: String::new(),
+        address: String::new(),
+        number: 1,
+        nonce: 7,
+    };
+    let (reader, mut writer) = tokio::net::TcpStream::connect(links)
+        .await
+        .unwrap()
+        .into_split();
+    let mut bytes = bytes::BytesMut::new();
+    Codec::default()
+        .encode(&Frame::Hello(hello), &mut bytes)
+        .unwrap();
+    writer.write_all(&bytes).await.unwrap();
+    let mut frames = FramedRead::new(reader, Codec::default());
+    assert!(matches!(frames.next().await, Some(Ok(Frame::Hello(_)))));
+    assert!(frames.next().await.is_none(), "closed without a proof");
+}
--- a/crates/hyssoppost/tests/separate_processes.rs
+++ b/crates/hyssoppost/tests/separate_processes.rs
@@ -40,7 +40,11 @@
 
 impl Process {
     fn spawn(role: &str, settings: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("hyssop-{role}-{}.ini", std::process::id()));
+        let path = std::env::temp_dir().join(format!(
+            "hyssop-{role}-{}-{}.ini",
+            std::process::id(),
+            rand::random::<u32>()
+        ));
         fs::write(&path, settings).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_hyssoppost"))
             .args([role, "--settings"])
@@ -56,19 +60,17 @@
         }
     }
 
-    /// Reads log lines up to the event and returns one of its values.
-    fn value(&mut self, event: &str, key: &str) -> SocketAddr {
+    /// Reads log lines up to an event and returns its line.
+    fn line(&mut self, event: &str) -> String {
         loop {
             let mut line = String::new();
             assert!(self.output.read_line(&mut line).unwrap() > 0, "no {event}");
-            if !line.contains(&format!("event={event} ")) {
-                continue;
-            }
-            let prefix = format!("{key}=");
-            let word = line
+            let found = line
                 .split_whitespace()
-                .find_map(|word| word.strip_prefix(&prefix));
-            return word.unwrap().parse().unwrap();
+                .any(|word| word == format!("event={event}"));
+            if found {
+                return line;
+            }
         }
     }
 
@@ -93,6 +95,15 @@
     }
 }
 
+/// Returns an address from a log line.
+fn value(line: &str, key: &str) -> SocketAddr {
+    let prefix = format!("{key}=");
+    let word = line
+        .split_whitespace()
+        .find_map(|word| word.strip_prefix(&prefix));
+    word.unwrap().parse().unwrap()
+}
+
 async fn publish(store: &Store) {
     let client = gateway::Client::open(&store.address().to_string()).unwrap();
     let change = Change {
@@ -139,47 +150,81 @@
     }
 }
 
+/// One entry, one side and one worker, each a process but the last.
+struct Trio {
+    entry: Process,
+    side: Process,
+    callers: SocketAddr,
+    worker: Worker,
+    audit: Audit,
+    _store: Store,
+}
+
+impl Trio {
+    async fn start(slots: u16) -> Self {
+        let store = Store::bind().await.unwrap();
+        publish(&store).await;
+        let mut entry = Process::spawn("entry", &entry_settings(store.address()));
+        let line = entry.line("entry_started");
+        let (callers, links) = (value(&line, "callers"), value(&line, "links"));
+        let mut side = Process::spawn("side", &side_settings(links));
+        let upstream = value(&side.line("side_started"), "upstream");
+        let profile = Profile {
+            name: "worker-1".to_owned(),
+            service: "proofing".to_owned(),
+            kinds: vec!["preview".to_owned()],
+            slots,
+        };
+        let (audit, timer) = (Audit::default(), Timer::spawn());
+        let worker = Worker::bind(profile, upstream, &audit, &timer)
+            .await
+            .unwrap();
+        Self {
+            entry,
+            side,
+            callers,
+            worker,
+            audit,
+            _store: store,
+        }
+    }
+
+    async fn started(&self, tasks: u64) {
+        while self.worker.started() < tasks {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_and_drain() {
-    let store = Store::bind().await.unwrap();
-    publish(&store).await;
-    let mut entry = Process::spawn("entry", &entry_settings(store.address()));
-    let mut output = String::new();
-    entry.output.read_line(&mut output).unwrap();
-    let word = |key: &str| -> SocketAddr {
-        let prefix = format!("{key}=");
-        let word = output
-            .split_whitespace()
-            .find_map(|word| word.strip_prefix(&prefix));
-        word.unwrap().parse().unwrap()
-    };
-    let (callers, links) = (word("callers"), word("links"));
-    let mut side = Process::spawn("side", &side_settings(links));
-    let upstream = side.value("side_started", "upstream");
-    let profile = Profile {
-        name: "worker-1".to_owned(),
-        service: "proofing".to_owned(),
-        kinds: vec!["preview".to_owned()],
-        slots: 2,
-    };
-    let (audit, timer) = (Audit::default(), Timer::spawn());
-    let worker = Worker::bind(profile, upstream, &audit, &timer)
-        .await
-        .unwrap();
-    let answer = submit(callers, 1).await;
+    let mut trio = Trio::start(2).await;
+    let answer = submit(trio.callers, 1).await;
     assert_eq!(answer["state"], "complete");
     // A request is in progress when both are told to stop.
-    let last = tokio::spawn(submit(callers, 500));
-    while worker.started() < 2 {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    entry.terminate();
-    side.terminate();
+    let last = tokio::spawn(submit(trio.callers, 500));
+    trio.started(2).await;
+    trio.entry.terminate();
+    trio.side.terminate();
     let answer = last.await.unwrap();
     assert_eq!(answer["state"], "complete", "{answer}");
-    assert!(entry.child.wait().unwrap().success());
-    assert!(side.child.wait().unwrap().success());
-    assert_eq!(audit.totals(), (2, 0));
+    assert!(trio.entry.child.wait().unwrap().success());
+    assert!(trio.side.child.wait().unwrap().success());
+    assert_eq!(trio.audit.totals(), (2, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_signal_stops() {
+    let mut trio = Trio::start(1).await;
+    let last = tokio::spawn(submit(trio.callers, 20_000));
+    trio.started(1).await;
+    trio.entry.terminate();
+    // The first signal is being obeyed when the log says so.
+    trio.entry.line("draining");
+    trio.entry.terminate();
+    let answer = last.await.unwrap();
+    assert_eq!(answer["name"], "outcome-unknown", "{answer}");
+    assert_eq!(trio.entry.child.wait().unwrap().code(), Some(6));
 }
 
 #[test]
--- a/crates/kernel/tests/resubmission.rs
+++ b/crates/kernel/tests/resubmission.rs
@@ -223,3 +223,27 @@
     assert_eq!(world.starts_of(job), 0);
     world.assert_sound();
 }
+
+#[test]
+fn recovery_costs_two_frames_a_side() {
+    const SIDES: usize = 12;
+    let mut world = World::new(2, SIDES, 8);
+    let job = world.ticket(0);
+    let before = world.frames;
+    world.submit(0, job, 24);
+    world.settle();
+    world.finish_all();
+    world.settle();
+    // Two tasks a side travel in one frame, and each has its result.
+    assert_eq!(world.frames - before, 12 + 24);
+    world.cut_all(Process::Entry(0));
+    world.kill(Process::Entry(0));
+    world.pass(SILENCE * 2);
+    let before = world.frames;
+    let callers: Vec<u64> = (0..5).map(|_| world.submit(1, job, 24)).collect();
+    world.settle();
+    assert!(callers.iter().all(|caller| complete(&world, *caller)));
+    // The first caller's sweep, and one more for the four that came meanwhile.
+    assert_eq!(world.frames - before, 2 * 2 * SIDES as u64);
+    world.assert_sound();
+}
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -74,6 +74,8 @@
     /// Highest revision ever in force at each process.
     pub revisions: HashMap<Incarnation, u64>,
     pub violations: Vec<String>,
+    /// Frames sent on connections, heartbeats aside.
+    pub frames: u64,
     incarnations: HashMap<Incarnation, Process>,
     entry_ids: Vec<Incarnation>,
     side_ids: Vec<Incarnation>,
@@ -150,6 +152,7 @@
             retired: HashSet::new(),
             revisions: HashMap::new(),
             violations: Vec::new(),
+            frames: 0,
             incarnations: HashMap::new(),
             entry_ids: Vec::new(),
             side_ids: Vec::new(),
