--- a/crates/hyssopctl/src/cmd/demo.rs
+++ b/crates/hyssopctl/src/cmd/demo.rs
@@ -11,7 +11,7 @@
 };
 use lexopt::{Arg, Parser, ValueExt};
 use std::{
-    io::Write,
+    io::{IsTerminal, Write},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -163,6 +163,9 @@
 }
 
 async fn show_progress(ended: Arc<AtomicUsize>, total: usize) {
+    if !std::io::stdout().is_terminal() {
+        return;
+    }
     loop {
         print!("\r{} of {total} jobs", ended.load(Ordering::Relaxed));
         // Progress is for the eye only.
--- a/crates/hyssopctl/tests/http_session.rs
+++ b/crates/hyssopctl/tests/http_session.rs
@@ -151,8 +151,8 @@
             &json!({ "kind": "nudge", "tasks": failing }),
         )
         .await;
-    let slow = json!([{ "task": "f", "ms": 400 }]);
-    let slow = json!({ "kind": "nudge", "tasks": slow, "deadline_ms": 100 });
+    let slow = json!([{ "task": "f", "ms": 3_000 }]);
+    let slow = json!({ "kind": "nudge", "tasks": slow, "deadline_ms": 1_000 });
     session.job("a deadline passes", &slow).await;
     let ticket = session.ticket().await;
     let path = format!("/v1/jobs/{ticket}");
