Register entries by region

Cause: sides are to know the entries of their own region; all entries of an environment knew each other, so a region cut off from the others lost its majority during a store outage (docs/CAPACITY.md). Change: an entry's settings name its region; it lists and registers there alone. Measured: test regions_apart; all tests pass.

--- a/crates/hyssopctl/tests/site_failures.rs
+++ b/crates/hyssopctl/tests/site_failures.rs
@@ -409,3 +409,37 @@
     assert!(matches!(frames.next().await, Some(Ok(Frame::Hello(_)))));
     assert!(frames.next().await.is_none(), "closed without a proof");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn regions_apart() {
+    use hyssoppost::{entry, settings::Entry};
+    use platform::Store;
+    let site = site().await;
+    let text = format!(
+        "[entry]\nname = far\nenvironment = {}\ndomain = nord-a\nregion = far\n\n\
+         [listen]\ncallers = 127.0.0.1:0\nlinks = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\n\
+         [store]\naddress = {}\n\n\
+         [security]\nkey = lab-shared-key-0001\nadmin_token = {}\n",
+        site.plan.environment,
+        site.store.address(),
+        hyssopctl::lab::site::TOKEN,
+    );
+    let mut far = entry::spawn(Entry::parse(&text).unwrap()).await.unwrap();
+    far.ready().await;
+    // Its registration is in the store, but not among those of this region.
+    let prefix = platform::publication::entries_prefix(&site.plan.environment, "far");
+    while site.operator.list(&prefix).await.unwrap().is_empty() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let dump = hyssopctl::client::dump(far.admin(), hyssopctl::lab::site::TOKEN).await;
+    let dump = dump.unwrap();
+    assert_eq!(dump["configuration"]["revision"], 1);
+    assert_eq!(dump["entries"].as_array().unwrap().len(), 0);
+    assert_eq!(dump["sides"].as_array().unwrap().len(), 0);
+    let (entries, _) = site.dumps().await.unwrap();
+    assert!(
+        entries
+            .iter()
+            .all(|entry| entry["entries"].as_array().unwrap().len() == 2)
+    );
+}
--- a/crates/hyssoppost/src/entry/mod.rs
+++ b/crates/hyssoppost/src/entry/mod.rs
@@ -138,6 +138,7 @@
         store,
         registry::Own {
             environment: settings.common.environment.clone(),
+            region: settings.region.clone(),
             name: settings.common.name.clone(),
             address: advertised.to_string(),
         },
--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -43,6 +43,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Own {
     pub(super) environment: String,
+    pub(super) region: String,
     pub(super) name: String,
     pub(super) address: String,
 }
@@ -132,7 +133,7 @@
 
 async fn follow_entries<S: Store, E: From<Event>>(store: &S, own: &Own, events: &mpsc::Sender<E>) {
     let mut lease = None;
-    let prefix = publication::entries_prefix(&own.environment);
+    let prefix = publication::entries_prefix(&own.environment, &own.region);
     loop {
         lease = keep_registered(store, own, &prefix, lease).await;
         if let Ok(items) = store.list(&prefix).await {
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -41,6 +41,8 @@
 pub struct Entry {
     /// Shared settings.
     pub common: Common,
+    /// Region; entries of one region know each other and share sides.
+    pub region: String,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for sides and other entries.
@@ -76,6 +78,7 @@
     pub discover: bool,
 }
 
+const DEFAULT_REGION: &str = "main";
 const DEFAULT_BODY_BYTES: usize = 4 << 20;
 const DEFAULT_ARCHIVE_BYTES: usize = 64 << 20;
 const DEFAULT_DRAIN_MS: u64 = 30_000;
@@ -113,6 +116,7 @@
             ],
         );
         let common = read_common(&mut reader, "entry");
+        let region = reader.optional("entry", "region", "the region's name");
         let callers = reader.required("listen", "callers", ADDRESS);
         let links = reader.required("listen", "links", ADDRESS);
         let advertise = reader.optional("listen", "advertise", ADDRESS);
@@ -126,6 +130,7 @@
         let missing = || Faults(Vec::new());
         Ok(Self {
             common: common.ok_or_else(missing)?,
+            region: region.unwrap_or_else(|| DEFAULT_REGION.to_owned()),
             callers: callers.ok_or_else(missing)?,
             links: links.ok_or_else(missing)?,
             advertise,
--- a/crates/platform/src/publication.rs
+++ b/crates/platform/src/publication.rs
@@ -71,9 +71,9 @@
     format!("hyssoppost/{environment}/document")
 }
 
-/// Returns the prefix of the keys at which an environment's entries register.
-pub fn entries_prefix(environment: &str) -> String {
-    format!("hyssoppost/{environment}/entries/")
+/// Returns the prefix of the keys at which a region's entries register.
+pub fn entries_prefix(environment: &str, region: &str) -> String {
+    format!("hyssoppost/{environment}/entries/{region}/")
 }
 
 /// Reads an environment's document.
