--- a/crates/kernel/tests/document_faults.rs
+++ b/crates/kernel/tests/document_faults.rs
@@ -1,7 +1,7 @@
 //! A document's faults are all found at once, with section, key and line.
 
 use kernel::document::Document;
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 const GOOD: &str = "\
 [environment]
@@ -26,6 +26,15 @@
 tasks = 50
 ";
 
+/// The same cases in every run.
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 fn faults(text: &str) -> Vec<String> {
     let faults = Document::parse(text).unwrap_err();
     faults.0.iter().map(ToString::to_string).collect()
@@ -93,6 +102,8 @@
 }
 
 proptest! {
+    #![proptest_config(fixed())]
+
     #[test]
     fn any_text_survives(text in "([\\[\\]=;# a-z/0-9]{0,30}\n){0,12}") {
         // Either outcome will do; a panic will not.
--- a/crates/wire/tests/frame_codec.rs
+++ b/crates/wire/tests/frame_codec.rs
@@ -1,7 +1,7 @@
 //! Frames survive the codec; other bytes are refused without a panic.
 
 use bytes::{BufMut, BytesMut};
-use proptest::{collection::vec, prelude::*};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 use tokio_util::codec::{Decoder, Encoder};
 use wire::{
     Code, Frame, Payload,
@@ -10,6 +10,15 @@
     id::{Incarnation, Job},
 };
 
+/// The same cases in every run.
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 fn job() -> impl Strategy<Value = Job> {
     (any::<u64>(), any::<u64>(), any::<u64>()).prop_map(|(home, sequence, expires)| Job {
         home: Incarnation(home),
@@ -109,6 +118,8 @@
 }
 
 proptest! {
+    #![proptest_config(fixed())]
+
     #[test]
     fn round_trip(frames in vec(frame(), 1..6)) {
         let mut bytes = BytesMut::new();
