--- a/crates/kernel/src/entry/serve.rs
+++ b/crates/kernel/src/entry/serve.rs
@@ -20,7 +20,7 @@
         } else if job.home == self.identity.incarnation {
             self.request_here(now, caller, job, request);
         } else if matches!(caller, Caller::Remote { .. }) {
-            // The sender takes this for a home that is gone and recovers.
+            // Entries forward to homes alone, so this one is not what it was.
             self.refuse(caller, Code::HomeUnreachable, Started::Unknown);
         } else if self.peers.contains_key(&job.home) {
             self.call(caller, job, request);
