--- a/crates/hyssopctl/src/client.rs
+++ b/crates/hyssopctl/src/client.rs
@@ -1,11 +1,11 @@
-//! A caller's view of an entry, over HTTP.
+//! A customer's view of an entry, over HTTP.
 
 use crate::Error;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, value::RawValue};
 use std::net::SocketAddr;
 
-/// A job as callers write it.
+/// A job as customers write it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Job {
     /// Service; part of the path, not of the document.
@@ -72,7 +72,7 @@
 }
 
 impl Client {
-    /// Makes a client for an entry's callers' address.
+    /// Makes a client for an entry's customers' address.
     pub fn open(address: SocketAddr) -> Result<Self, Error> {
         Ok(Self {
             http: reqwest::Client::builder().no_proxy().build()?,
--- a/crates/hyssopctl/src/cmd/demo.rs
+++ b/crates/hyssopctl/src/cmd/demo.rs
@@ -29,9 +29,9 @@
     hyssopctl demo [--site NAME] [--jobs N] [--load SHARE] [--seed N]
                    [--policy NAME]
 
-The site has one entry a failure domain, a dozen sides and worker stand-ins
+The site has one entry a failure domain, a dozen sides and host stand-ins
 that wait instead of work, and a stand-in for the platform's key-value service.
-Delays between domains and callers are those of the site. Prints the first
+Delays between domains and customers are those of the site. Prints the first
 answers, response time against the ideal, and messages a task.
 
 Options:
@@ -82,10 +82,10 @@
 async fn demo(arguments: Arguments) -> Result<(), Error> {
     let plan = arguments.plan;
     println!(
-        "site {}: {} entries, {} workers of {} slots; policy {}, seed {}",
+        "site {}: {} entries, {} hosts of {} slots; policy {}, seed {}",
         plan.environment,
         plan.domains.len(),
-        plan.workers,
+        plan.hosts,
         plan.slots,
         arguments.policy,
         arguments.seed
--- a/crates/hyssopctl/src/cmd/domain.rs
+++ b/crates/hyssopctl/src/cmd/domain.rs
@@ -4,7 +4,7 @@
 use crate::{Error, util};
 use kernel::document::Document;
 use lexopt::{Arg, Parser, ValueExt};
-use platform::publication;
+use store::publication;
 
 /// Usage of the command.
 pub const USAGE: &str = "\
--- a/crates/hyssopctl/src/cmd/publish.rs
+++ b/crates/hyssopctl/src/cmd/publish.rs
@@ -4,8 +4,8 @@
 use crate::{Error, util};
 use kernel::document::Document;
 use lexopt::{Arg, Parser};
-use platform::publication;
 use std::{fmt::Write, path::PathBuf};
+use store::publication;
 
 /// Usage of the command.
 pub const USAGE: &str = "\
--- a/crates/hyssopctl/src/cmd/slopes.rs
+++ b/crates/hyssopctl/src/cmd/slopes.rs
@@ -26,16 +26,16 @@
 docs/CAPACITY.md.
 
 Usage:
-    hyssopctl slopes [--sides N,N,...] [--seconds N] [--callers N]
+    hyssopctl slopes [--sides N,N,...] [--seconds N] [--customers N]
 
 One entry and N sides run in this process over loopback, each role on threads
 of its own, so that processor time is told apart by role. For each N: first
-idle, then under as many jobs of 20 empty tasks as the callers can submit.
+idle, then under as many jobs of 20 empty tasks as the customers can submit.
 
 Options:
         --sides N,N,...   Fleet sizes; 12,100,300 by default.
         --seconds N       Length of each phase; 8 by default.
-        --callers N       Callers that submit one job after another; 64 by
+        --customers N       Customers that submit one job after another; 64 by
                           default.
     -h, --help            Print this text.
 ";
@@ -48,7 +48,7 @@
 struct Arguments {
     sides: Vec<usize>,
     length: Duration,
-    callers: usize,
+    customers: usize,
 }
 
 /// Processor time of the roles' threads, in seconds.
@@ -72,13 +72,13 @@
     Ok(())
 }
 
-fn plan(workers: usize) -> Plan {
+fn plan(hosts: usize) -> Plan {
     let mut plan = Plan::folia();
     plan.domains.truncate(1);
-    plan.workers = workers;
+    plan.hosts = hosts;
     plan.slots = SLOTS;
     plan.domain_delay = Duration::ZERO;
-    plan.caller_delay = Duration::ZERO;
+    plan.customer_delay = Duration::ZERO;
     plan.kinds.truncate(1);
     plan.kinds[0].tasks = (TASKS, TASKS);
     plan.kinds[0].run_ms = (0.01, 0.011);
@@ -144,16 +144,16 @@
         return Err(Error::Broken("no job was drawn".to_owned()));
     };
     let end = Instant::now() + arguments.length;
-    let mut callers = JoinSet::new();
-    for _ in 0..arguments.callers {
+    let mut customers = JoinSet::new();
+    for _ in 0..arguments.customers {
         let (client, item) = (client.clone(), item.clone());
-        callers.spawn(async move {
+        customers.spawn(async move {
             while Instant::now() < end {
                 submit(&client, &item, None, end).await;
             }
         });
     }
-    callers.join_all().await;
+    customers.join_all().await;
     Ok(())
 }
 
@@ -209,7 +209,7 @@
     let mut arguments = Arguments {
         sides: vec![12, 100, 300],
         length: Duration::from_secs(8),
-        callers: 64,
+        customers: 64,
     };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -222,7 +222,7 @@
             Arg::Long("seconds") => {
                 arguments.length = Duration::from_secs(parser.value()?.parse()?);
             }
-            Arg::Long("callers") => arguments.callers = parser.value()?.parse()?,
+            Arg::Long("customers") => arguments.customers = parser.value()?.parse()?,
             _ => return Err(argument.unexpected()),
         }
     }
--- a/crates/hyssopctl/src/cmd/store.rs
+++ b/crates/hyssopctl/src/cmd/store.rs
@@ -3,14 +3,14 @@
 
 use crate::{Error, client, util};
 use lexopt::{Arg, Parser, ValueExt};
-use platform::{
-    gateway::Client,
-    publication::{self, Change, Current, Record},
-};
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
 };
+use store::{
+    gateway::Client,
+    publication::{self, Change, Current, Record},
+};
 
 /// Time within which a change is in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(9);
--- a/crates/hyssopctl/src/cmd/submit.rs
+++ b/crates/hyssopctl/src/cmd/submit.rs
@@ -20,7 +20,7 @@
 another; the whole file is held in memory.
 
 Options:
-    -e, --entry IP:PORT   Callers' address of an entry or of the balancer.
+    -e, --entry IP:PORT   Customers' address of an entry or of the balancer.
     -s, --service NAME    The service.
     -t, --ticket          Ask for a ticket for each job first, as kinds that are
                           not repeatable need.
--- a/crates/hyssopctl/src/error.rs
+++ b/crates/hyssopctl/src/error.rs
@@ -39,10 +39,10 @@
     Json(#[from] serde_json::Error),
     /// The store did not answer.
     #[error("{0}")]
-    Store(#[from] platform::Error),
+    Store(#[from] store::Error),
     /// A change could not be published.
     #[error("{0}")]
-    Publication(#[from] platform::publication::Error<platform::Error>),
+    Publication(#[from] store::publication::Error<store::Error>),
     /// A job failed.
     #[error("job failed: {0}")]
     Job(String),
@@ -61,7 +61,7 @@
             | Self::Process(_)
             | Self::Http(_)
             | Self::Store(_)
-            | Self::Publication(platform::publication::Error::Store(_)) => 4,
+            | Self::Publication(store::publication::Error::Store(_)) => 4,
             Self::Publication(_) => 5,
             Self::Job(_) => 6,
             Self::Broken(_) => 7,
--- a/crates/hyssopctl/src/lab/drive.rs
+++ b/crates/hyssopctl/src/lab/drive.rs
@@ -25,7 +25,7 @@
 /// Time that a disturbed process stays away.
 const AWAY: Duration = Duration::from_millis(2_500);
 
-/// Result codes after which a caller tries again under the same ticket: refused
+/// Result codes after which a customer tries again under the same ticket: refused
 /// for now, or the home was out of reach.
 const TRY_AGAIN: [u16; 8] = [201, 202, 203, 204, 205, 206, 305, 0];
 
@@ -36,7 +36,7 @@
     pub at: Duration,
     /// Slots that run a task.
     pub busy: u32,
-    /// Slots that may run one: their domain is in and their worker is there.
+    /// Slots that may run one: their domain is in and their host is there.
     pub allowed: u32,
     /// Jobs that have not ended.
     pub open: usize,
@@ -61,7 +61,7 @@
 /// Jobs that have not ended, by ticket.
 type Open = Arc<Mutex<HashSet<String>>>;
 
-/// What callers share.
+/// What customers share.
 #[derive(Debug, Clone)]
 struct Desk {
     clients: Vec<Client>,
@@ -220,7 +220,7 @@
                     back.get_or_insert_with(Instant::now);
                 }
             }
-            Event::BadWorker(index) => site.places[*index].worker.fail_all(true),
+            Event::BadHost(index) => site.places[*index].host.fail_all(true),
             Event::RackLost(rack) => self.lose_rack(rack, site),
             Event::Silence => {
                 for relay in site.entries.iter().flat_map(|entry| &entry.sides) {
@@ -240,7 +240,7 @@
         for index in 0..site.places.len() {
             if site.plan.rack_of(index) == rack {
                 site.kill_side(index);
-                site.places[index].worker.fail_all(true);
+                site.places[index].host.fail_all(true);
                 self.lost.push(index);
             }
         }
@@ -307,7 +307,7 @@
             if self.out.contains(&place.domain) || self.lost.contains(&index) {
                 continue;
             }
-            sample.busy += place.worker.running();
+            sample.busy += place.host.running();
             sample.allowed += u32::from(site.plan.slots);
         }
         self.samples.push(sample);
@@ -318,7 +318,7 @@
             .iter()
             .filter_map(|(out, domain, back)| {
                 let end = back.unwrap_or_else(Instant::now);
-                let last = site.audit.last_start(&site.workers_of(domain), *out, end)?;
+                let last = site.audit.last_start(&site.hosts_of(domain), *out, end)?;
                 Some(last.saturating_duration_since(*out))
             })
             .collect()
--- a/crates/hyssopctl/src/lab/load.rs
+++ b/crates/hyssopctl/src/lab/load.rs
@@ -19,7 +19,7 @@
     /// Whether its kind is repeatable.
     pub repeatable: bool,
     /// Response time with every slot free: the longest task, one round trip
-    /// between caller and entry and one between domains.
+    /// between customer and entry and one between domains.
     pub ideal: Duration,
     /// Work of all tasks together.
     pub work: Duration,
@@ -159,7 +159,7 @@
             deadline_ms: Some(DEADLINE_MS),
             tasks: tasks.collect(),
         };
-        let trips = (plan.caller_delay + plan.domain_delay) * 2;
+        let trips = (plan.customer_delay + plan.domain_delay) * 2;
         Item {
             at,
             job,
--- a/crates/hyssopctl/src/lab/mod.rs
+++ b/crates/hyssopctl/src/lab/mod.rs
@@ -1,5 +1,5 @@
 //! A whole site in one process, over real loopback sockets: entries, sides,
-//! worker stand-ins, a store stand-in, and relays that imitate the network.
+//! host stand-ins, a store stand-in, and relays that imitate the network.
 
 pub mod drive;
 pub mod load;
--- a/crates/hyssopctl/src/lab/plan.rs
+++ b/crates/hyssopctl/src/lab/plan.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Write, time::Duration};
 
-/// Workers in one rack.
+/// Hosts in one rack.
 const RACK: usize = 3;
 
 /// A site and the shape of its jobs.
@@ -16,14 +16,14 @@
     pub kinds: Vec<Kind>,
     /// Failure domains; each has one entry.
     pub domains: Vec<String>,
-    /// Workers, spread over the domains in turn.
-    pub workers: usize,
-    /// Slots of each worker.
+    /// Hosts, spread over the domains in turn.
+    pub hosts: usize,
+    /// Slots of each host.
     pub slots: u16,
     /// One-way delay between domains.
     pub domain_delay: Duration,
-    /// One-way delay between callers and entries.
-    pub caller_delay: Duration,
+    /// One-way delay between customers and entries.
+    pub customer_delay: Duration,
 }
 
 /// A request kind and the shape of its jobs.
@@ -53,10 +53,10 @@
                 kind("nudge", true, 0.15, (1, 1), (50.0, 100.0)),
             ],
             domains: names(&["nord-a", "nord-b", "nord-c"]),
-            workers: 12,
+            hosts: 12,
             slots: 8,
             domain_delay: Duration::from_micros(1_500),
-            caller_delay: Duration::from_millis(3),
+            customer_delay: Duration::from_millis(3),
         }
     }
 
@@ -71,10 +71,10 @@
                 kind("slot-hold", false, 0.2, (1, 2), (50.0, 150.0)),
             ],
             domains: names(&["split", "ploce", "rijeka", "zadar"]),
-            workers: 12,
+            hosts: 12,
             slots: 8,
             domain_delay: Duration::from_micros(500),
-            caller_delay: Duration::from_millis(1),
+            customer_delay: Duration::from_millis(1),
         }
     }
 
@@ -89,18 +89,18 @@
 
     /// Returns all slots of the site.
     pub fn total_slots(&self) -> usize {
-        self.workers * usize::from(self.slots)
+        self.hosts * usize::from(self.slots)
     }
 
-    /// Returns the index of a worker's domain.
-    pub fn domain_of(&self, worker: usize) -> usize {
-        worker % self.domains.len()
+    /// Returns the index of a host's domain.
+    pub fn domain_of(&self, host: usize) -> usize {
+        host % self.domains.len()
     }
 
-    /// Returns the name of a worker's rack.
-    pub fn rack_of(&self, worker: usize) -> String {
-        let place = worker / self.domains.len() / RACK;
-        format!("{}-rack-{place}", self.domains[self.domain_of(worker)])
+    /// Returns the name of a host's rack.
+    pub fn rack_of(&self, host: usize) -> String {
+        let place = host / self.domains.len() / RACK;
+        format!("{}-rack-{place}", self.domains[self.domain_of(host)])
     }
 
     /// Returns the site's document with some domains out of service.
--- a/crates/hyssopctl/src/lab/scenario.rs
+++ b/crates/hyssopctl/src/lab/scenario.rs
@@ -15,9 +15,9 @@
     DomainOut(String),
     /// The operators bring all domains back.
     DomainsIn,
-    /// A worker fails everything from now on.
-    BadWorker(usize),
-    /// The workers of a rack and their sides are lost.
+    /// A host fails everything from now on.
+    BadHost(usize),
+    /// The hosts of a rack and their sides are lost.
     RackLost(String),
     /// All open connections between sides and entries go silent.
     Silence,
@@ -27,7 +27,7 @@
     StoreOut,
     /// The store comes back.
     StoreBack,
-    /// The callers cancel a share of the jobs that have not ended.
+    /// The customers cancel a share of the jobs that have not ended.
     Cancel(f64),
     /// A process, chosen by the seed, is killed, cut off or drained, and
     /// replaced.
@@ -45,7 +45,7 @@
     pub load: Load,
     /// What happens, in the order of time.
     pub events: Vec<(Duration, Event)>,
-    /// Whether callers submit a job again under its ticket when its answer is
+    /// Whether customers submit a job again under its ticket when its answer is
     /// lost or refused for now.
     pub resubmit: bool,
 }
@@ -123,10 +123,10 @@
         add(out, Event::DomainOut(name.unwrap_or_default()));
         add(time(reader, "domain-out", "back_ms"), Event::DomainsIn);
     }
-    if reader.has("bad-worker") {
-        let index = reader.required("bad-worker", "index", "a worker's number from 0");
-        let at = time(reader, "bad-worker", "at_ms");
-        add(at, Event::BadWorker(index.unwrap_or_default()));
+    if reader.has("bad-host") {
+        let index = reader.required("bad-host", "index", "a host's number from 0");
+        let at = time(reader, "bad-host", "at_ms");
+        add(at, Event::BadHost(index.unwrap_or_default()));
     }
     if reader.has("rack-lost") {
         let name = reader.required("rack-lost", "name", "a rack");
--- a/crates/hyssopctl/src/lab/site.rs
+++ b/crates/hyssopctl/src/lab/site.rs
@@ -4,18 +4,18 @@
 use crate::{Error, client, util};
 use hyssoppost::{entry, settings, side};
 use kernel::policy::Plugin;
-use platform::{
-    gateway,
-    publication::{self, Change, Record},
-};
 use serde_json::Value;
 use standin::{
+    host::{Audit, Host, Profile},
     relay::Relay,
     store::Store,
     timer::Timer,
-    worker::{Audit, Profile, Worker},
 };
 use std::time::{Duration, Instant};
+use store::{
+    gateway,
+    publication::{self, Change, Record},
+};
 use tokio::runtime::{Handle, Runtime};
 
 /// Token of the admin interfaces.
@@ -32,8 +32,8 @@
 pub struct Entry {
     /// The running process; `None` while it is down.
     pub handle: Option<entry::Handle>,
-    /// The network between callers and the entry.
-    pub callers: Relay,
+    /// The network between customers and the entry.
+    pub customers: Relay,
     /// The network between other entries and this one.
     pub peers: Relay,
     /// The network between each side and the entry, in the order of sides.
@@ -50,14 +50,14 @@
     }
 }
 
-/// A side and the worker that it stands beside.
+/// A side and the host that it stands beside.
 #[derive(Debug)]
 pub struct Place {
     /// The running side; `None` while it is down.
     pub side: Option<side::Handle>,
-    /// The worker.
-    pub worker: Worker,
-    /// The worker's name.
+    /// The host.
+    pub host: Host,
+    /// The host's name.
     pub name: String,
     /// Its failure domain.
     pub domain: String,
@@ -74,7 +74,7 @@
     pub operator: gateway::Client,
     /// One entry a domain.
     pub entries: Vec<Entry>,
-    /// Sides and workers.
+    /// Sides and hosts.
     pub places: Vec<Place>,
     /// Starts of all tasks.
     pub audit: Audit,
@@ -170,7 +170,7 @@
             site.entries.push(entry);
             site.start_entry(index).await?;
         }
-        for index in 0..site.plan.workers {
+        for index in 0..site.plan.hosts {
             let place = site.new_place(index).await?;
             site.places.push(place);
         }
@@ -198,7 +198,7 @@
         let threads = self.handles.as_ref().map(|handles| &handles.entry);
         let handle = on(threads, entry::spawn(settings)).await?;
         let entry = &mut self.entries[index];
-        entry.callers.aim(Some(handle.callers()));
+        entry.customers.aim(Some(handle.customers()));
         entry.peers.aim(Some(handle.links()));
         for relay in &entry.sides {
             relay.aim(Some(handle.links()));
@@ -210,7 +210,7 @@
     /// Ends an entry's process as a crash would.
     pub fn kill_entry(&mut self, index: usize) {
         let entry = &mut self.entries[index];
-        entry.callers.aim(None);
+        entry.customers.aim(None);
         entry.peers.aim(None);
         for relay in &entry.sides {
             relay.aim(None);
@@ -220,11 +220,11 @@
         }
     }
 
-    /// Starts a side's process again; its worker stays.
+    /// Starts a side's process again; its host stays.
     pub async fn start_side(&mut self, index: usize) -> Result<(), Error> {
         let handle = self.spawn_side(index).await?;
         let place = &mut self.places[index];
-        place.worker.attach(handle.upstream());
+        place.host.attach(handle.upstream());
         place.side = Some(handle);
         Ok(())
     }
@@ -236,13 +236,13 @@
         }
     }
 
-    /// Returns a client of an entry, through the callers' network.
+    /// Returns a client of an entry, through the customers' network.
     pub fn client(&self, index: usize) -> Result<client::Client, Error> {
-        client::Client::open(self.entries[index].callers.address())
+        client::Client::open(self.entries[index].customers.address())
     }
 
-    /// Returns the names of a domain's workers.
-    pub fn workers_of(&self, domain: &str) -> Vec<String> {
+    /// Returns the names of a domain's hosts.
+    pub fn hosts_of(&self, domain: &str) -> Vec<String> {
         self.places
             .iter()
             .filter(|place| place.domain == domain)
@@ -293,8 +293,8 @@
     async fn new_entry(&self, index: usize) -> Result<Entry, Error> {
         let own = &self.plan.domains[index];
         let mut sides = Vec::new();
-        for worker in 0..self.plan.workers {
-            let same = self.plan.domains[self.plan.domain_of(worker)] == *own;
+        for host in 0..self.plan.hosts {
+            let same = self.plan.domains[self.plan.domain_of(host)] == *own;
             let delay = if same {
                 Duration::ZERO
             } else {
@@ -304,7 +304,7 @@
         }
         Ok(Entry {
             handle: None,
-            callers: Relay::bind(self.plan.caller_delay, &self.timer).await?,
+            customers: Relay::bind(self.plan.customer_delay, &self.timer).await?,
             peers: Relay::bind(self.plan.domain_delay, &self.timer).await?,
             sides,
         })
@@ -312,7 +312,7 @@
 
     async fn new_place(&self, index: usize) -> Result<Place, Error> {
         let handle = self.spawn_side(index).await?;
-        let name = worker_name(index);
+        let name = host_name(index);
         let profile = Profile {
             name: name.clone(),
             service: self.plan.service.clone(),
@@ -324,10 +324,10 @@
                 .collect(),
             slots: self.plan.slots,
         };
-        let worker = Worker::bind(profile, handle.upstream(), &self.audit, &self.timer).await?;
+        let host = Host::bind(profile, handle.upstream(), &self.audit, &self.timer).await?;
         Ok(Place {
             side: Some(handle),
-            worker,
+            host,
             name,
             domain: self.plan.domains[self.plan.domain_of(index)].clone(),
         })
@@ -382,9 +382,9 @@
     }
 }
 
-/// Returns a worker's name for the audit.
-pub fn worker_name(index: usize) -> String {
-    format!("worker-{index}")
+/// Returns a host's name for the audit.
+pub fn host_name(index: usize) -> String {
+    format!("host-{index}")
 }
 
 fn is_up(side: &Value) -> bool {
--- a/crates/hyssopctl/src/lib.rs
+++ b/crates/hyssopctl/src/lib.rs
@@ -1,4 +1,4 @@
-//! The operators' and callers' tool.
+//! The operators' and customers' tool.
 
 pub mod client;
 pub mod cmd;
--- a/crates/hyssopctl/src/main.rs
+++ b/crates/hyssopctl/src/main.rs
@@ -1,4 +1,4 @@
-//! The operators' and callers' tool.
+//! The operators' and customers' tool.
 
 use hyssopctl::{Error, cmd};
 use lexopt::{Arg, Parser, ValueExt};
--- a/crates/hyssopctl/tests/http_session.rs
+++ b/crates/hyssopctl/tests/http_session.rs
@@ -60,7 +60,7 @@
 
 fn small_plan() -> Plan {
     Plan {
-        workers: 3,
+        hosts: 3,
         ..Plan::folia()
     }
 }
@@ -169,7 +169,7 @@
         .await
         .unwrap();
     let mut session = Session {
-        base: format!("http://{}", site.entries[0].callers.address()),
+        base: format!("http://{}", site.entries[0].customers.address()),
         http: reqwest::Client::builder().no_proxy().build().unwrap(),
         text: String::new(),
     };
@@ -187,7 +187,7 @@
         .unwrap();
     let url = format!(
         "http://{}/v1/services/proofing/jobs",
-        site.entries[0].callers.address()
+        site.entries[0].customers.address()
     );
     let http = reqwest::Client::builder().no_proxy().build().unwrap();
     let body = format!(
--- a/crates/hyssopctl/tests/site_failures.rs
+++ b/crates/hyssopctl/tests/site_failures.rs
@@ -11,7 +11,7 @@
 
 fn plan() -> Plan {
     Plan {
-        workers: 3,
+        hosts: 3,
         slots: 2,
         ..Plan::folia()
     }
@@ -186,17 +186,17 @@
     let out = ticket(&client).await;
     let answer = client.submit(&job(&out, "o", 8, 20)).await.unwrap();
     assert!(answer.is_complete());
-    let workers = site.workers_of("nord-a");
+    let hosts = site.hosts_of("nord-a");
     for index in 0..8 {
         let starts = site.audit.starts(&format!("o-{index}"));
-        assert!(starts.iter().all(|start| !workers.contains(&start.worker)));
+        assert!(starts.iter().all(|start| !hosts.contains(&start.host)));
     }
     site.publish(&[], "in").await.unwrap();
     site.wait_ready().await.unwrap();
     let back = ticket(&client).await;
     let answer = client.submit(&job(&back, "i", 6, 100)).await.unwrap();
     assert!(answer.is_complete());
-    assert_eq!(site.places[0].worker.started(), 2);
+    assert_eq!(site.places[0].host.started(), 2);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -230,7 +230,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn racing_operators() {
-    use platform::publication::{self, Change, Error};
+    use store::publication::{self, Change, Error};
     let site = site().await;
     let environment = &site.plan.environment;
     let base = publication::read(&site.operator, environment)
@@ -259,8 +259,8 @@
 async fn stale_store_refused() {
     let site = site().await;
     let environment = site.plan.environment.clone();
-    let key = platform::publication::key(&environment);
-    let old = platform::publication::read(&site.operator, &environment)
+    let key = store::publication::key(&environment);
+    let old = store::publication::read(&site.operator, &environment)
         .await
         .unwrap();
     let old = serde_json::to_vec(&old.unwrap().record).unwrap();
@@ -324,7 +324,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn caller_goes_away() {
+async fn customer_goes_away() {
     let site = site().await;
     let client = site.client(0).unwrap();
     let left = ticket(&client).await;
@@ -347,7 +347,7 @@
         );
     }
     let answer = client.answer(&left).await.unwrap();
-    assert!(answer.is_complete(), "the job went on without its caller");
+    assert!(answer.is_complete(), "the job went on without its customer");
     assert_eq!(site.audit.totals(), (12, 0));
 }
 
@@ -413,7 +413,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn regions_apart() {
     use hyssoppost::{entry, settings::Entry};
-    use platform::Store;
+    use store::Store;
     let site = site().await;
     let text = format!(
         "[entry]\nname = far\nenvironment = {}\ndomain = nord-a\nregion = far\n\n\
@@ -427,7 +427,7 @@
     let mut far = entry::spawn(Entry::parse(&text).unwrap()).await.unwrap();
     far.ready().await;
     // Its registration is in the store, but not among those of this region.
-    let prefix = platform::publication::entries_prefix(&site.plan.environment, "far");
+    let prefix = store::publication::entries_prefix(&site.plan.environment, "far");
     while site.operator.list(&prefix).await.unwrap().is_empty() {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/crates/hyssoppost/src/entry/callers.rs
+++ b/crates/hyssoppost/src/entry/customers.rs
@@ -1,4 +1,4 @@
-//! The callers' HTTP interface.
+//! The customers' HTTP interface.
 
 use super::{Call, Event, Phase, Status};
 use crate::{Error, http, settings};
@@ -41,7 +41,7 @@
     numbers: AtomicU64,
 }
 
-/// A job as callers write it.
+/// A job as customers write it.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Document<'a> {
@@ -103,7 +103,7 @@
         .at("/v1/jobs/:ticket", get(fetch).delete(cancel))
         .at("/healthz", get(health))
         .data(shared);
-    http::bind(settings.callers, settings.common.drain, app).await
+    http::bind(settings.customers, settings.common.drain, app).await
 }
 
 #[handler]
@@ -193,7 +193,7 @@
     }
 }
 
-/// Tells the process's task when the caller goes away before its answer.
+/// Tells the process's task when the customer goes away before its answer.
 struct Presence<'a> {
     events: &'a mpsc::Sender<Event>,
     number: Option<u64>,
@@ -264,7 +264,7 @@
     match answer {
         Answer::Complete(answers) => whole(ticket, answers),
         Answer::Failed(failure) => failure_response(ticket, failure),
-        // Callers' tickets come by another way.
+        // Customers' tickets come by another way.
         Answer::Tickets(_) => refuse(Code::MalformedJob, "no answer of a job"),
     }
 }
--- a/crates/hyssoppost/src/entry/dump.rs
+++ b/crates/hyssoppost/src/entry/dump.rs
@@ -31,7 +31,7 @@
                 "answered": work.answered,
                 "waiting": work.waiting.len(),
                 "age_ms": millis(now.saturating_sub(work.accepted)),
-                "callers": work.callers.len(),
+                "customers": work.customers.len(),
             })
         })
         .collect();
--- a/crates/hyssoppost/src/entry/mod.rs
+++ b/crates/hyssoppost/src/entry/mod.rs
@@ -1,7 +1,7 @@
-//! The entry process: callers on one side, sides and other entries on the
+//! The entry process: customers on one side, sides and other entries on the
 //! other, and one task between them that owns all state.
 
-mod callers;
+mod customers;
 mod dump;
 mod meter;
 mod process;
@@ -30,7 +30,7 @@
 /// Events that wait for the process's task.
 const INBOX: usize = 65_536;
 
-/// A caller's request.
+/// A customer's request.
 #[derive(Debug)]
 struct Call {
     /// The ticket's job; `None` asks for a new ticket.
@@ -52,7 +52,7 @@
 enum Event {
     Link(link::Event),
     Call(Call),
-    /// The caller of this number has gone away.
+    /// The customer of this number has gone away.
     Gone(u64),
     /// Issue this many tickets.
     Tickets(u16, oneshot::Sender<Vec<Job>>),
@@ -73,7 +73,7 @@
     }
 }
 
-/// What the process shows to its callers' interface.
+/// What the process shows to its customers' interface.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct Status {
     phase: Phase,
@@ -97,7 +97,7 @@
 /// A running entry.
 #[derive(Debug)]
 pub struct Handle {
-    callers: http::Handle,
+    customers: http::Handle,
     admin: http::Handle,
     links: SocketAddr,
     incarnation: Incarnation,
@@ -132,8 +132,8 @@
     );
     let (status, watched) = watch::channel(Status::default());
     let admin = admin::bind(&settings.common, dump_requests).await?;
-    let callers = callers::bind(&settings, events.clone(), watched.clone()).await?;
-    let store = platform::gateway::Client::open(&settings.store.to_string())?;
+    let customers = customers::bind(&settings, events.clone(), watched.clone()).await?;
+    let store = store::gateway::Client::open(&settings.store.to_string())?;
     services.spawn(registry::run(
         store,
         registry::Own {
@@ -147,13 +147,13 @@
     let process = process::Process::new(kernel, local, status, events.clone(), settings.peers);
     let process = tokio::spawn(process.run(Clock::default(), inbox, dumps));
     log::info!(
-        "event=entry_started name={} incarnation={incarnation} callers={} links={links} admin={}",
+        "event=entry_started name={} incarnation={incarnation} customers={} links={links} admin={}",
         settings.common.name,
-        callers.address(),
+        customers.address(),
         admin.address()
     );
     Ok(Handle {
-        callers,
+        customers,
         admin,
         links,
         incarnation,
@@ -180,9 +180,9 @@
 }
 
 impl Handle {
-    /// Returns the address for callers.
-    pub fn callers(&self) -> SocketAddr {
-        self.callers.address()
+    /// Returns the address for customers.
+    pub fn customers(&self) -> SocketAddr {
+        self.customers.address()
     }
 
     /// Returns the address of the admin interface.
@@ -238,7 +238,7 @@
         if !whole {
             let _ = self.events.send(Event::Abandon).await;
         }
-        self.callers.close().await;
+        self.customers.close().await;
         self.process.abort();
         self.services.abort_all();
         if whole {
--- a/crates/hyssoppost/src/entry/process.rs
+++ b/crates/hyssoppost/src/entry/process.rs
@@ -9,7 +9,7 @@
 use hashbrown::{HashMap, HashSet};
 use kernel::{
     entry::{Action, Adoption, Entry},
-    work::{Caller, failed},
+    work::{Customer, failed},
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -136,7 +136,7 @@
             Event::Gone(number) => self.gone(number),
             Event::Tickets(count, reply) => {
                 let tickets = (0..count).map(|_| self.kernel.ticket(now)).collect();
-                // The caller may have gone away.
+                // The customer may have gone away.
                 let _ = reply.send(tickets);
             }
             Event::Registry(event) => self.registry(now, event),
@@ -271,12 +271,12 @@
         };
         self.pending.insert(number, pending);
         self.kernel
-            .request(now, Caller::Local(number), job, request);
+            .request(now, Customer::Local(number), job, request);
     }
 
     fn gone(&mut self, number: u64) {
         if let Some(Pending { job: Some(job), .. }) = self.pending.remove(&number) {
-            self.kernel.forget(Caller::Local(number), job);
+            self.kernel.forget(Customer::Local(number), job);
         }
     }
 
@@ -388,7 +388,7 @@
                 Action::Answer(number, answer) => {
                     if let Some(pending) = self.pending.remove(&number) {
                         let job = pending.job;
-                        // The caller may have gone away.
+                        // The customer may have gone away.
                         let _ = pending.reply.send(Reply { job, answer });
                     }
                 }
@@ -436,7 +436,7 @@
 
 fn refuse(reply: oneshot::Sender<Reply>, code: Code) {
     let answer = failed(code, Started::None, Duration::ZERO, code.meaning().trim());
-    // The caller may have gone away.
+    // The customer may have gone away.
     let _ = reply.send(Reply {
         job: None,
         answer: Arc::new(answer),
--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -4,13 +4,13 @@
 //! Calls a second of one entry: one read of the document and a half of the
 //! entries' list, a tenth of a watch, and a third of a renewal.
 
-use platform::{
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use store::{
     Store,
     publication::{self, Current},
     store::Lease,
 };
-use serde::{Deserialize, Serialize};
-use std::time::Duration;
 use tokio::sync::mpsc;
 use wire::frame::{Config, Known};
 
--- a/crates/hyssoppost/src/error.rs
+++ b/crates/hyssoppost/src/error.rs
@@ -38,7 +38,7 @@
     Logging(String),
     /// The store's client could not be made.
     #[error("event=store_client_failed reason=\"{0}\"")]
-    Store(#[from] platform::Error),
+    Store(#[from] store::Error),
     /// An input or output operation failed.
     #[error("event=io_failed reason=\"{0}\"")]
     Io(#[from] io::Error),
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -43,8 +43,8 @@
     pub common: Common,
     /// Region; entries of one region know each other and share sides.
     pub region: String,
-    /// Address for callers.
-    pub callers: SocketAddr,
+    /// Address for customers.
+    pub customers: SocketAddr,
     /// Address for sides and other entries.
     pub links: SocketAddr,
     /// Address at which sides and other entries reach `links`, if another.
@@ -55,7 +55,7 @@
     pub peers: Vec<SocketAddr>,
     /// Placement policy.
     pub policy: &'static Plugin,
-    /// Largest body accepted from a caller, in bytes.
+    /// Largest body accepted from a customer, in bytes.
     pub body_bytes: usize,
     /// Most bytes of ended jobs' answers held.
     pub archive_bytes: usize,
@@ -117,7 +117,7 @@
         );
         let common = read_common(&mut reader, "entry");
         let region = reader.optional("entry", "region", "the region's name");
-        let callers = reader.required("listen", "callers", ADDRESS);
+        let customers = reader.required("listen", "callers", ADDRESS);
         let links = reader.required("listen", "links", ADDRESS);
         let advertise = reader.optional("listen", "advertise", ADDRESS);
         let store = reader.required("store", "address", ADDRESS);
@@ -131,7 +131,7 @@
         Ok(Self {
             common: common.ok_or_else(missing)?,
             region: region.unwrap_or_else(|| DEFAULT_REGION.to_owned()),
-            callers: callers.ok_or_else(missing)?,
+            customers: customers.ok_or_else(missing)?,
             links: links.ok_or_else(missing)?,
             advertise,
             store: store.ok_or_else(missing)?,
--- a/crates/hyssoppost/src/side/upstream.rs
+++ b/crates/hyssoppost/src/side/upstream.rs
@@ -93,7 +93,7 @@
             .retry(reqwest::retry::never())
             .redirect(reqwest::redirect::Policy::none())
             .build()
-            .map_err(platform::Error::from)?;
+            .map_err(store::Error::from)?;
         Ok(Self {
             http,
             base: None,
--- a/crates/hyssoppost/tests/separate_processes.rs
+++ b/crates/hyssoppost/tests/separate_processes.rs
@@ -1,14 +1,10 @@
 //! One request end to end through separate processes, and their planned stop.
 
-use platform::{
-    gateway,
-    publication::{self, Change},
-};
 use serde_json::{Value, json};
 use standin::{
+    host::{Audit, Host, Profile},
     store::Store,
     timer::Timer,
-    worker::{Audit, Profile, Worker},
 };
 use std::{
     fs,
@@ -18,6 +14,10 @@
     process::{Child, ChildStdout, Command, Stdio},
     time::Duration,
 };
+use store::{
+    gateway,
+    publication::{self, Change},
+};
 
 const DOCUMENT: &str = "\
 [environment]
@@ -136,11 +136,11 @@
 }
 
 /// Submits until the request is accepted for work.
-async fn submit(callers: SocketAddr, ms: u32) -> Value {
+async fn submit(customers: SocketAddr, ms: u32) -> Value {
     let http = reqwest::Client::builder().no_proxy().build().unwrap();
     let job = json!({ "kind": "preview", "tasks": [{ "task": format!("t{ms}"), "ms": ms }] });
     loop {
-        let url = format!("http://{callers}/v1/services/proofing/jobs");
+        let url = format!("http://{customers}/v1/services/proofing/jobs");
         let response = http.post(url).body(job.to_string()).send().await.unwrap();
         let answer: Value = response.json().await.unwrap();
         if ![203, 204].contains(&answer["code"].as_u64().unwrap()) {
@@ -150,12 +150,12 @@
     }
 }
 
-/// One entry, one side and one worker, each a process but the last.
+/// One entry, one side and one host, each a process but the last.
 struct Trio {
     entry: Process,
     side: Process,
-    callers: SocketAddr,
-    worker: Worker,
+    customers: SocketAddr,
+    host: Host,
     audit: Audit,
     _store: Store,
 }
@@ -166,31 +166,29 @@
         publish(&store).await;
         let mut entry = Process::spawn("entry", &entry_settings(store.address()));
         let line = entry.line("entry_started");
-        let (callers, links) = (value(&line, "callers"), value(&line, "links"));
+        let (customers, links) = (value(&line, "customers"), value(&line, "links"));
         let mut side = Process::spawn("side", &side_settings(links));
         let upstream = value(&side.line("side_started"), "upstream");
         let profile = Profile {
-            name: "worker-1".to_owned(),
+            name: "host-1".to_owned(),
             service: "proofing".to_owned(),
             kinds: vec!["preview".to_owned()],
             slots,
         };
         let (audit, timer) = (Audit::default(), Timer::spawn());
-        let worker = Worker::bind(profile, upstream, &audit, &timer)
-            .await
-            .unwrap();
+        let host = Host::bind(profile, upstream, &audit, &timer).await.unwrap();
         Self {
             entry,
             side,
-            callers,
-            worker,
+            customers,
+            host,
             audit,
             _store: store,
         }
     }
 
     async fn started(&self, tasks: u64) {
-        while self.worker.started() < tasks {
+        while self.host.started() < tasks {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
@@ -199,10 +197,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn request_and_drain() {
     let mut trio = Trio::start(2).await;
-    let answer = submit(trio.callers, 1).await;
+    let answer = submit(trio.customers, 1).await;
     assert_eq!(answer["state"], "complete");
     // A request is in progress when both are told to stop.
-    let last = tokio::spawn(submit(trio.callers, 500));
+    let last = tokio::spawn(submit(trio.customers, 500));
     trio.started(2).await;
     trio.entry.terminate();
     trio.side.terminate();
@@ -216,7 +214,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn second_signal_stops() {
     let mut trio = Trio::start(1).await;
-    let last = tokio::spawn(submit(trio.callers, 20_000));
+    let last = tokio::spawn(submit(trio.customers, 20_000));
     trio.started(1).await;
     trio.entry.terminate();
     // The first signal is being obeyed when the log says so.
--- a/crates/kernel/benches/decisions.rs
+++ b/crates/kernel/benches/decisions.rs
@@ -7,7 +7,7 @@
 use kernel::{
     entry::{Action, Entry, Identity},
     policy::Plugin,
-    work::Caller,
+    work::Customer,
 };
 use std::{
     fmt::Write,
@@ -120,7 +120,7 @@
     let job = entry.mint(NOW);
     entry.request(
         NOW,
-        Caller::Local(number as u64),
+        Customer::Local(number as u64),
         job,
         Request::Submit(submission),
     );
@@ -149,12 +149,12 @@
     let job = entry.mint(NOW);
     entry.request(
         NOW,
-        Caller::Local(number as u64),
+        Customer::Local(number as u64),
         job,
         Request::Submit(submission),
     );
     let placed = entry.take_actions();
-    entry.request(NOW, Caller::Local(number as u64), job, Request::Cancel);
+    entry.request(NOW, Customer::Local(number as u64), job, Request::Cancel);
     let frames = entry.take_actions().len();
     for action in placed {
         if let Action::Send(side, Frame::Run(run)) = action {
@@ -224,7 +224,12 @@
     for number in 0..JOBS {
         let job = entry.mint(NOW);
         let submission = submission(usize::try_from(number).unwrap(), 10);
-        entry.request(NOW, Caller::Local(number), job, Request::Submit(submission));
+        entry.request(
+            NOW,
+            Customer::Local(number),
+            job,
+            Request::Submit(submission),
+        );
     }
     entry.take_actions();
     let with_jobs = resident();
--- a/crates/kernel/src/document.rs
+++ b/crates/kernel/src/document.rs
@@ -13,7 +13,7 @@
 /// A request kind of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Kind {
-    /// Whether a caller may submit the same request under several tickets
+    /// Whether a customer may submit the same request under several tickets
     /// without harm; other kinds need a ticket.
     pub repeatable: bool,
 }
--- a/crates/kernel/src/entry/mod.rs
+++ b/crates/kernel/src/entry/mod.rs
@@ -24,7 +24,7 @@
     millis,
     policy::Choose,
     queue::Queue,
-    work::{Caller, Work},
+    work::{Customer, Work},
 };
 use hashbrown::{HashMap, HashSet};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -99,7 +99,7 @@
 struct Call {
     home: Incarnation,
     job: Job,
-    caller: Caller,
+    customer: Customer,
 }
 
 /// How an entry is set up.
@@ -315,14 +315,14 @@
         self.actions.push(Action::Send(to, frame));
     }
 
-    fn respond(&mut self, caller: Caller, answer: &Arc<Answer>) {
-        match caller {
-            Caller::Local(number) => self.actions.push(Action::Answer(number, answer.clone())),
-            Caller::Remote { entry, call } => {
+    fn respond(&mut self, customer: Customer, answer: &Arc<Answer>) {
+        match customer {
+            Customer::Local(number) => self.actions.push(Action::Answer(number, answer.clone())),
+            Customer::Remote { entry, call } => {
                 let answer = answer.as_ref().clone();
                 self.send(entry, Frame::Reply(wire::frame::Reply { call, answer }));
             }
-            Caller::Stock => self.restock(Some(answer)),
+            Customer::Stock => self.restock(Some(answer)),
         }
     }
 
--- a/crates/kernel/src/entry/place.rs
+++ b/crates/kernel/src/entry/place.rs
@@ -16,7 +16,7 @@
     id::{Job, Task},
 };
 
-/// Advice to callers whose job was given up.
+/// Advice to customers whose job was given up.
 pub(super) const RETRY: Duration = Duration::from_secs(1);
 
 /// Times its expected work that a job may wait before it goes first.
@@ -204,7 +204,7 @@
         self.finish(job, work, answer);
     }
 
-    /// Gives a job up: answers its callers at once and voids what it has at
+    /// Gives a job up: answers its customers at once and voids what it has at
     /// sides.
     pub(super) fn fail(&mut self, job: Job, code: Code, started: Started, detail: &str) {
         let Some(work) = self.close(job) else { return };
@@ -268,8 +268,8 @@
 
     fn finish(&mut self, job: Job, work: Work, answer: Answer) {
         let answer = Arc::new(answer);
-        for caller in work.callers {
-            self.respond(caller, &answer);
+        for customer in work.customers {
+            self.respond(customer, &answer);
         }
         self.archive.insert(job, Some(work.digest), answer);
     }
--- a/crates/kernel/src/entry/recover.rs
+++ b/crates/kernel/src/entry/recover.rs
@@ -2,14 +2,14 @@
 //!
 //! The recovering entry never starts a task. It asks every side that it knows
 //! to fence the lost incarnation and to hand over what it keeps of the jobs
-//! that callers ask for. A side that still hears the home refuses. Recovery is
+//! that customers ask for. A side that still hears the home refuses. Recovery is
 //! idempotent: two entries may run it at once and find the same. One sweep runs
 //! at a time for each home; requests that arrive meanwhile share the next.
 
 use super::{Entry, place::RETRY};
 use crate::{
     fleet::Key,
-    work::{Caller, failed},
+    work::{Customer, failed},
 };
 use hashbrown::{HashMap, HashSet};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -38,7 +38,7 @@
 /// A request for a job of a lost home.
 #[derive(Debug, Clone, Copy)]
 struct Asker {
-    caller: Caller,
+    customer: Customer,
     job: Job,
     since: Duration,
 }
@@ -56,7 +56,7 @@
 
 impl Entry {
     /// Answers a request for a job of a lost entry, as far as the sides can.
-    pub(super) fn recover(&mut self, now: Duration, caller: Caller, job: Job) {
+    pub(super) fn recover(&mut self, now: Duration, customer: Customer, job: Job) {
         let recovery = self.recoveries.entry(job.home).or_insert_with(|| Recovery {
             began: now,
             awaiting: HashSet::new(),
@@ -66,7 +66,11 @@
             next: Vec::new(),
         });
         let since = now;
-        recovery.next.push(Asker { caller, job, since });
+        recovery.next.push(Asker {
+            customer,
+            job,
+            since,
+        });
         self.sweep(now, job.home);
     }
 
@@ -185,15 +189,15 @@
         for asker in askers {
             let patient = now.saturating_sub(asker.since) <= RUNNING_PATIENCE;
             match recovery.verdict(asker.job, patient) {
-                Some(answer) => answers.push((asker.caller, Arc::new(answer))),
+                Some(answer) => answers.push((asker.customer, Arc::new(answer))),
                 None => recovery.swept.push(asker),
             }
         }
-        for (caller, answer) in answers {
+        for (customer, answer) in answers {
             if let Answer::Failed(failure) = answer.as_ref() {
                 self.count_failure(failure.code);
             }
-            self.respond(caller, &answer);
+            self.respond(customer, &answer);
         }
         self.sweep(now, home);
     }
--- a/crates/kernel/src/entry/serve.rs
+++ b/crates/kernel/src/entry/serve.rs
@@ -1,9 +1,9 @@
-//! Callers' requests: submission, answers, cancellation, forwarding.
+//! Customers' requests: submission, answers, cancellation, forwarding.
 
 use super::{Call, Entry, archive::Lookup, place::RETRY};
 use crate::{
     document::Kind,
-    work::{Caller, Work, digest, failed},
+    work::{Customer, Work, digest, failed},
 };
 use std::{sync::Arc, time::Duration};
 use wire::{
@@ -13,26 +13,26 @@
 };
 
 impl Entry {
-    /// Takes a caller's request for a job, whichever entry is its home.
-    pub fn request(&mut self, now: Duration, caller: Caller, job: Job, request: Request) {
+    /// Takes a customer's request for a job, whichever entry is its home.
+    pub fn request(&mut self, now: Duration, customer: Customer, job: Job, request: Request) {
         if now.as_secs() > job.expires {
-            self.refuse(caller, Code::ExpiredTicket, Started::Unknown);
+            self.refuse(customer, Code::ExpiredTicket, Started::Unknown);
         } else if job.home == self.identity.incarnation {
-            self.request_here(now, caller, job, request);
-        } else if matches!(caller, Caller::Remote { .. }) {
+            self.request_here(now, customer, job, request);
+        } else if matches!(customer, Customer::Remote { .. }) {
             // Entries forward to homes alone, so this one is not what it was.
-            self.refuse(caller, Code::HomeUnreachable, Started::Unknown);
+            self.refuse(customer, Code::HomeUnreachable, Started::Unknown);
         } else if self.peers.contains_key(&job.home) {
-            self.call(caller, job, request);
+            self.call(customer, job, request);
         } else {
-            self.recover(now, caller, job);
+            self.recover(now, customer, job);
         }
     }
 
-    /// Forgets a caller that has gone away; its job goes on.
-    pub fn forget(&mut self, caller: Caller, job: Job) {
+    /// Forgets a customer that has gone away; its job goes on.
+    pub fn forget(&mut self, customer: Customer, job: Job) {
         if let Some(work) = self.open.get_mut(&job) {
-            work.callers.retain(|other| *other != caller);
+            work.customers.retain(|other| *other != customer);
         }
     }
 
@@ -42,7 +42,7 @@
             self.stats.waste("late-reply");
             return;
         };
-        self.respond(call.caller, &Arc::new(reply.answer));
+        self.respond(call.customer, &Arc::new(reply.answer));
     }
 
     /// Takes a request that another entry forwarded.
@@ -51,11 +51,11 @@
             self.issue(now, from, &forward, count);
             return;
         }
-        let caller = Caller::Remote {
+        let customer = Customer::Remote {
             entry: from,
             call: forward.call,
         };
-        self.request(now, caller, forward.job, forward.request);
+        self.request(now, customer, forward.job, forward.request);
     }
 
     /// Records that the connection to another entry is lost.
@@ -69,14 +69,14 @@
             .collect();
         for number in lost {
             match self.calls.remove(&number) {
-                Some(call) if call.caller == Caller::Stock => self.restock(None),
-                Some(call) => self.recover(now, call.caller, call.job),
+                Some(call) if call.customer == Customer::Stock => self.restock(None),
+                Some(call) => self.recover(now, call.customer, call.job),
                 None => {}
             }
         }
     }
 
-    pub(super) fn refuse(&mut self, caller: Caller, code: Code, started: Started) {
+    pub(super) fn refuse(&mut self, customer: Customer, code: Code, started: Started) {
         self.count_failure(code);
         let retry = if code.is_retryable() {
             RETRY
@@ -84,26 +84,26 @@
             Duration::ZERO
         };
         let answer = failed(code, started, retry, code.meaning().trim());
-        self.respond(caller, &Arc::new(answer));
+        self.respond(customer, &Arc::new(answer));
     }
 
-    fn request_here(&mut self, now: Duration, caller: Caller, job: Job, request: Request) {
+    fn request_here(&mut self, now: Duration, customer: Customer, job: Job, request: Request) {
         match request {
-            Request::Submit(submission) => self.submit(now, caller, job, submission),
-            Request::Answer => self.answer(caller, job),
-            Request::Cancel => self.cancel(caller, job),
-            Request::Issue(_) => self.refuse(caller, Code::MalformedJob, Started::None),
+            Request::Submit(submission) => self.submit(now, customer, job, submission),
+            Request::Answer => self.answer(customer, job),
+            Request::Cancel => self.cancel(customer, job),
+            Request::Issue(_) => self.refuse(customer, Code::MalformedJob, Started::None),
         }
     }
 
     /// Forwards a request to the job's home.
-    pub(super) fn call(&mut self, caller: Caller, job: Job, request: Request) {
+    pub(super) fn call(&mut self, customer: Customer, job: Job, request: Request) {
         self.next_call += 1;
         let number = self.next_call;
         let call = Call {
             home: job.home,
             job,
-            caller,
+            customer,
         };
         self.calls.insert(number, call);
         let forward = Forward {
@@ -114,18 +114,18 @@
         self.send(job.home, Frame::Forward(forward));
     }
 
-    fn submit(&mut self, now: Duration, caller: Caller, job: Job, mut submission: Submission) {
-        if self.resubmitted(caller, job, &submission) {
+    fn submit(&mut self, now: Duration, customer: Customer, job: Job, mut submission: Submission) {
+        if self.resubmitted(customer, job, &submission) {
             return;
         }
         submission.deadline = submission.deadline.min(self.document.limits.deadline_ms);
         if let Err(code) = self.check(now, &submission) {
-            self.refuse(caller, code, Started::None);
+            self.refuse(customer, code, Started::None);
             return;
         }
         let rank = self.rank(now, &submission);
         let mut work = Work::new(submission, now, rank);
-        work.callers.push(caller);
+        work.customers.push(customer);
         self.deadlines.insert((work.deadline, job));
         self.queued += work.waiting.len();
         self.open.insert(job, work);
@@ -135,25 +135,25 @@
     }
 
     /// Answers or joins a job that was submitted before.
-    fn resubmitted(&mut self, caller: Caller, job: Job, submission: &Submission) -> bool {
+    fn resubmitted(&mut self, customer: Customer, job: Job, submission: &Submission) -> bool {
         let fingerprint = digest(submission);
         let same = |other: Option<u64>| other.is_none_or(|other| other == fingerprint);
         if let Some(work) = self.open.get_mut(&job) {
             if work.digest == fingerprint {
-                work.callers.push(caller);
+                work.customers.push(customer);
             } else {
-                self.refuse(caller, Code::TicketReused, Started::Unknown);
+                self.refuse(customer, Code::TicketReused, Started::Unknown);
             }
             return true;
         }
         match self.archive.get(&job) {
             Lookup::Absent => return false,
-            Lookup::Held(digest, answer) if same(digest) => self.respond(caller, &answer),
+            Lookup::Held(digest, answer) if same(digest) => self.respond(customer, &answer),
             Lookup::Released(digest) if same(digest) => {
-                self.refuse(caller, Code::AnswerReleased, Started::Unknown);
+                self.refuse(customer, Code::AnswerReleased, Started::Unknown);
             }
             Lookup::Held(..) | Lookup::Released(_) => {
-                self.refuse(caller, Code::TicketReused, Started::Unknown);
+                self.refuse(customer, Code::TicketReused, Started::Unknown);
             }
         }
         true
@@ -202,23 +202,23 @@
         Ok(())
     }
 
-    fn answer(&mut self, caller: Caller, job: Job) {
+    fn answer(&mut self, customer: Customer, job: Job) {
         if let Some(work) = self.open.get_mut(&job) {
-            work.callers.push(caller);
+            work.customers.push(customer);
             return;
         }
         match self.archive.get(&job) {
-            Lookup::Absent => self.refuse(caller, Code::UnknownJob, Started::None),
-            Lookup::Held(_, answer) => self.respond(caller, &answer),
-            Lookup::Released(_) => self.refuse(caller, Code::AnswerReleased, Started::Unknown),
+            Lookup::Absent => self.refuse(customer, Code::UnknownJob, Started::None),
+            Lookup::Held(_, answer) => self.respond(customer, &answer),
+            Lookup::Released(_) => self.refuse(customer, Code::AnswerReleased, Started::Unknown),
         }
     }
 
-    fn cancel(&mut self, caller: Caller, job: Job) {
+    fn cancel(&mut self, customer: Customer, job: Job) {
         if let Some(work) = self.open.get_mut(&job) {
-            work.callers.push(caller);
+            work.customers.push(customer);
             let started = work.started();
-            self.fail(job, Code::Cancelled, started, "cancelled by the caller");
+            self.fail(job, Code::Cancelled, started, "cancelled by the customer");
             return;
         }
         if self.archive.get(&job) == Lookup::Absent {
@@ -226,7 +226,7 @@
             let answer = failed(Code::Cancelled, Started::None, Duration::ZERO, "cancelled");
             self.bar(job, answer);
         }
-        self.answer(caller, job);
+        self.answer(customer, job);
     }
 
     fn bar(&mut self, job: Job, answer: Answer) {
--- a/crates/kernel/src/entry/sides.rs
+++ b/crates/kernel/src/entry/sides.rs
@@ -230,7 +230,7 @@
             return;
         }
         // Later failures of the same job are not held against their sides, so
-        // that a job that can never run does not put good workers aside.
+        // that a job that can never run does not put good hosts aside.
         if self.fleet.failed(key, now) {
             self.stats.set_aside += 1;
         }
--- a/crates/kernel/src/entry/stock.rs
+++ b/crates/kernel/src/entry/stock.rs
@@ -8,7 +8,7 @@
 //! Tickets are fetched in batches ahead of need, so no job waits for one.
 
 use super::Entry;
-use crate::{TICKET_LIFE, work::Caller};
+use crate::{TICKET_LIFE, work::Customer};
 use std::{
     collections::VecDeque,
     hash::{DefaultHasher, Hash, Hasher},
@@ -102,7 +102,7 @@
             sequence: 0,
             expires: 0,
         };
-        self.call(Caller::Stock, job, Request::Issue(BATCH));
+        self.call(Customer::Stock, job, Request::Issue(BATCH));
     }
 
     /// Issues tickets to another entry.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,6 +1,6 @@
 //! The dispatcher's decisions, free of I/O.
 //!
-//! [`entry::Entry`] and [`side::Side`] are state machines: callers pass in the
+//! [`entry::Entry`] and [`side::Side`] are state machines: the runtime passes in the
 //! time, a frame or another event, and drain the actions that follow. Time is a
 //! [`std::time::Duration`] since the Unix epoch that never goes back within a
 //! process. Randomness comes from a seeded generator. The same code therefore
--- a/crates/kernel/src/work.rs
+++ b/crates/kernel/src/work.rs
@@ -17,7 +17,7 @@
 
 /// Who waits for an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Caller {
+pub enum Customer {
     /// An HTTP request at this entry.
     Local(u64),
     /// A request that another entry forwarded.
@@ -45,7 +45,7 @@
 /// A job that has not ended.
 #[derive(Debug)]
 pub struct Work {
-    /// What the caller submitted.
+    /// What the customer submitted.
     pub submission: Submission,
     /// Fingerprint of the submission.
     pub digest: u64,
@@ -64,7 +64,7 @@
     /// Sides that ever got a task of the job.
     pub sides: Vec<Key>,
     /// Who waits for the answer.
-    pub callers: Vec<Caller>,
+    pub customers: Vec<Customer>,
 }
 
 impl Work {
@@ -84,7 +84,7 @@
             waiting: (0..count).collect(),
             answered: 0,
             sides: Vec::new(),
-            callers: Vec::new(),
+            customers: Vec::new(),
             submission,
         }
     }
--- a/crates/kernel/tests/bad_workers.rs
+++ b/crates/kernel/tests/bad_hosts.rs
@@ -1,4 +1,4 @@
-//! Workers that fail everything, and jobs that can never run.
+//! Hosts that fail everything, and jobs that can never run.
 
 mod world;
 
@@ -17,17 +17,17 @@
 /// Submits a job of one task and fails it where `fails` says so.
 fn one_task(world: &mut World, fails: impl Fn(usize) -> bool) -> Option<Code> {
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 1);
+    let customer = world.submit(0, job, 1);
     world.settle();
     for side in 0..world.sides.len() {
         while world.finish(side, 0, fails(side)) {}
     }
     world.settle();
-    world.code(caller)
+    world.code(customer)
 }
 
 #[test]
-fn bad_worker_put_aside() {
+fn bad_host_put_aside() {
     let mut world = World::new(1, 4, 2);
     let mut harmed = 0;
     for _ in 0..200 {
--- a/crates/kernel/tests/domain_out.rs
+++ b/crates/kernel/tests/domain_out.rs
@@ -21,7 +21,7 @@
 fn out_then_back() {
     let mut world = World::new(2, 3, 2);
     let running = world.ticket(0);
-    let caller = world.submit(0, running, 6);
+    let customer = world.submit(0, running, 6);
     world.settle();
     world.publish(&["nord-a"], "");
     world.beat();
@@ -34,7 +34,7 @@
         world.settle();
     }
     assert_eq!(
-        world.code(caller),
+        world.code(customer),
         Some(Code::Complete),
         "running tasks finish"
     );
@@ -115,11 +115,11 @@
     world.set_store(false);
     world.pass(Duration::from_secs(30));
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 6);
+    let customer = world.submit(0, job, 6);
     world.settle();
     world.finish_all();
     world.settle();
-    assert_eq!(world.code(caller), Some(Code::Complete));
+    assert_eq!(world.code(customer), Some(Code::Complete));
     world.assert_sound();
 }
 
@@ -145,8 +145,8 @@
         world.settle();
     }
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 2);
-    assert_eq!(world.code(caller), Some(Code::NoConfiguration));
+    let customer = world.submit(0, job, 2);
+    assert_eq!(world.code(customer), Some(Code::NoConfiguration));
     let now = world.now;
     assert!(!world.side(0).may_start(now));
     world.assert_sound();
--- a/crates/kernel/tests/fair_limits.rs
+++ b/crates/kernel/tests/fair_limits.rs
@@ -30,14 +30,14 @@
 #[test]
 fn quota_holds() {
     let mut world = with_teams(TEAMS, 4);
-    let (caller, job) = submit(&mut world, "studio", 6);
+    let (customer, job) = submit(&mut world, "studio", 6);
     world.settle();
     assert_eq!(world.starts_of(job), 2);
     for _ in 0..3 {
         world.finish_all();
         world.settle();
     }
-    assert_eq!(world.code(caller), Some(Code::Complete));
+    assert_eq!(world.code(customer), Some(Code::Complete));
     world.assert_sound();
 }
 
@@ -124,9 +124,9 @@
     world.submit(0, blocker, 1);
     world.settle();
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 1);
+    let customer = world.submit(0, job, 1);
     world.pass(std::time::Duration::from_secs(21));
-    assert_eq!(world.code(caller), Some(Code::NotPlaced));
+    assert_eq!(world.code(customer), Some(Code::NotPlaced));
     world.finish_all();
     world.pass(std::time::Duration::from_secs(1));
     assert_eq!(world.starts_of(job), 0, "\"not run\" stays true");
--- a/crates/kernel/tests/half_open.rs
+++ b/crates/kernel/tests/half_open.rs
@@ -11,13 +11,13 @@
 fn silent_side_replaced() {
     let mut world = World::new(1, 3, 2);
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 6);
+    let customer = world.submit(0, job, 6);
     world.settle();
     world.cut(0, Process::Side(1), 0, false);
     world.finish_all();
     world.settle();
     assert_eq!(
-        world.answer(caller),
+        world.answer(customer),
         None,
         "two results are lost in the silence"
     );
@@ -25,7 +25,7 @@
     world.connect(0, Process::Side(1));
     world.settle();
     assert_eq!(
-        world.code(caller),
+        world.code(customer),
         Some(Code::Complete),
         "the side handed them over"
     );
@@ -37,7 +37,7 @@
 fn lost_tasks_sent_again() {
     let mut world = World::new(1, 1, 2);
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 2);
+    let customer = world.submit(0, job, 2);
     // The tasks are lost on the way; the side never had them.
     world.cut(0, Process::Side(0), 0, true);
     world.settle();
@@ -46,7 +46,7 @@
     world.beat();
     world.finish_all();
     world.settle();
-    assert_eq!(world.code(caller), Some(Code::Complete));
+    assert_eq!(world.code(customer), Some(Code::Complete));
     assert_eq!(world.starts_of(job), 2);
     world.assert_sound();
 }
@@ -74,15 +74,15 @@
 fn grace_then_unknown() {
     let mut world = World::new(1, 2, 1);
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 2);
+    let customer = world.submit(0, job, 2);
     world.settle();
     world.cut(0, Process::Side(1), 0, true);
     world.settle();
     world.finish(0, 0, false);
     world.pass(GRACE.saturating_sub(Duration::from_secs(1)));
-    assert_eq!(world.answer(caller), None);
+    assert_eq!(world.answer(customer), None);
     world.pass(Duration::from_secs(2));
-    assert_eq!(world.code(caller), Some(Code::OutcomeUnknown));
+    assert_eq!(world.code(customer), Some(Code::OutcomeUnknown));
     world.assert_sound();
 }
 
@@ -100,15 +100,15 @@
 fn late_result_of_failed_job() {
     let mut world = World::new(1, 3, 1);
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 3);
+    let customer = world.submit(0, job, 3);
     world.settle();
     world.finish(0, 0, true);
     world.settle();
-    assert_eq!(world.code(caller), Some(Code::TaskFailed));
+    assert_eq!(world.code(customer), Some(Code::TaskFailed));
     world.finish_all();
     world.settle();
     assert_eq!(
-        world.code(caller),
+        world.code(customer),
         Some(Code::TaskFailed),
         "the answer stays"
     );
--- a/crates/kernel/tests/leaving.rs
+++ b/crates/kernel/tests/leaving.rs
@@ -10,7 +10,7 @@
 fn upstream_leaves() {
     let mut world = World::new(1, 2, 2);
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 4);
+    let customer = world.submit(0, job, 4);
     world.settle();
     let now = world.now;
     world.side(0).withdraw(now);
@@ -22,7 +22,7 @@
     world.finish_all();
     world.settle();
     assert_eq!(
-        world.code(caller),
+        world.code(customer),
         Some(Code::Complete),
         "running ones finish"
     );
@@ -33,7 +33,7 @@
 fn side_leaves() {
     let mut world = World::new(1, 2, 1);
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 4);
+    let customer = world.submit(0, job, 4);
     world.settle();
     let now = world.now;
     world.side(0).leave(now);
@@ -43,7 +43,7 @@
         world.finish_all();
         world.settle();
     }
-    assert_eq!(world.code(caller), Some(Code::Complete));
+    assert_eq!(world.code(customer), Some(Code::Complete));
     assert!(world.side(0).is_idle());
     world.assert_sound();
 }
@@ -52,7 +52,7 @@
 fn entry_leaves() {
     let mut world = World::new(2, 2, 2);
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 4);
+    let customer = world.submit(0, job, 4);
     world.settle();
     world.entry(0).leave();
     let late = world.ticket(0);
@@ -61,7 +61,7 @@
     assert!(!world.entry(0).is_idle());
     world.finish_all();
     world.settle();
-    assert_eq!(world.code(caller), Some(Code::Complete));
+    assert_eq!(world.code(customer), Some(Code::Complete));
     assert!(world.entry(0).is_idle());
     world.assert_sound();
 }
--- a/crates/kernel/tests/model_check.rs
+++ b/crates/kernel/tests/model_check.rs
@@ -208,7 +208,7 @@
                 self.world.kill(Process::Side(side));
                 self.world.start_side(side);
             }
-            _ => unreachable!("handled by the caller"),
+            _ => unreachable!("handled by the customer"),
         }
     }
 
@@ -235,24 +235,24 @@
         }
     }
 
-    /// Every caller of an entry that still lives has been answered.
+    /// Every customer of an entry that still lives has been answered.
     fn check_answered(&mut self) {
         let unanswered: Vec<u64> = self
             .world
             .submitted
             .keys()
-            .filter(|caller| self.world.answer(**caller).is_none())
+            .filter(|customer| self.world.answer(**customer).is_none())
             .copied()
             .collect();
-        for caller in unanswered {
-            let (entry, job) = self.world.submitted[&caller];
+        for customer in unanswered {
+            let (entry, job) = self.world.submitted[&customer];
             let state = &self.world.entries[entry];
             let open = state.as_ref().map(|entry| {
                 let work = entry.open_jobs().find(|(id, _)| **id == job);
                 work.map(|(_, work)| format!("{work:?}"))
             });
             let violation =
-                format!("caller {caller} of entry {entry} has no answer on {job}: {open:?}");
+                format!("customer {customer} of entry {entry} has no answer on {job}: {open:?}");
             self.world.violations.push(violation);
         }
     }
--- a/crates/kernel/tests/resubmission.rs
+++ b/crates/kernel/tests/resubmission.rs
@@ -10,8 +10,8 @@
 };
 use world::{Process, World};
 
-fn complete(world: &World, caller: u64) -> bool {
-    matches!(world.answer(caller), Some(Answer::Complete(_)))
+fn complete(world: &World, customer: u64) -> bool {
+    matches!(world.answer(customer), Some(Answer::Complete(_)))
 }
 
 #[test]
@@ -25,8 +25,8 @@
     world.finish_all();
     world.settle();
     let after = world.submit(0, job, 4);
-    for caller in [first, second, third, after] {
-        assert!(complete(&world, caller));
+    for customer in [first, second, third, after] {
+        assert!(complete(&world, customer));
     }
     assert_eq!(world.starts_of(job), 4);
     world.assert_sound();
@@ -86,12 +86,12 @@
     world.cut_all(Process::Entry(0));
     world.kill(Process::Entry(0));
     world.pass(SILENCE * 2);
-    let caller = world.submit(1, job, 4);
+    let customer = world.submit(1, job, 4);
     world.settle();
-    assert_eq!(world.answer(caller), None, "tasks still run");
+    assert_eq!(world.answer(customer), None, "tasks still run");
     world.finish_all();
     world.settle();
-    assert!(complete(&world, caller));
+    assert!(complete(&world, customer));
     world.assert_sound();
 }
 
@@ -105,10 +105,10 @@
     world.kill(Process::Entry(0));
     world.finish_all();
     world.pass(SILENCE * 2);
-    let caller = world.submit(1, job, 8);
+    let customer = world.submit(1, job, 8);
     world.settle();
     // Some ran and five never will: neither whole nor "not run".
-    assert_eq!(world.code(caller), Some(Code::OutcomeUnknown));
+    assert_eq!(world.code(customer), Some(Code::OutcomeUnknown));
     assert_eq!(world.starts_of(job), 3);
     world.assert_sound();
 }
@@ -125,10 +125,10 @@
     world.connect_all();
     world.finish_all();
     world.pass(SILENCE * 2);
-    let caller = world.submit(0, job, 4);
+    let customer = world.submit(0, job, 4);
     world.settle();
     assert!(
-        complete(&world, caller),
+        complete(&world, customer),
         "the new incarnation is not the home, but recovers"
     );
     world.assert_sound();
@@ -144,11 +144,11 @@
     world.cut_all(Process::Entry(0));
     let asleep = world.entries[0].take();
     world.pass(Duration::from_secs(15));
-    let caller = world.submit(1, job, 6);
+    let customer = world.submit(1, job, 6);
     world.settle();
     world.finish_all();
     world.pass(Duration::from_secs(1));
-    assert_eq!(world.code(caller), Some(Code::OutcomeUnknown));
+    assert_eq!(world.code(customer), Some(Code::OutcomeUnknown));
     world.entries[0] = asleep;
     world.connect_all();
     world.settle();
@@ -171,9 +171,9 @@
     world.settle();
     world.cut(0, Process::Entry(1), 0, true);
     world.settle();
-    let caller = world.submit(1, job, 4);
+    let customer = world.submit(1, job, 4);
     world.settle();
-    assert_eq!(world.code(caller), Some(Code::HomeUnreachable));
+    assert_eq!(world.code(customer), Some(Code::HomeUnreachable));
     world.finish_all();
     world.settle();
     let home = world.submit(0, job, 4);
@@ -185,7 +185,7 @@
 fn side_restarts_and_forgets() {
     let mut world = World::new(1, 1, 2);
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 2);
+    let customer = world.submit(0, job, 2);
     world.settle();
     assert_eq!(world.starts_of(job), 2);
     world.cut_all(Process::Side(0));
@@ -193,9 +193,9 @@
     world.start_side(0);
     world.connect_all();
     world.pass(Duration::from_secs(2));
-    assert_eq!(world.code(caller), Some(Code::OutcomeUnknown));
+    assert_eq!(world.code(customer), Some(Code::OutcomeUnknown));
     let again = world.submit(0, job, 2);
-    assert_eq!(world.answer(again), world.answer(caller));
+    assert_eq!(world.answer(again), world.answer(customer));
     world.assert_sound();
 }
 
@@ -203,12 +203,12 @@
 fn side_lost_for_good() {
     let mut world = World::new(1, 3, 2);
     let job = world.ticket(0);
-    let caller = world.submit(0, job, 6);
+    let customer = world.submit(0, job, 6);
     world.settle();
     world.cut_all(Process::Side(1));
     world.kill(Process::Side(1));
     world.pass(SILENCE + GRACE + Duration::from_secs(1));
-    assert_eq!(world.code(caller), Some(Code::OutcomeUnknown));
+    assert_eq!(world.code(customer), Some(Code::OutcomeUnknown));
     world.assert_sound();
 }
 
@@ -217,8 +217,8 @@
     let mut world = World::new(1, 1, 1);
     let job = world.ticket(0);
     world.now += kernel::TICKET_LIFE + Duration::from_secs(2);
-    let caller = world.submit(0, job, 1);
-    assert_eq!(world.code(caller), Some(Code::ExpiredTicket));
+    let customer = world.submit(0, job, 1);
+    assert_eq!(world.code(customer), Some(Code::ExpiredTicket));
     world.pass(Duration::from_secs(1));
     assert_eq!(world.starts_of(job), 0);
     world.assert_sound();
@@ -240,10 +240,10 @@
     world.kill(Process::Entry(0));
     world.pass(SILENCE * 2);
     let before = world.frames;
-    let callers: Vec<u64> = (0..5).map(|_| world.submit(1, job, 24)).collect();
+    let customers: Vec<u64> = (0..5).map(|_| world.submit(1, job, 24)).collect();
     world.settle();
-    assert!(callers.iter().all(|caller| complete(&world, *caller)));
-    // The first caller's sweep, and one more for the four that came meanwhile.
+    assert!(customers.iter().all(|customer| complete(&world, *customer)));
+    // The first customer's sweep, and one more for the four that came meanwhile.
     assert_eq!(world.frames - before, 2 * 2 * SIDES as u64);
     world.assert_sound();
 }
--- a/crates/kernel/tests/world/actions.rs
+++ b/crates/kernel/tests/world/actions.rs
@@ -29,7 +29,7 @@
         for action in entry.take_actions() {
             match action {
                 Action::Send(to, frame) => self.send(self.entry_ids[index], to, frame),
-                Action::Answer(caller, answer) => self.answered(caller, answer),
+                Action::Answer(customer, answer) => self.answered(customer, answer),
                 Action::Retire => {
                     self.retired.insert(index);
                 }
@@ -132,8 +132,8 @@
         *highest = revision.max(*highest);
     }
 
-    pub(super) fn answered(&mut self, caller: u64, answer: Arc<Answer>) {
-        let job = self.submitted.get(&caller).map(|(_, job)| *job);
+    pub(super) fn answered(&mut self, customer: u64, answer: Arc<Answer>) {
+        let job = self.submitted.get(&customer).map(|(_, job)| *job);
         if let (Answer::Complete(answers), Some(job)) = (answer.as_ref(), job) {
             let own = |(index, answer): (usize, &Payload)| {
                 let index = u16::try_from(index).unwrap();
@@ -144,11 +144,11 @@
             }
         }
         if let Some(job) = job {
-            self.check_not_run(caller, job, &answer);
+            self.check_not_run(customer, job, &answer);
         }
-        if self.answers.insert(caller, answer).is_some() {
+        if self.answers.insert(customer, answer).is_some() {
             self.violations
-                .push(format!("caller {caller} was answered twice"));
+                .push(format!("customer {customer} was answered twice"));
         }
     }
 
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -15,7 +15,7 @@
     entry::{Adoption, Entry, Identity},
     policy::Plugin,
     side::{self, Side},
-    work::Caller,
+    work::Customer,
 };
 use policies as _;
 use std::{
@@ -81,10 +81,10 @@
     side_ids: Vec<Incarnation>,
     pipes: Vec<Pipe>,
     next_incarnation: u64,
-    next_caller: u64,
+    next_customer: u64,
     policy: &'static Plugin,
     voided: HashSet<(usize, Job)>,
-    /// Every request ever made, by caller.
+    /// Every request ever made, by customer.
     asked: HashMap<u64, Job>,
     /// Jobs whose last word is that they did not run.
     barred: HashSet<Job>,
@@ -158,7 +158,7 @@
             side_ids: Vec::new(),
             pipes: Vec::new(),
             next_incarnation: 1,
-            next_caller: 0,
+            next_customer: 0,
             policy: Plugin::find(policy).unwrap(),
             voided: HashSet::new(),
             asked: HashMap::new(),
@@ -333,16 +333,16 @@
     }
 
     pub fn request(&mut self, entry: usize, job: Job, request: Request) -> u64 {
-        let caller = self.next_caller;
-        self.next_caller += 1;
+        let customer = self.next_customer;
+        self.next_customer += 1;
         let now = self.now;
-        self.submitted.insert(caller, (entry, job));
-        self.asked.insert(caller, job);
+        self.submitted.insert(customer, (entry, job));
+        self.asked.insert(customer, job);
         self.barred.remove(&job);
         self.entry(entry)
-            .request(now, Caller::Local(caller), job, request);
+            .request(now, Customer::Local(customer), job, request);
         self.act(Process::Entry(entry));
-        caller
+        customer
     }
 
     pub fn submit(&mut self, entry: usize, job: Job, tasks: u16) -> u64 {
@@ -444,13 +444,13 @@
 
     // Checks.
 
-    /// Returns a caller's answer.
-    pub fn answer(&self, caller: u64) -> Option<&Answer> {
-        self.answers.get(&caller).map(Arc::as_ref)
+    /// Returns a customer's answer.
+    pub fn answer(&self, customer: u64) -> Option<&Answer> {
+        self.answers.get(&customer).map(Arc::as_ref)
     }
 
-    pub fn code(&self, caller: u64) -> Option<Code> {
-        match self.answer(caller)? {
+    pub fn code(&self, customer: u64) -> Option<Code> {
+        match self.answer(customer)? {
             Answer::Complete(_) => Some(Code::Complete),
             Answer::Failed(failure) => Some(failure.code),
             Answer::Tickets(_) => None,
@@ -463,8 +463,8 @@
 
     /// A failure that says "none" is true when it is given, and stays true
     /// unless another submission under the same ticket is under way or
-    /// follows: the caller then asked for the work again.
-    fn check_not_run(&mut self, caller: u64, job: Job, answer: &Answer) {
+    /// follows: the customer then asked for the work again.
+    fn check_not_run(&mut self, customer: u64, job: Job, answer: &Answer) {
         let Answer::Failed(failure) = answer else {
             return;
         };
@@ -476,7 +476,7 @@
                 .push(format!("{job} was said not to have run: {failure:?}"));
         }
         let other = self.asked.iter().any(|(other, asked)| {
-            *asked == job && *other != caller && !self.answers.contains_key(other)
+            *asked == job && *other != customer && !self.answers.contains_key(other)
         });
         if !other {
             self.barred.insert(job);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/host.rs
@@ -1,4 +1,4 @@
-//! An upstream on a worker that waits instead of working.
+//! An upstream on a host that waits instead of working.
 //!
 //! A payload is a JSON object: `task` names the task for the audit and `ms` is
 //! the run time. The stand-in announces itself to the side beside it, as any
@@ -28,15 +28,15 @@
 /// Interval between announcements.
 const ANNOUNCE: Duration = Duration::from_millis(500);
 
-/// Starts of every task, shared by all workers of a test.
+/// Starts of every task, shared by all hosts of a test.
 #[derive(Debug, Clone, Default)]
 pub struct Audit(Arc<Mutex<HashMap<String, Vec<Started>>>>);
 
 /// One start of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Started {
-    /// The worker's name.
-    pub worker: String,
+    /// The host's name.
+    pub host: String,
     /// When.
     pub at: Instant,
 }
@@ -54,20 +54,20 @@
         (starts.len(), twice)
     }
 
-    /// Returns the last start at any of the named workers between two times.
-    pub fn last_start(&self, workers: &[String], from: Instant, to: Instant) -> Option<Instant> {
+    /// Returns the last start at any of the named hosts between two times.
+    pub fn last_start(&self, hosts: &[String], from: Instant, to: Instant) -> Option<Instant> {
         self.lock()
             .values()
             .flatten()
-            .filter(|start| workers.contains(&start.worker))
+            .filter(|start| hosts.contains(&start.host))
             .map(|start| start.at)
             .filter(|at| *at > from && *at < to)
             .max()
     }
 
-    fn record(&self, task: &str, worker: &str) {
+    fn record(&self, task: &str, host: &str) {
         let started = Started {
-            worker: worker.to_owned(),
+            host: host.to_owned(),
             at: Instant::now(),
         };
         self.lock()
@@ -81,7 +81,7 @@
     }
 }
 
-/// What a worker is.
+/// What a host is.
 #[derive(Debug, Clone)]
 pub struct Profile {
     /// Name for the audit.
@@ -106,9 +106,9 @@
     started: AtomicU64,
 }
 
-/// A running worker.
+/// A running host.
 #[derive(Debug)]
-pub struct Worker {
+pub struct Host {
     server: server::Handle,
     shared: Arc<Shared>,
     announcer: JoinHandle<()>,
@@ -122,7 +122,7 @@
     fail: bool,
 }
 
-impl Worker {
+impl Host {
     /// Serves on a free loopback port and announces itself to the side at
     /// `side`.
     pub async fn bind(
@@ -153,7 +153,7 @@
         })
     }
 
-    /// Returns the address that the worker listens on.
+    /// Returns the address that the host listens on.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
@@ -163,7 +163,7 @@
         self.shared.fails.store(fails, Ordering::SeqCst);
     }
 
-    /// Announces that the worker is leaving.
+    /// Announces that the host is leaving.
     pub fn leave(&self) {
         self.shared.leaving.store(true, Ordering::SeqCst);
     }
@@ -188,7 +188,7 @@
     }
 }
 
-impl Drop for Worker {
+impl Drop for Host {
     fn drop(&mut self) {
         self.announcer.abort();
     }
@@ -210,7 +210,7 @@
     if fails {
         return Response::builder()
             .status(StatusCode::INTERNAL_SERVER_ERROR)
-            .body("the worker is broken");
+            .body("the host is broken");
     }
     let answer = json!({ "task": input.task, "done": true });
     Response::builder().body(answer.to_string())
--- a/crates/standin/src/timer.rs
+++ b/crates/standin/src/timer.rs
@@ -16,7 +16,7 @@
     wake: oneshot::Sender<()>,
 }
 
-/// A thread that wakes its callers.
+/// A thread that wakes its customers.
 #[derive(Debug, Clone)]
 pub struct Timer(Sender<Alarm>);
 
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -27,7 +27,7 @@
                 match self { $(Self::$variant => $name,)+ }
             }
 
-            /// Returns the HTTP status that carries the code to a caller.
+            /// Returns the HTTP status that carries the code to a customer.
             pub fn status(self) -> u16 {
                 match self { $(Self::$variant => $status,)+ }
             }
@@ -99,7 +99,7 @@
     DeadlineExceeded = 302, "deadline-exceeded", 504, "Submit again under a new ticket if that is safe.";
     /// A task may have started and its result is lost.
     OutcomeUnknown = 303, "outcome-unknown", 502, "Check outside the system what was done before submitting again.";
-    /// The caller cancelled the job.
+    /// The customer cancelled the job.
     Cancelled = 304, "cancelled", 409, "Nothing.";
     /// No eligible upstream accepted the tasks in time.
     NotPlaced = 305, "not-placed", 503, "Retry after the stated time.";
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -217,7 +217,7 @@
 pub struct Recover {
     /// The lost entry's incarnation.
     pub home: Incarnation,
-    /// The jobs that callers ask for.
+    /// The jobs that customers ask for.
     pub jobs: Vec<Job>,
 }
 
@@ -245,7 +245,7 @@
     pub kept: Vec<Kept>,
 }
 
-/// What a caller submits, as forwarded to the ticket's home.
+/// What a customer submits, as forwarded to the ticket's home.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
     /// Service.
@@ -260,7 +260,7 @@
     pub tasks: Vec<Payload>,
 }
 
-/// What a caller asks of a job's home.
+/// What a customer asks of a job's home.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Request {
     /// Run the job, or join the one that runs under the same identifier.
@@ -304,7 +304,7 @@
     pub ran: Started,
     /// When to come back, in milliseconds; 0 for no advice.
     pub retry: u32,
-    /// Detail for the caller.
+    /// Detail for the customer.
     pub detail: String,
 }
 
@@ -320,7 +320,7 @@
 }
 
 impl Started {
-    /// Returns the word used in answers to callers.
+    /// Returns the word used in answers to customers.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::None => "none",
