--- a/crates/hyssopctl/tests/site_failures.rs
+++ b/crates/hyssopctl/tests/site_failures.rs
@@ -428,7 +428,7 @@
     far.ready().await;
     // Its registration is in the store, but not among those of this region.
     let prefix = store::publication::entries_prefix(&site.plan.environment, "far");
-    while site.operator.list(&prefix).await.unwrap().is_empty() {
+    while site.operator.list(&prefix).await.unwrap().items.is_empty() {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let dump = hyssopctl::client::dump(far.admin(), hyssopctl::lab::site::TOKEN).await;
--- a/crates/hyssoppost/src/entry/mod.rs
+++ b/crates/hyssoppost/src/entry/mod.rs
@@ -5,7 +5,7 @@
 mod dump;
 mod meter;
 mod process;
-mod registry;
+pub(crate) mod registry;
 
 pub(crate) use dump::process;
 
--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -28,7 +28,7 @@
 
 /// What the store told.
 #[derive(Debug)]
-pub(super) enum Event {
+pub(crate) enum Event {
     /// The document in the store.
     Document(Config),
     /// The store holds no document.
@@ -41,11 +41,11 @@
 
 /// The entry's own registration.
 #[derive(Debug, Clone)]
-pub(super) struct Own {
-    pub(super) environment: String,
-    pub(super) region: String,
-    pub(super) name: String,
-    pub(super) address: String,
+pub(crate) struct Own {
+    pub(crate) environment: String,
+    pub(crate) region: String,
+    pub(crate) name: String,
+    pub(crate) address: String,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -55,7 +55,7 @@
 }
 
 /// Follows the store until the task is aborted.
-pub(super) async fn run<S: Store, E: From<Event> + Send + 'static>(
+pub(crate) async fn run<S: Store, E: From<Event> + Send + 'static>(
     store: S,
     own: Own,
     events: mpsc::Sender<E>,
@@ -131,13 +131,14 @@
     }
 }
 
-async fn follow_entries<S: Store, E: From<Event>>(store: &S, own: &Own, events: &mpsc::Sender<E>) {
+pub(crate) async fn follow_entries<S: Store, E: From<Event>>(store: &S, own: &Own, events: &mpsc::Sender<E>) {
     let mut lease = None;
     let prefix = publication::entries_prefix(&own.environment, &own.region);
     loop {
         lease = keep_registered(store, own, &prefix, lease).await;
-        if let Ok(items) = store.list(&prefix).await {
-            let entries = items
+        if let Ok(listing) = store.list(&prefix).await {
+            let entries: Vec<Known> = listing
+                .items
                 .iter()
                 .filter_map(|item| serde_json::from_slice::<Registration>(&item.value.bytes).ok())
                 .map(|registration| Known {
@@ -145,6 +146,10 @@
                     address: registration.address,
                 })
                 .collect();
+            if entries.iter().all(|entry| entry.name != own.name) {
+                // The store has dropped the key without ending the lease.
+                lease = None;
+            }
             if events.send(Event::Entries(entries).into()).await.is_err() {
                 return;
             }
--- /dev/null
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -0,0 +1,347 @@
+//! The entry process for leased tasks.
+
+use super::{BATCH, EXIT_MARGIN, INBOX, TICK, front, hello, pace, rules};
+use crate::{
+    Error, admin,
+    clock::Clock,
+    entry::registry,
+    http,
+    link::{self, Joined, Local},
+    mesh::Mesh,
+    settings,
+};
+use hashbrown::HashMap;
+use kernel::dispatch::{Action, Answer, Dispatcher};
+pub(super) use platform::customer::Ask;
+use std::time::Duration;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::{JoinHandle, JoinSet},
+};
+use wire::{
+    Frame,
+    frame::{Hello, Role},
+    id::Incarnation,
+    lease::Rules,
+};
+
+/// Share of a planned stop for which new jobs are still taken, in hundredths:
+/// the balancer takes about two seconds to notice that this entry leaves.
+const TAKING_SHARE: u32 = 45;
+
+/// What the process's task waits for.
+#[derive(Debug)]
+pub(super) enum Event {
+    Link(link::Event),
+    Ask {
+        customer: u64,
+        host: String,
+        path: String,
+        ask: Ask,
+        reply: oneshot::Sender<Answer>,
+    },
+    /// A customer went away before its answer.
+    Gone {
+        job: u64,
+        customer: u64,
+    },
+    Rules(Rules),
+    Registry(registry::Event),
+    /// The balancer is to send no more connections.
+    Unready,
+    /// No more jobs are taken.
+    Leave,
+}
+
+impl From<link::Event> for Event {
+    fn from(event: link::Event) -> Self {
+        Self::Link(event)
+    }
+}
+
+impl From<registry::Event> for Event {
+    fn from(event: registry::Event) -> Self {
+        Self::Registry(event)
+    }
+}
+
+impl From<Rules> for Event {
+    fn from(rules: Rules) -> Self {
+        Self::Rules(rules)
+    }
+}
+
+/// What the process shows to its interfaces.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Status {
+    pub(super) ready: bool,
+    pub(super) leaving: bool,
+    pub(super) idle: bool,
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Handle {
+    _admin: http::Handle,
+    customers: http::Handle,
+    readiness: http::Handle,
+    events: mpsc::Sender<Event>,
+    status: watch::Receiver<Status>,
+    process: JoinHandle<()>,
+    services: JoinSet<()>,
+    drain: Duration,
+}
+
+/// Binds an entry's listeners and starts it.
+pub async fn spawn(settings: settings::Entry, lease: &settings::Lease) -> Result<Handle, Error> {
+    let (events, inbox) = mpsc::channel(INBOX);
+    let (dump_requests, dumps) = mpsc::channel(1);
+    let listener = link::listen(settings.links).await?;
+    let advertised = settings.advertise.unwrap_or(listener.local_addr()?);
+    let hello = hello(&settings.common, Role::Entry, advertised.to_string());
+    let incarnation = hello.incarnation;
+    let local = Local::new(hello, settings.common.keys.clone());
+    let mut services = JoinSet::new();
+    services.spawn(link::accept(listener, local.clone(), events.clone()));
+    let (status, watched) = watch::channel(Status::default());
+    let admin = admin::bind(&settings.common, dump_requests).await?;
+    let customers = front::bind(&settings, events.clone(), watched.clone()).await?;
+    let readiness = front::bind_readiness(lease.readiness, watched.clone()).await?;
+    let store = platform::store::Client::open(settings.store)?;
+    services.spawn(rules::follow(store.clone(), events.clone()));
+    let own = registry::Own {
+        environment: settings.common.environment.clone(),
+        region: settings.region.clone(),
+        name: settings.common.name.clone(),
+        address: advertised.to_string(),
+    };
+    let registered = events.clone();
+    services.spawn(async move { registry::follow_entries(&store, &own, &registered).await });
+    let seed = settings.seed.unwrap_or_else(rand::random);
+    let kernel = Dispatcher::new(&settings.common.domain, pace(lease), seed);
+    let process = Process {
+        kernel,
+        mesh: Mesh::new(local, events.clone(), settings.peers.clone()),
+        status,
+        customers: HashMap::new(),
+        unready: false,
+    };
+    let process = tokio::spawn(process.run(inbox, dumps));
+    log::info!(
+        "event=entry_started name={} incarnation={incarnation} customers={}",
+        settings.common.name,
+        customers.address(),
+    );
+    Ok(Handle {
+        _admin: admin,
+        customers,
+        readiness,
+        events,
+        status: watched,
+        process,
+        services,
+        drain: settings.common.drain,
+    })
+}
+
+impl Handle {
+    /// Returns the address for customers.
+    pub fn customers(&self) -> std::net::SocketAddr {
+        self.customers.address()
+    }
+
+    /// Stops in steps: first new connections are kept away, then new jobs are
+    /// refused, and jobs in progress end within the bound of the settings.
+    pub async fn drain(mut self, hurry: impl Future<Output = ()>) -> Result<(), Error> {
+        let bound = self.drain.saturating_sub(EXIT_MARGIN);
+        let taking = self.drain * TAKING_SHARE / 100;
+        let events = self.events.clone();
+        let steps = async {
+            // A process that has ended drains at once.
+            let _ = events.send(Event::Unready).await;
+            tokio::time::sleep(taking).await;
+            let _ = events.send(Event::Leave).await;
+            self.status
+                .wait_for(|status| status.leaving && status.idle)
+                .await
+                .is_ok()
+        };
+        let whole = tokio::select! {
+            whole = tokio::time::timeout(bound, steps) => whole.unwrap_or(false),
+            () = hurry => false,
+        };
+        self.services.abort_all();
+        // Answers that have just been given still go out.
+        tokio::time::sleep(TICK).await;
+        let closing = async { tokio::join!(self.customers.close(), self.readiness.close()) };
+        let closed = tokio::time::timeout(EXIT_MARGIN / 2, closing).await.is_ok();
+        self.process.abort();
+        if whole && closed {
+            Ok(())
+        } else {
+            Err(Error::DrainIncomplete)
+        }
+    }
+
+    /// Stops at once, as if the process had been killed.
+    pub fn kill(self) {
+        self.process.abort();
+    }
+}
+
+struct Process {
+    kernel: Dispatcher,
+    mesh: Mesh<Event>,
+    status: watch::Sender<Status>,
+    customers: HashMap<u64, oneshot::Sender<Answer>>,
+    unready: bool,
+}
+
+impl Process {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Event>, mut dumps: mpsc::Receiver<admin::Dump>) {
+        let clock = Clock::default();
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut batch = Vec::with_capacity(BATCH);
+        self.mesh.dial_known();
+        loop {
+            tokio::select! {
+                count = inbox.recv_many(&mut batch, BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                    let now = clock.now();
+                    for event in batch.drain(..) {
+                        self.handle(now, event);
+                    }
+                    self.kernel.settle(now);
+                }
+                Some(reply) = dumps.recv() => {
+                    // The asker may have gone away.
+                    let _ = reply.send(serde_json::json!({ "jobs": self.kernel.open() }));
+                }
+                _ = tick.tick() => self.tick(clock.now()),
+            }
+            self.act();
+            self.report();
+        }
+    }
+
+    fn handle(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
+            Event::Link(link::Event::Frame(number, Frame::Lease(frame))) => {
+                if let Some(from) = self.mesh.peer(number) {
+                    self.kernel.frame(now, from, frame);
+                }
+            }
+            Event::Link(link::Event::Frame(number, _)) => {
+                log::warn!("event=frame_unexpected connection={number}");
+            }
+            Event::Link(link::Event::Lost(number)) => {
+                if let Some(peer) = self.mesh.lost(number) {
+                    self.lose(&peer);
+                }
+            }
+            Event::Ask {
+                customer,
+                host,
+                path,
+                ask,
+                reply,
+            } => {
+                self.customers.insert(customer, reply);
+                match ask {
+                    Ask::Submit(submission) => {
+                        self.kernel.submit(now, customer, &host, &path, submission);
+                    }
+                    Ask::Inspect(job) => self.kernel.inspect(customer, job),
+                    Ask::Cancel(job) => self.kernel.cancel(now, customer, job),
+                    Ask::Count => self.kernel.count(customer, &host, &path),
+                }
+            }
+            Event::Gone { job, customer } => {
+                self.customers.remove(&customer);
+                self.kernel.forget(job, customer);
+            }
+            Event::Rules(rules) => {
+                self.kernel.adopt(rules);
+            }
+            Event::Registry(registry::Event::Entries(entries)) => {
+                self.mesh.register(entries);
+                self.kernel.know_entries(&self.mesh.known());
+            }
+            Event::Registry(_) => {}
+            Event::Unready => self.unready = true,
+            Event::Leave => self.kernel.leave(),
+        }
+    }
+
+    fn joined(&mut self, now: Duration, joined: Joined) {
+        let Some(admitted) = self.mesh.admit(joined) else {
+            return;
+        };
+        if admitted.replaces {
+            self.lose(&admitted.peer);
+        }
+        match admitted.peer.role {
+            Role::Side => {
+                self.kernel.join_side(now, &admitted.peer);
+                self.kernel.tell_entries(admitted.peer.incarnation);
+            }
+            Role::Entry => {
+                self.kernel.join_entry(now, &admitted.peer);
+                self.kernel.know_entries(&self.mesh.known());
+            }
+        }
+    }
+
+    fn lose(&mut self, peer: &Hello) {
+        match peer.role {
+            Role::Side => self.kernel.lose_side(peer.incarnation),
+            Role::Entry => self.kernel.lose_entry(peer.incarnation),
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        let silent: Vec<Incarnation> = self
+            .kernel
+            .silent_sides(now)
+            .into_iter()
+            .chain(self.kernel.silent_entries(now))
+            .collect();
+        for incarnation in silent {
+            if let Some(peer) = self.mesh.close(incarnation, "silent") {
+                self.lose(&peer);
+            }
+        }
+        self.kernel.tick(now);
+    }
+
+    fn act(&mut self) {
+        for action in self.kernel.take_actions() {
+            match action {
+                Action::Send((to, frame)) => self.mesh.send(to, Frame::Lease(frame)),
+                Action::Answer(customer, answer) => {
+                    if let Some(reply) = self.customers.remove(&customer) {
+                        // The customer may have gone away.
+                        let _ = reply.send(answer);
+                    }
+                }
+            }
+        }
+    }
+
+    fn report(&self) {
+        let status = Status {
+            ready: self.kernel.is_ready() && !self.unready,
+            leaving: self.kernel.is_leaving(),
+            idle: self.kernel.open() == 0,
+        };
+        self.status.send_if_modified(|current| {
+            let changed = *current != status;
+            *current = status;
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/hyssoppost/src/leased/front.rs
@@ -0,0 +1,147 @@
+//! The customers' and the balancer's HTTP interfaces.
+
+use super::entry::{Ask, Event, Status};
+use crate::{Error, http, settings};
+use poem::{Body, EndpointExt, Request, Response, endpoint::make, http::StatusCode};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+
+#[derive(Debug)]
+struct Shared {
+    events: mpsc::Sender<Event>,
+    status: watch::Receiver<Status>,
+    body_bytes: usize,
+    numbers: AtomicU64,
+}
+
+/// Tells the process's task when a customer goes away before its answer.
+struct Presence<'a> {
+    events: &'a mpsc::Sender<Event>,
+    gone: Option<(u64, u64)>,
+}
+
+impl Drop for Presence<'_> {
+    fn drop(&mut self) {
+        if let Some((job, customer)) = self.gone.take()
+            && let Err(error) = self.events.try_send(Event::Gone { job, customer })
+        {
+            log::warn!("event=departure_not_taken job={job:016x} reason=\"{error}\"");
+        }
+    }
+}
+
+/// Serves customers.
+pub(super) async fn bind(
+    settings: &settings::Entry,
+    events: mpsc::Sender<Event>,
+    status: watch::Receiver<Status>,
+) -> Result<http::Handle, Error> {
+    let shared = Arc::new(Shared {
+        events,
+        status,
+        body_bytes: settings.body_bytes,
+        numbers: AtomicU64::new(0),
+    });
+    let app = make(move |request| {
+        let shared = shared.clone();
+        async move { Ok::<_, poem::Error>(serve(&shared, request).await) }
+    });
+    http::bind(settings.customers, settings.common.drain, app.boxed()).await
+}
+
+/// Tells the balancer whether to send new connections.
+pub(super) async fn bind_readiness(
+    address: std::net::SocketAddr,
+    status: watch::Receiver<Status>,
+) -> Result<http::Handle, Error> {
+    let app = make(move |_| {
+        let ready = status.borrow().ready;
+        async move {
+            let status = if ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
+            Ok::<_, poem::Error>(Response::from(status))
+        }
+    });
+    http::bind(address, Duration::from_millis(100), app.boxed()).await
+}
+
+async fn serve(shared: &Shared, mut request: Request) -> Response {
+    let mut response = match read(shared, &mut request).await {
+        Ok(ask) => shared.ask(&request, ask).await,
+        Err(response) => response,
+    };
+    if shared.status.borrow().leaving {
+        // The connection's next request belongs at another entry.
+        response
+            .headers_mut()
+            .insert("connection", poem::http::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn read(shared: &Shared, request: &mut Request) -> Result<Ask, Response> {
+    let body = request.take_body().into_bytes_limit(shared.body_bytes);
+    let Ok(body) = body.await else {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
+    };
+    let patience = request.header(platform::customer::PATIENCE);
+    let method = request.method().as_str();
+    let path = request.uri().path();
+    platform::customer::decode(method, path, patience, &body).map_err(|rejection| {
+        log::info!("event=request_rejected path={path:?} reason=\"{rejection}\"");
+        respond(platform::customer::reject(&rejection))
+    })
+}
+
+impl Shared {
+    async fn ask(&self, request: &Request, ask: Ask) -> Response {
+        let customer = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let host = request.header("host").unwrap_or_default().to_owned();
+        let path = platform::customer::split(request.uri().path()).0.to_owned();
+        let (reply, answer) = oneshot::channel();
+        let mut presence = Presence {
+            events: &self.events,
+            gone: match &ask {
+                Ask::Submit(submission) => Some((submission.job, customer)),
+                Ask::Inspect(_) | Ask::Cancel(_) | Ask::Count => None,
+            },
+        };
+        let event = Event::Ask {
+            customer,
+            host,
+            path,
+            ask,
+            reply,
+        };
+        if self.events.send(event).await.is_err() {
+            return StatusCode::SERVICE_UNAVAILABLE.into();
+        }
+        let answer = answer.await;
+        presence.gone = None;
+        match answer {
+            Ok(answer) => respond(platform::customer::encode(&answer)),
+            // The process ends, and a job may have run.
+            Err(_) => StatusCode::BAD_GATEWAY.into(),
+        }
+    }
+}
+
+fn respond(response: platform::customer::Response) -> Response {
+    let status = StatusCode::from_u16(response.status);
+    let mut builder = Response::builder()
+        .status(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
+        .content_type("application/json");
+    if let Some(seconds) = response.retry {
+        builder = builder.header("retry-after", seconds.to_string());
+    }
+    builder.body(Body::from(response.body))
+}
--- /dev/null
+++ b/crates/hyssoppost/src/leased/rules.rs
@@ -0,0 +1,90 @@
+//! Follows the operators' rules in the store.
+
+use kernel::millis;
+use std::time::{Duration, Instant};
+use store::Store;
+use tokio::sync::mpsc;
+use wire::lease::Rules;
+
+/// Longest time between two listings, watches notwithstanding: a quarter of
+/// the shortest bound on new rules that deployments state.
+const CONFIRM: Duration = Duration::from_millis(500);
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Follows the store until the task is aborted.
+pub(super) async fn follow<S: Store, E: From<Rules>>(store: S, events: mpsc::Sender<E>) {
+    let (changed, change) = mpsc::channel(1);
+    tokio::join!(list(&store, &events, change), watch(&store, changed));
+}
+
+async fn list<S: Store, E: From<Rules>>(
+    store: &S,
+    events: &mpsc::Sender<E>,
+    mut change: mpsc::Receiver<()>,
+) {
+    let mut failing = false;
+    loop {
+        let begun = Instant::now();
+        let pause = match read(store).await {
+            Ok(rules) => {
+                if failing {
+                    log::info!("event=store_regained revision={}", rules.revision);
+                }
+                failing = false;
+                if events.send(rules.into()).await.is_err() {
+                    return;
+                }
+                CONFIRM
+            }
+            Err(reason) => {
+                if !failing {
+                    log::warn!("event=store_lost reason=\"{reason}\"");
+                }
+                failing = true;
+                PAUSE
+            }
+        };
+        log::debug!("event=store_listed took_ms={}", millis(begun.elapsed()));
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            _ = change.recv() => {}
+        }
+    }
+}
+
+async fn read<S: Store>(store: &S) -> Result<Rules, String> {
+    let listing = store.list(platform::operator::PREFIX).await;
+    let listing = listing.map_err(|error| error.to_string())?;
+    platform::operator::decode(&listing).map_err(|error| error.to_string())
+}
+
+/// Wakes the reader as soon as a key changes.
+async fn watch<S: Store>(store: &S, changed: mpsc::Sender<()>) {
+    let mut after = None;
+    loop {
+        let Some(revision) = after else {
+            match store.list(platform::operator::PREFIX).await {
+                Ok(listing) => after = Some(listing.revision),
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+            // What came between the reader's listing and this one is read too.
+            let _ = changed.try_send(());
+            continue;
+        };
+        match store.wait(platform::operator::PREFIX, revision).await {
+            Ok(true) => {
+                // A full channel already holds a wake-up.
+                let _ = changed.try_send(());
+                after = None;
+            }
+            Ok(false) => {}
+            Err(error) => {
+                log::debug!("event=watch_failed reason=\"{error}\"");
+                after = None;
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -0,0 +1,291 @@
+//! The side process for leased tasks.
+
+use super::{BATCH, EXIT_MARGIN, INBOX, TICK, hello, pace};
+use crate::{
+    Error, admin,
+    clock::Clock,
+    http,
+    link::{self, Joined, Local},
+    mesh::Mesh,
+    settings,
+};
+use kernel::guard::{Action, GATHER, Guard, Held, Started};
+use platform::upstream::{Client, Failure, Report};
+use poem::{EndpointExt, Request, Response, endpoint::make, http::StatusCode};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+};
+use wire::{Frame, frame::Role, id::Incarnation, lease::Run};
+
+/// Largest report that an upstream may send, in bytes.
+const REPORT_BYTES: usize = 64 << 10;
+
+/// What the process's task waits for.
+#[derive(Debug)]
+enum Event {
+    Link(link::Event),
+    Report(Report),
+    Started(Run, Started),
+    Stopped(Run, u64),
+    Held(Result<Held, Failure>),
+    Leave,
+}
+
+impl From<link::Event> for Event {
+    fn from(event: link::Event) -> Self {
+        Self::Link(event)
+    }
+}
+
+/// A running side.
+#[derive(Debug)]
+pub struct Handle {
+    _admin: http::Handle,
+    reports: http::Handle,
+    events: mpsc::Sender<Event>,
+    idle: watch::Receiver<bool>,
+    process: JoinHandle<()>,
+    drain: Duration,
+}
+
+/// Binds a side's listeners and starts it.
+pub async fn spawn(settings: settings::Side, lease: &settings::Beside) -> Result<Handle, Error> {
+    let (events, inbox) = mpsc::channel(INBOX);
+    let (dump_requests, dumps) = mpsc::channel(1);
+    let hello = hello(&settings.common, Role::Side, String::new());
+    let incarnation = hello.incarnation;
+    let local = Local::new(hello, settings.common.keys.clone());
+    let admin = admin::bind(&settings.common, dump_requests).await?;
+    let reports = bind_reports(settings.upstream, lease.service.clone(), events.clone()).await?;
+    let pace = pace(&lease.lease);
+    let client = Client::open(lease.address, pace.answer()).map_err(store::Error::from)?;
+    let clock = Clock::default();
+    let (idle, watched) = watch::channel(false);
+    let process = Process {
+        kernel: Guard::new(pace, clock.now()),
+        mesh: Mesh::new(local, events.clone(), settings.entries.clone()),
+        client,
+        events: events.clone(),
+        idle,
+    };
+    let process = tokio::spawn(process.run(clock, inbox, dumps));
+    log::info!(
+        "event=side_started name={} incarnation={incarnation} upstream={}",
+        settings.common.name,
+        lease.address
+    );
+    Ok(Handle {
+        _admin: admin,
+        reports,
+        events,
+        idle: watched,
+        process,
+        drain: settings.common.drain,
+    })
+}
+
+async fn bind_reports(
+    address: SocketAddr,
+    service: String,
+    events: mpsc::Sender<Event>,
+) -> Result<http::Handle, Error> {
+    let app = make(move |request| {
+        let (service, events) = (service.clone(), events.clone());
+        async move { Ok::<_, poem::Error>(take_report(request, &service, &events).await) }
+    });
+    http::bind(address, Duration::from_millis(100), app.boxed()).await
+}
+
+async fn take_report(
+    mut request: Request,
+    service: &str,
+    events: &mpsc::Sender<Event>,
+) -> Response {
+    let body = request.take_body().into_bytes_limit(REPORT_BYTES).await;
+    let Ok(body) = body else {
+        return StatusCode::PAYLOAD_TOO_LARGE.into();
+    };
+    match platform::upstream::report(request.uri().path(), &body, service) {
+        Ok(report) => {
+            if events.send(Event::Report(report)).await.is_err() {
+                return StatusCode::SERVICE_UNAVAILABLE.into();
+            }
+            Response::builder().content_type("application/json").body("{}")
+        }
+        Err(error) => {
+            log::warn!("event=report_dropped reason=\"{error}\"");
+            StatusCode::BAD_REQUEST.into()
+        }
+    }
+}
+
+impl Handle {
+    /// Returns the address at which the upstream reports.
+    pub fn reports(&self) -> SocketAddr {
+        self.reports.address()
+    }
+
+    /// Starts no more tasks, lets those running end within the bound of the
+    /// settings, or until `hurry` resolves, and stops.
+    pub async fn drain(mut self, hurry: impl Future<Output = ()>) -> Result<(), Error> {
+        // A process that has ended drains at once.
+        let _ = self.events.send(Event::Leave).await;
+        let idle = self.idle.wait_for(|idle| *idle);
+        let bound = self.drain.saturating_sub(EXIT_MARGIN);
+        let whole = tokio::select! {
+            idle = tokio::time::timeout(bound, idle) => idle.is_ok(),
+            () = hurry => false,
+        };
+        // The last reports still go out.
+        tokio::time::sleep(TICK).await;
+        self.process.abort();
+        if whole {
+            Ok(())
+        } else {
+            Err(Error::DrainIncomplete)
+        }
+    }
+
+    /// Stops at once, as if the process had been killed.
+    pub fn kill(self) {
+        self.process.abort();
+    }
+}
+
+struct Process {
+    kernel: Guard,
+    mesh: Mesh<Event>,
+    client: Client,
+    events: mpsc::Sender<Event>,
+    idle: watch::Sender<bool>,
+}
+
+impl Process {
+    async fn run(
+        mut self,
+        clock: Clock,
+        mut inbox: mpsc::Receiver<Event>,
+        mut dumps: mpsc::Receiver<admin::Dump>,
+    ) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut batch = Vec::with_capacity(BATCH);
+        let mut leaving = false;
+        self.mesh.dial_known();
+        loop {
+            tokio::select! {
+                count = inbox.recv_many(&mut batch, BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                    let now = clock.now();
+                    for event in batch.drain(..) {
+                        leaving |= matches!(event, Event::Leave);
+                        self.handle(now, event);
+                    }
+                    self.kernel.flush(now);
+                }
+                Some(reply) = dumps.recv() => {
+                    // The asker may have gone away.
+                    let _ = reply.send(serde_json::json!({ "runs": self.kernel.runs() }));
+                }
+                () = tokio::time::sleep(GATHER), if self.kernel.is_dirty() => {
+                    self.kernel.flush(clock.now());
+                }
+                _ = tick.tick() => self.tick(clock.now()),
+            }
+            self.act();
+            if leaving {
+                let idle = self.kernel.is_idle();
+                self.idle.send_if_modified(|known| std::mem::replace(known, idle) != idle);
+            }
+        }
+    }
+
+    fn handle(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
+            Event::Link(link::Event::Frame(number, Frame::Lease(frame))) => {
+                if let Some(from) = self.mesh.peer(number) {
+                    self.kernel.frame(now, from, frame);
+                }
+            }
+            Event::Link(link::Event::Frame(number, _)) => {
+                log::warn!("event=frame_unexpected connection={number}");
+            }
+            Event::Link(link::Event::Lost(number)) => {
+                if let Some(peer) = self.mesh.lost(number) {
+                    self.kernel.lose(peer.incarnation);
+                }
+            }
+            Event::Report(Report::Alive(announcement)) => self.kernel.announce(now, announcement),
+            Event::Report(Report::Ends { id }) => {
+                log::info!("event=upstream_ends id={id}");
+                self.kernel.withdraw();
+            }
+            Event::Started(run, answer) => self.kernel.started(now, run, answer),
+            Event::Stopped(run, at) => self.kernel.stopped(run, at),
+            Event::Held(Ok(held)) => self.kernel.held(now, &held),
+            Event::Held(Err(Failure::Gone)) => self.kernel.gone(now),
+            Event::Held(Err(Failure::Fenced)) => self.kernel.hold_fenced(now),
+            Event::Held(Err(Failure::Unanswered)) => self.kernel.hold_failed(now),
+            Event::Leave => self.kernel.leave(),
+        }
+    }
+
+    fn joined(&mut self, now: Duration, joined: Joined) {
+        let Some(admitted) = self.mesh.admit(joined) else {
+            return;
+        };
+        if admitted.replaces {
+            self.kernel.lose(admitted.peer.incarnation);
+        }
+        self.kernel.join(now, admitted.peer.incarnation);
+    }
+
+    fn tick(&mut self, now: Duration) {
+        let silent: Vec<Incarnation> = self.kernel.silent(now);
+        for entry in silent {
+            if self.mesh.close(entry, "silent").is_some() {
+                self.kernel.lose(entry);
+            }
+        }
+        self.kernel.tick(now);
+    }
+
+    fn act(&mut self) {
+        for action in self.kernel.take_actions() {
+            match action {
+                Action::Send((to, frame)) => self.mesh.send(to, Frame::Lease(frame)),
+                Action::Start(order) => {
+                    let (client, events) = (self.client.clone(), self.events.clone());
+                    tokio::spawn(async move {
+                        let answer = client.start(&order).await;
+                        // A process that has ended takes no events.
+                        let _ = events.send(Event::Started(order.run, answer)).await;
+                    });
+                }
+                Action::Stop { run, token } => {
+                    let (client, events) = (self.client.clone(), self.events.clone());
+                    tokio::spawn(async move {
+                        if let Some(at) = client.stop(run, token).await {
+                            // As above.
+                            let _ = events.send(Event::Stopped(run, at)).await;
+                        }
+                    });
+                }
+                Action::Hold(hold) => {
+                    let (client, events) = (self.client.clone(), self.events.clone());
+                    tokio::spawn(async move {
+                        let held = client.hold(&hold).await;
+                        // As above.
+                        let _ = events.send(Event::Held(held)).await;
+                    });
+                }
+                Action::Entries(entries) => self.mesh.register(entries),
+            }
+        }
+    }
+}
--- a/crates/hyssoppost/src/main.rs
+++ b/crates/hyssoppost/src/main.rs
@@ -1,6 +1,6 @@
 //! The dispatcher.
 
-use hyssoppost::{Error, entry, logging, settings, side};
+use hyssoppost::{Error, entry, leased, logging, settings, side};
 use lexopt::{Arg, Parser, ValueExt};
 use std::{path::PathBuf, process::ExitCode};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -9,8 +9,8 @@
 Dispatches sub-second tasks.
 
 Usage:
-    hyssoppost entry --settings FILE
-    hyssoppost side --settings FILE
+    hyssoppost entry [--settings FILE]
+    hyssoppost side [--settings FILE]
     hyssoppost --help | --version
 
 Commands:
@@ -18,7 +18,8 @@
     side    Run tasks on the upstream beside this process.
 
 Options:
-    -s, --settings FILE   Settings in INI, checked before anything binds.
+    -s, --settings FILE   Settings in INI, checked before anything binds. On the
+                          users' platform, the file that it has laid out.
     -h, --help            Print this text.
     -V, --version         Print the version.
 
@@ -51,12 +52,18 @@
         Command::Entry(path) => {
             let settings = settings::Entry::open(&path)?;
             logging::open(settings.common.level)?;
-            runtime()?.block_on(run_entry(settings))?;
+            match settings.lease.clone() {
+                Some(lease) => thin_runtime()?.block_on(run_leased_entry(settings, &lease))?,
+                None => runtime()?.block_on(run_entry(settings))?,
+            }
         }
         Command::Side(path) => {
             let settings = settings::Side::open(&path)?;
             logging::open(settings.common.level)?;
-            runtime()?.block_on(run_side(settings))?;
+            match settings.beside.clone() {
+                Some(beside) => thin_runtime()?.block_on(run_leased_side(settings, &beside))?,
+                None => runtime()?.block_on(run_side(settings))?,
+            }
         }
     }
     Ok(())
@@ -68,6 +75,33 @@
         .build()?)
 }
 
+/// Makes a runtime for a host that gives the process a fraction of a core.
+fn thin_runtime() -> Result<tokio::runtime::Runtime, Error> {
+    Ok(tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?)
+}
+
+async fn run_leased_entry(settings: settings::Entry, lease: &settings::Lease) -> Result<(), Error> {
+    let mut stop = signal(SignalKind::terminate())?;
+    let hup = signal(SignalKind::hangup())?;
+    let handle = leased::entry::spawn(settings, lease).await?;
+    tokio::spawn(watch_settings(hup));
+    wait(&mut stop).await;
+    log::info!("event=draining");
+    handle.drain(wait(&mut stop)).await
+}
+
+async fn run_leased_side(settings: settings::Side, beside: &settings::Beside) -> Result<(), Error> {
+    let mut stop = signal(SignalKind::terminate())?;
+    let hup = signal(SignalKind::hangup())?;
+    let handle = leased::side::spawn(settings, beside).await?;
+    tokio::spawn(watch_settings(hup));
+    wait(&mut stop).await;
+    log::info!("event=draining");
+    handle.drain(wait(&mut stop)).await
+}
+
 async fn run_entry(settings: settings::Entry) -> Result<(), Error> {
     let mut stop = signal(SignalKind::terminate())?;
     let mut handle = entry::spawn(settings).await?;
@@ -90,6 +124,13 @@
     handle.drain(wait(&mut stop)).await
 }
 
+/// Takes hangups, which would end the process otherwise.
+async fn watch_settings(mut hup: Signal) {
+    while hup.recv().await.is_some() {
+        log::info!("event=hangup");
+    }
+}
+
 async fn wait(signal: &mut Signal) {
     if signal.recv().await.is_none() {
         // No more signals can arrive.
@@ -112,7 +153,9 @@
             _ => return Err(argument.unexpected()),
         }
     }
-    let settings = settings.ok_or("missing option --settings FILE; see --help");
+    let settings = settings
+        .or_else(platform::settings)
+        .ok_or("missing option --settings FILE; see --help");
     match command.as_deref() {
         Some("entry") => Ok(Command::Entry(settings?)),
         Some("side") => Ok(Command::Side(settings?)),
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -61,6 +61,32 @@
     pub archive_bytes: usize,
     /// Seed for random choices; drawn at random if absent.
     pub seed: Option<u64>,
+    /// Leased tasks; absent where upstreams answer calls.
+    pub lease: Option<Lease>,
+}
+
+/// Times of leased tasks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lease {
+    /// Longest lease that upstreams grant.
+    pub longest: Duration,
+    /// Least time after which a customer sends a job again.
+    pub resend: Duration,
+    /// Longest time that a stop takes at an upstream.
+    pub stop: Duration,
+    /// Address at which an entry tells the balancer whether it is ready.
+    pub readiness: SocketAddr,
+}
+
+/// The upstream beside a side of leased tasks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Beside {
+    /// Times.
+    pub lease: Lease,
+    /// Address that takes orders.
+    pub address: SocketAddr,
+    /// Service that it belongs to; empty for any.
+    pub service: String,
 }
 
 /// Settings of a side.
@@ -76,6 +102,8 @@
     pub entries: Vec<SocketAddr>,
     /// Whether to connect to entries that others tell of, too.
     pub discover: bool,
+    /// Leased tasks; absent where the upstream answers calls.
+    pub beside: Option<Beside>,
 }
 
 const DEFAULT_REGION: &str = "main";
@@ -83,8 +111,15 @@
 const DEFAULT_ARCHIVE_BYTES: usize = 64 << 20;
 const DEFAULT_DRAIN_MS: u64 = 30_000;
 const MILLISECONDS: &str = "milliseconds";
+const SECONDS: &str = "seconds";
 const BYTES: &str = "a number of bytes";
 
+/// Least resend time of customers, where the settings state none.
+const DEFAULT_RESEND_MS: u64 = 1_000;
+
+/// Address of an interface that a process does not have.
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
 /// A list of addresses, separated by commas.
 struct Addresses(Vec<SocketAddr>);
 
@@ -112,7 +147,8 @@
         check_sections(
             &mut reader,
             &[
-                "entry", "listen", "store", "security", "entries", "policy", "limits", "log",
+                "entry", "listen", "store", "security", "entries", "policy", "limits", "lease",
+                "log",
             ],
         );
         let common = read_common(&mut reader, "entry");
@@ -126,6 +162,7 @@
         let body_bytes = reader.optional("limits", "body_bytes", BYTES);
         let archive_bytes = reader.optional("limits", "archive_bytes", BYTES);
         let seed = reader.optional("policy", "seed", "a number");
+        let lease = read_lease(&mut reader, true);
         reader.finish()?;
         let missing = || Faults(Vec::new());
         Ok(Self {
@@ -140,6 +177,7 @@
             body_bytes: body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
             archive_bytes: archive_bytes.unwrap_or(DEFAULT_ARCHIVE_BYTES),
             seed,
+            lease,
         })
     }
 }
@@ -155,7 +193,9 @@
         let mut reader = Reader::open(text)?;
         check_sections(
             &mut reader,
-            &["side", "listen", "security", "entries", "log"],
+            &[
+                "side", "listen", "upstream", "security", "entries", "lease", "log",
+            ],
         );
         let common = read_common(&mut reader, "side");
         let rack = reader.required("side", "rack", "the rack's name");
@@ -165,6 +205,7 @@
             reader.fault("entries", "seeds", "at least one address as IP:port");
         }
         let discover: Option<Toggle> = reader.optional("entries", "discover", "yes or no");
+        let beside = read_beside(&mut reader);
         reader.finish()?;
         let missing = || Faults(Vec::new());
         Ok(Self {
@@ -173,6 +214,7 @@
             upstream: upstream.ok_or_else(missing)?,
             entries,
             discover: discover.is_none_or(|toggle| toggle.0),
+            beside,
         })
     }
 }
@@ -202,7 +244,10 @@
     let admin_token = reader.required("security", "admin_token", "the admin interface's token");
     let keys = read_keys(reader);
     let level = reader.optional("log", "level", "off, error, warn, info, debug or trace");
-    let drain = reader.optional(section, "drain_ms", MILLISECONDS);
+    let drain: Option<f64> = reader.optional(section, "drain_s", SECONDS);
+    let drain = drain.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    let drain_ms = reader.optional(section, "drain_ms", MILLISECONDS);
+    let drain = drain.or(drain_ms.map(Duration::from_millis));
     Some(Common {
         name: name?,
         environment: environment?,
@@ -211,7 +256,38 @@
         admin_token: admin_token?,
         keys: keys?,
         level: level.unwrap_or(LevelFilter::Info),
-        drain: Duration::from_millis(drain.unwrap_or(DEFAULT_DRAIN_MS)),
+        drain: drain.unwrap_or(Duration::from_millis(DEFAULT_DRAIN_MS)),
+    })
+}
+
+fn read_lease(reader: &mut Reader<'_>, entry: bool) -> Option<Lease> {
+    if !reader.has("lease") {
+        return None;
+    }
+    let longest = reader.required("lease", "longest_ms", MILLISECONDS);
+    let resend: Option<u64> = reader.optional("lease", "resend_ms", MILLISECONDS);
+    let stop = reader.required("lease", "stop_ms", MILLISECONDS);
+    let readiness = if entry {
+        reader.required("listen", "readiness", ADDRESS)
+    } else {
+        Some(NOWHERE)
+    };
+    Some(Lease {
+        longest: Duration::from_millis(longest?),
+        resend: Duration::from_millis(resend.unwrap_or(DEFAULT_RESEND_MS)),
+        stop: Duration::from_millis(stop?),
+        readiness: readiness?,
+    })
+}
+
+fn read_beside(reader: &mut Reader<'_>) -> Option<Beside> {
+    let lease = read_lease(reader, false)?;
+    let address = reader.required("upstream", "address", ADDRESS)?;
+    let service = reader.optional("upstream", "service", "the service's name");
+    Some(Beside {
+        lease,
+        address,
+        service: service.unwrap_or_default(),
     })
 }
 
--- /dev/null
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -0,0 +1,264 @@
+//! The sides that the entry knows, and what it believes of their upstreams.
+
+use crate::guard::BEAT;
+use hashbrown::{HashMap, HashSet};
+use std::{collections::VecDeque, time::Duration};
+use wire::{
+    id::Incarnation,
+    lease::{Need, Run, Status, Upstream},
+};
+
+/// Identifies a side within one entry.
+pub type Key = Incarnation;
+
+/// Silence after which nothing is placed at a side: three heartbeats.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// Failures in a row after which an upstream is put aside.
+const FAILURES: u32 = 2;
+
+/// First and longest time aside; doubles from one to the other.
+const ASIDE_FIRST: Duration = Duration::from_secs(1);
+const ASIDE_LONGEST: Duration = Duration::from_secs(8);
+
+/// Weight of one run in the learnt slowness of a side.
+const RUN_WEIGHT: f64 = 0.15;
+
+/// Slowness against the mean from which an upstream is put aside.
+const TOO_SLOW: f64 = 2.5;
+
+/// State of the connection to a side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Link {
+    /// Connected; what it holds is not yet known.
+    Joining,
+    /// Connected.
+    Up,
+    /// Lost.
+    Lost,
+}
+
+#[derive(Debug)]
+pub(super) struct Side {
+    pub(super) name: String,
+    pub(super) domain: String,
+    pub(super) link: Link,
+    pub(super) heard: Duration,
+    pub(super) upstream: Option<Upstream>,
+    pub(super) status: Option<Status>,
+    /// Start frames sent on this connection.
+    pub(super) sent: u32,
+    /// Starts that no status covers yet.
+    flight: VecDeque<(u32, Need)>,
+    pub(super) runs: HashSet<Run>,
+    /// Ends up to this number were taken.
+    pub(super) ended: u64,
+    /// The side's clock that was last echoed.
+    pub(super) echoed: u64,
+    pub(super) echo_at: Duration,
+    /// Run time against the estimate, over recent runs.
+    pub(super) slowness: f64,
+    failures: u32,
+    aside: Option<Aside>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Aside {
+    until: Duration,
+    pause: Duration,
+    /// Whether one run is under way to see whether the upstream is well again.
+    probing: bool,
+}
+
+impl Side {
+    pub(super) fn new(name: &str, domain: &str, now: Duration) -> Self {
+        Self {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            link: Link::Joining,
+            heard: now,
+            upstream: None,
+            status: None,
+            sent: 0,
+            flight: VecDeque::new(),
+            runs: HashSet::new(),
+            ended: 0,
+            echoed: 0,
+            echo_at: Duration::ZERO,
+            slowness: 1.0,
+            failures: 0,
+            aside: None,
+        }
+    }
+
+    /// Returns the room that is left after what was sent.
+    pub(super) fn room(&self) -> Need {
+        let Some(status) = &self.status else {
+            return Need::default();
+        };
+        self.flight
+            .iter()
+            .fold(status.free, |room, (_, need)| room.minus(*need))
+    }
+
+    /// Returns whether tasks may be placed here.
+    pub(super) fn is_open(&self, now: Duration) -> bool {
+        let accepting = self.status.is_some_and(|status| status.accepting);
+        self.link == Link::Up && accepting && now.saturating_sub(self.heard) <= QUIET
+    }
+
+    /// Returns whether the upstream is put aside, and no probe is due.
+    pub(super) fn is_aside(&self, now: Duration) -> bool {
+        self.aside
+            .is_some_and(|aside| aside.probing || now < aside.until)
+    }
+
+    pub(super) fn report(&mut self, now: Duration, status: Status) {
+        self.heard = now;
+        while self
+            .flight
+            .front()
+            .is_some_and(|(number, _)| *number <= status.received)
+        {
+            self.flight.pop_front();
+        }
+        self.status = Some(status);
+    }
+
+    /// Records that runs were sent in one frame.
+    pub(super) fn launch(&mut self, need: Need) {
+        self.sent += 1;
+        self.flight.push_back((self.sent, need));
+        if let Some(aside) = &mut self.aside {
+            aside.probing = true;
+        }
+    }
+
+    pub(super) fn reconnect(&mut self, now: Duration) {
+        self.link = Link::Joining;
+        self.heard = now;
+        self.sent = 0;
+        self.flight.clear();
+        self.status = None;
+        self.echoed = 0;
+    }
+
+    pub(super) fn succeeded(&mut self, ratio: f64) {
+        self.failures = 0;
+        self.aside = None;
+        self.slowness += (ratio - self.slowness) * RUN_WEIGHT;
+    }
+
+    /// Records a failure that may be the upstream's; returns whether it is put
+    /// aside now.
+    pub(super) fn failed(&mut self, now: Duration, may: bool) -> bool {
+        self.failures += 1;
+        let enough = self.failures >= FAILURES || self.aside.is_some();
+        enough && self.put_aside(now, may)
+    }
+
+    pub(super) fn put_aside(&mut self, now: Duration, may: bool) -> bool {
+        if !may && self.aside.is_none() {
+            return false;
+        }
+        let waits = self.aside.is_some_and(|aside| now < aside.until && !aside.probing);
+        if waits {
+            return false;
+        }
+        let pause = self
+            .aside
+            .map_or(ASIDE_FIRST, |aside| (aside.pause * 2).min(ASIDE_LONGEST));
+        self.aside = Some(Aside {
+            until: now + pause,
+            pause,
+            probing: false,
+        });
+        true
+    }
+
+    /// Records that a probe has ended without telling anything.
+    pub(super) fn probe_void(&mut self) {
+        if let Some(aside) = &mut self.aside {
+            aside.probing = false;
+        }
+    }
+}
+
+/// All sides that the entry knows.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    sides: HashMap<Key, Side>,
+    /// Run time against the estimate, over recent runs of all sides.
+    pub(super) mean: f64,
+}
+
+impl Fleet {
+    pub(super) fn get(&self, key: Key) -> Option<&Side> {
+        self.sides.get(&key)
+    }
+
+    pub(super) fn get_mut(&mut self, key: Key) -> Option<&mut Side> {
+        self.sides.get_mut(&key)
+    }
+
+    pub(super) fn insert(&mut self, key: Key, side: Side) {
+        self.sides.insert(key, side);
+    }
+
+    pub(super) fn remove(&mut self, key: Key) -> Option<Side> {
+        self.sides.remove(&key)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (Key, &Side)> {
+        self.sides.iter().map(|(key, side)| (*key, side))
+    }
+
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (Key, &mut Side)> {
+        self.sides.iter_mut().map(|(key, side)| (*key, side))
+    }
+
+    /// Returns whether another upstream may be put aside: at least half of a
+    /// service's stay in use, since a fault that hits more is not theirs.
+    pub(super) fn may_put_aside(&self, now: Duration, key: Key) -> bool {
+        let Some(service) = self.service(key) else {
+            return false;
+        };
+        let same = self
+            .sides
+            .iter()
+            .filter(|(_, side)| side.is_open(now))
+            .filter(|(key, _)| self.service(**key) == Some(service));
+        let (mut all, mut aside) = (0, 0);
+        for (_, side) in same {
+            all += 1;
+            aside += usize::from(side.aside.is_some());
+        }
+        (aside + 1) * 2 <= all
+    }
+
+    pub(super) fn service(&self, key: Key) -> Option<&str> {
+        let upstream = self.get(key)?.upstream.as_ref()?;
+        Some(&upstream.service)
+    }
+
+    /// Learns from a run that succeeded; returns whether the upstream is put
+    /// aside as too slow.
+    pub(super) fn learn(&mut self, now: Duration, key: Key, ratio: f64) -> bool {
+        if self.mean == 0.0 {
+            self.mean = ratio;
+        }
+        self.mean += (ratio - self.mean) * RUN_WEIGHT / 4.0;
+        let mean = self.mean;
+        let may = self.may_put_aside(now, key);
+        let Some(side) = self.get_mut(key) else {
+            return false;
+        };
+        side.succeeded(ratio);
+        side.slowness > mean * TOO_SLOW && side.put_aside(now, may)
+    }
+}
+
+/// Returns the interval at which sides are echoed.
+pub(super) fn echo_interval() -> Duration {
+    BEAT * 4 / 5
+}
--- /dev/null
+++ b/crates/kernel/src/dispatch/job.rs
@@ -0,0 +1,228 @@
+//! One job at the entry that took it.
+
+use super::fleet::Key;
+use std::time::Duration;
+use wire::lease::{Need, Run, Task};
+
+/// A step of a job: tasks that are alike.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Step {
+    /// Number of tasks.
+    pub count: u16,
+    /// What each task occupies.
+    pub need: Need,
+    /// The customer's estimate of a task's run time.
+    pub estimate: Duration,
+    /// Earlier steps whose tasks must all be done first.
+    pub after: Vec<u16>,
+    /// Label that the host must have.
+    pub label: Option<String>,
+    /// Rack on which the tasks run fastest.
+    pub rack: Option<String>,
+    /// Most tasks of the step at one host.
+    pub spread: Option<u16>,
+}
+
+/// What a customer hands in.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Submission {
+    /// The job's identifier, chosen by the customer.
+    pub job: u64,
+    /// Input, the same for all tasks.
+    pub input: String,
+    /// The steps.
+    pub steps: Vec<Step>,
+    /// Time that the customer waits.
+    pub patience: Duration,
+}
+
+/// State of one task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum State {
+    /// Its turn has not come.
+    Blocked,
+    /// No run of it is under way.
+    Waiting,
+    /// A run is under way at a side.
+    Placed {
+        side: Key,
+        attempt: u32,
+        since: Duration,
+    },
+    /// It succeeded.
+    Done,
+}
+
+#[derive(Debug)]
+pub(super) struct Slot {
+    pub(super) state: State,
+    /// Number of the last run.
+    pub(super) attempt: u32,
+    /// Runs that failed.
+    pub(super) failures: u32,
+    /// Side of the last run that ended badly.
+    pub(super) avoid: Option<Key>,
+    /// Earliest time of the next run.
+    pub(super) resume: Duration,
+}
+
+/// A job that has not ended.
+#[derive(Debug)]
+pub struct Job {
+    pub(super) submission: Submission,
+    pub(super) queue: String,
+    pub(super) service: String,
+    pub(super) priority: u8,
+    pub(super) attempts: u32,
+    pub(super) accepted: Duration,
+    /// When the objective is missed.
+    pub(super) due: Duration,
+    /// When the customer has gone.
+    pub(super) deadline: Duration,
+    /// Tasks of each step.
+    pub(super) tasks: Vec<Vec<Slot>>,
+    /// Whether any run was ordered; "not run" would no longer be true.
+    pub(super) ordered: bool,
+    /// Customers who wait for the answer.
+    pub(super) customers: Vec<u64>,
+}
+
+impl Job {
+    pub(super) fn id(&self, step: u16, index: u16) -> Task {
+        Task {
+            job: self.submission.job,
+            occurrence: 0,
+            step,
+            index,
+        }
+    }
+
+    pub(super) fn slot(&mut self, task: Task) -> Option<&mut Slot> {
+        self.tasks
+            .get_mut(usize::from(task.step))?
+            .get_mut(usize::from(task.index))
+    }
+
+    pub(super) fn step(&self, task: Task) -> &Step {
+        &self.submission.steps[usize::from(task.step)]
+    }
+
+    /// Returns the runs under way with their sides.
+    pub(super) fn placed(&self) -> Vec<(Key, Run)> {
+        let mut runs = Vec::new();
+        self.each(|task, slot| {
+            if let State::Placed { side, attempt, .. } = slot.state {
+                runs.push((side, Run { task, attempt }));
+            }
+        });
+        runs
+    }
+
+    /// Returns the tasks in the given state.
+    pub(super) fn waiting(&self) -> Vec<Task> {
+        let mut tasks = Vec::new();
+        self.each(|task, slot| {
+            if slot.state == State::Waiting {
+                tasks.push(task);
+            }
+        });
+        tasks
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.tasks
+            .iter()
+            .flatten()
+            .all(|slot| slot.state == State::Done)
+    }
+
+    /// Lets the tasks wait whose earlier steps are done, and returns them.
+    pub(super) fn unblock(&mut self) -> Vec<Task> {
+        let done: Vec<bool> = self
+            .tasks
+            .iter()
+            .map(|step| step.iter().all(|slot| slot.state == State::Done))
+            .collect();
+        let mut freed = Vec::new();
+        for number in 0..self.tasks.len() {
+            let after = &self.submission.steps[number].after;
+            if !after.iter().all(|step| done[usize::from(*step)]) {
+                continue;
+            }
+            for index in 0..self.tasks[number].len() {
+                let slot = &mut self.tasks[number][index];
+                if slot.state == State::Blocked {
+                    slot.state = State::Waiting;
+                    freed.push((number, index));
+                }
+            }
+        }
+        let id = |(step, index)| {
+            self.id(
+                u16::try_from(step).unwrap_or(u16::MAX),
+                u16::try_from(index).unwrap_or(u16::MAX),
+            )
+        };
+        freed.into_iter().map(id).collect()
+    }
+
+    /// Returns the processor time that the tasks without a run take, in
+    /// core-milliseconds.
+    pub(super) fn work_left(&self) -> u64 {
+        let mut work = 0;
+        for (step, slots) in self.submission.steps.iter().zip(&self.tasks) {
+            let left = slots.iter().filter(|slot| {
+                matches!(slot.state, State::Blocked | State::Waiting)
+            });
+            work += left.count() as u64 * step.work();
+        }
+        work
+    }
+
+    fn each(&self, mut visit: impl FnMut(Task, &Slot)) {
+        for (step, slots) in self.tasks.iter().enumerate() {
+            for (index, slot) in slots.iter().enumerate() {
+                let step = u16::try_from(step).unwrap_or(u16::MAX);
+                let index = u16::try_from(index).unwrap_or(u16::MAX);
+                visit(self.id(step, index), slot);
+            }
+        }
+    }
+}
+
+impl Step {
+    /// Returns a task's processor time, in core-milliseconds.
+    pub fn work(&self) -> u64 {
+        crate::millis(self.estimate) * u64::from(self.need.cpu) / 1_000
+    }
+}
+
+impl Submission {
+    /// Returns the expected time of the longest chain of steps.
+    ///
+    /// Steps come after those they wait for; the adapter checks that.
+    pub fn chain(&self) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let before = step.after.iter().map(|step| ends[usize::from(*step)]);
+            let start = before.max().unwrap_or_default();
+            ends.push(start + step.estimate);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Returns a slot for every task.
+    pub(super) fn slots(&self) -> Vec<Vec<Slot>> {
+        let slot = |_| Slot {
+            state: State::Blocked,
+            attempt: 0,
+            failures: 0,
+            avoid: None,
+            resume: Duration::ZERO,
+        };
+        self.steps
+            .iter()
+            .map(|step| (0..step.count).map(slot).collect())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -0,0 +1,486 @@
+//! The entry's state for leased tasks: takes jobs that their customers named,
+//! places their tasks on sides with room, and answers.
+//!
+//! A job belongs to the entry that took it. Its tasks wait here until a side
+//! has room for them, so the shortest wait decides where they run. A task is
+//! placed anew only when its earlier run is proved over: its end was listed,
+//! its side has refused it, or all leases that it could hold have run out.
+
+mod fleet;
+mod job;
+mod peers;
+mod place;
+mod rules;
+mod serve;
+
+pub use fleet::{Fleet, Key};
+pub use job::{Job, Step, Submission};
+pub use rules::route;
+
+use crate::guard::Pace;
+use fleet::{Link, Side, echo_interval};
+use hashbrown::HashMap;
+use job::State;
+use peers::Peer;
+use rand::{SeedableRng, rngs::SmallRng};
+use std::{collections::BTreeSet, time::Duration};
+use wire::{
+    frame::{Hello, Known},
+    id::Incarnation,
+    lease::{Addressed, Echo, End, Ending, Ends, Frame, Progress, Refusal, Rules, Run, Task},
+};
+
+/// Pause before a task that was refused is placed anew.
+const REFUSED_PAUSE: Duration = Duration::from_millis(5);
+
+/// What the runtime must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a frame.
+    Send(Addressed),
+    /// Answer the customer of this number.
+    Answer(u64, Answer),
+}
+
+/// State of a job, as customers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Progressed {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks succeeded.
+    Completed,
+    /// A task failed for good.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+}
+
+/// An answer to a customer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The job's state; final if the customer handed the job in.
+    State(Progressed),
+    /// The job was not run and will not be.
+    Refused {
+        /// Why.
+        reason: Reason,
+        /// When to come back.
+        retry: Duration,
+    },
+    /// Nobody knows whether the job would have ended.
+    Expired,
+    /// No queue is at this address.
+    NoQueue,
+    /// No such job is known.
+    NoJob,
+    /// Jobs of the queue of which no task has started.
+    Pending(u32),
+}
+
+/// Why a job was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// No rules are known yet.
+    NoRules,
+    /// The entry leaves.
+    Leaving,
+    /// The job could not end in time.
+    Overload,
+    /// No upstream can run it.
+    NoUpstream,
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Jobs accepted.
+    pub accepted: u64,
+    /// Jobs that succeeded.
+    pub completed: u64,
+    /// Jobs of which a task failed for good.
+    pub failed: u64,
+    /// Jobs refused.
+    pub refused: u64,
+    /// Jobs whose customers left.
+    pub abandoned: u64,
+    /// Jobs that outlived their customers' patience.
+    pub expired: u64,
+    /// Runs ordered.
+    pub runs: u64,
+    /// Runs that sides refused.
+    pub rejected: u64,
+    /// Runs stopped to run elsewhere.
+    pub moved: u64,
+    /// Runs lost with their sides.
+    pub lost: u64,
+}
+
+/// The entry's state.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pace: Pace,
+    domain: String,
+    /// Keeps this entry's choices apart from others'.
+    salt: u64,
+    random: SmallRng,
+    rules: Option<Rules>,
+    fleet: Fleet,
+    peers: HashMap<Incarnation, Peer>,
+    entries: Vec<Known>,
+    jobs: HashMap<u64, Job>,
+    /// Tasks that wait, by rank.
+    waiting: BTreeSet<(place::Rank, Task)>,
+    ended: serve::Memory,
+    calls: HashMap<u64, peers::Call>,
+    next_call: u64,
+    leaving: bool,
+    changed: bool,
+    stats: Stats,
+    actions: Vec<Action>,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher without rules, sides or jobs.
+    pub fn new(domain: &str, pace: Pace, seed: u64) -> Self {
+        Self {
+            pace,
+            domain: domain.to_owned(),
+            salt: seed,
+            random: SmallRng::seed_from_u64(seed),
+            rules: None,
+            fleet: Fleet::default(),
+            peers: HashMap::new(),
+            entries: Vec::new(),
+            jobs: HashMap::new(),
+            waiting: BTreeSet::new(),
+            ended: serve::Memory::default(),
+            calls: HashMap::new(),
+            next_call: 0,
+            leaving: false,
+            changed: false,
+            stats: Stats::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Drains what the runtime must do.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the counts since the start.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// Returns the rules in force.
+    pub fn rules(&self) -> Option<&Rules> {
+        self.rules.as_ref()
+    }
+
+    /// Returns the number of jobs that have not ended.
+    pub fn open(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns the number of tasks that wait for room.
+    pub fn backlog(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether jobs can be served: rules are in force and a side is
+    /// connected.
+    pub fn is_ready(&self) -> bool {
+        let connected = self.fleet.iter().any(|(_, side)| side.link == Link::Up);
+        self.rules.is_some() && connected && !self.leaving
+    }
+
+    /// Takes no more jobs; those accepted go on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns whether the entry leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Records a connection to a side.
+    pub fn join_side(&mut self, now: Duration, hello: &Hello) {
+        if let Some(side) = self.fleet.get_mut(hello.incarnation) {
+            side.reconnect(now);
+            return;
+        }
+        let side = Side::new(&hello.name, &hello.domain, now);
+        self.fleet.insert(hello.incarnation, side);
+    }
+
+    /// Records that the connection to a side is lost.
+    pub fn lose_side(&mut self, key: Key) {
+        if let Some(side) = self.fleet.get_mut(key) {
+            side.link = Link::Lost;
+        }
+    }
+
+    /// Returns the sides whose connections have been silent for too long.
+    pub fn silent_sides(&self, now: Duration) -> Vec<Key> {
+        self.fleet
+            .iter()
+            .filter(|(_, side)| side.link != Link::Lost)
+            .filter(|(_, side)| now.saturating_sub(side.heard) > self.pace.silence())
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// Takes a frame from a side or another entry.
+    pub fn frame(&mut self, now: Duration, from: Incarnation, frame: Frame) {
+        match frame {
+            Frame::Upstream(upstream) => {
+                if let Some(side) = self.fleet.get_mut(from) {
+                    side.upstream = upstream;
+                }
+            }
+            Frame::Status(status) => self.status(now, from, status),
+            Frame::Ends(ends) => self.ends(now, from, &ends),
+            Frame::Held(runs) => self.held(now, from, &runs),
+            Frame::Progress(progress) => self.progress(now, from, progress),
+            other => self.peer_frame(now, from, other),
+        }
+        self.changed = true;
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration) {
+        self.forget_sides(now);
+        self.expire(now);
+        self.place(now);
+        self.echo(now);
+        self.beat(now);
+        self.ended.expire(now);
+    }
+
+    /// Places tasks if anything has changed that may let them start.
+    pub fn settle(&mut self, now: Duration) {
+        if std::mem::take(&mut self.changed) {
+            self.place(now);
+        }
+    }
+
+    fn status(&mut self, now: Duration, from: Key, status: wire::lease::Status) {
+        let Some(side) = self.fleet.get_mut(from) else {
+            return;
+        };
+        side.report(now, status);
+        let (accepting, name) = (status.accepting, side.name.clone());
+        if accepting {
+            self.supersede(now, from, &name);
+        }
+    }
+
+    /// A side that accepts has made sure that nothing of its earlier life runs.
+    fn supersede(&mut self, now: Duration, key: Key, name: &str) {
+        let earlier: Vec<Key> = self
+            .fleet
+            .iter()
+            .filter(|(other, side)| *other != key && side.name == name)
+            .filter(|(_, side)| side.link == Link::Lost)
+            .map(|(other, _)| other)
+            .collect();
+        for other in earlier {
+            self.drop_side(now, other);
+        }
+    }
+
+    fn ends(&mut self, now: Duration, from: Key, ends: &Ends) {
+        let Some(side) = self.fleet.get_mut(from) else {
+            return;
+        };
+        side.heard = now;
+        let known = side.ended;
+        side.ended = known.max(ends.first + ends.ends.len() as u64 - 1);
+        let skip = known.saturating_add(1).saturating_sub(ends.first);
+        let new = ends.ends.iter().skip(usize::try_from(skip).unwrap_or(usize::MAX));
+        for end in new {
+            self.end(now, from, *end);
+        }
+    }
+
+    fn held(&mut self, now: Duration, from: Key, runs: &[Run]) {
+        let Some(side) = self.fleet.get_mut(from) else {
+            return;
+        };
+        side.link = Link::Up;
+        let missing: Vec<Run> = side
+            .runs
+            .iter()
+            .filter(|run| !runs.contains(run))
+            .copied()
+            .collect();
+        for run in missing {
+            let end = End {
+                run,
+                ending: Ending::NotRun(Refusal::Lost),
+                spent: 0,
+            };
+            self.end(now, from, end);
+        }
+        let unknown: Vec<Run> = runs
+            .iter()
+            .filter(|run| self.fleet.get(from).is_some_and(|side| !side.runs.contains(*run)))
+            .copied()
+            .collect();
+        if !unknown.is_empty() {
+            self.send(from, Frame::Stop(unknown));
+        }
+    }
+
+    fn end(&mut self, now: Duration, from: Key, end: End) {
+        let known = self
+            .fleet
+            .get_mut(from)
+            .is_some_and(|side| side.runs.remove(&end.run));
+        if !known {
+            return;
+        }
+        let task = end.run.task;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            if let Some(side) = self.fleet.get_mut(from) {
+                side.probe_void();
+            }
+            return;
+        };
+        let estimate = job.step(task).estimate;
+        let Some(slot) = job.slot(task) else { return };
+        match end.ending {
+            Ending::Done => slot.state = State::Done,
+            Ending::Failed => slot.failures += 1,
+            Ending::Stopped | Ending::Lapsed => {}
+            Ending::NotRun(_) => slot.resume = now + REFUSED_PAUSE,
+        }
+        if end.ending != Ending::Done {
+            slot.state = State::Waiting;
+            slot.avoid = Some(from);
+        }
+        self.judge(now, from, end, estimate);
+        self.advance(now, task, end.ending);
+    }
+
+    /// Learns about the upstream from a run's end.
+    fn judge(&mut self, now: Duration, from: Key, end: End, estimate: Duration) {
+        let aside = match end.ending {
+            Ending::Done => {
+                let ratio = f64::from(end.spent.max(1)) / estimate.as_secs_f64().max(1e-3) / 1e3;
+                self.fleet.learn(now, from, ratio)
+            }
+            Ending::Failed => {
+                let may = self.fleet.may_put_aside(now, from);
+                self.fleet
+                    .get_mut(from)
+                    .is_some_and(|side| side.failed(now, may))
+            }
+            Ending::NotRun(Refusal::Upstream | Refusal::Unanswered) => {
+                let may = self.fleet.may_put_aside(now, from);
+                self.stats.rejected += 1;
+                self.fleet
+                    .get_mut(from)
+                    .is_some_and(|side| side.failed(now, may))
+            }
+            Ending::NotRun(_) | Ending::Stopped | Ending::Lapsed => {
+                self.stats.rejected += u64::from(matches!(end.ending, Ending::NotRun(_)));
+                if let Some(side) = self.fleet.get_mut(from) {
+                    side.probe_void();
+                }
+                false
+            }
+        };
+        if aside {
+            log::warn!(
+                "event=upstream_aside side={from} run={} ending={:?}",
+                end.run,
+                end.ending
+            );
+        }
+    }
+
+    /// Moves a run away from an upstream where it makes too little progress.
+    fn progress(&mut self, now: Duration, from: Key, progress: Progress) {
+        if !self.is_better_elsewhere(now, progress) {
+            return;
+        }
+        self.stats.moved += 1;
+        log::warn!(
+            "event=run_moved run={} side={from} elapsed_ms={} percent={} still_ms={}",
+            progress.run,
+            progress.elapsed,
+            progress.percent,
+            progress.still
+        );
+        let may = self.fleet.may_put_aside(now, from);
+        if let Some(side) = self.fleet.get_mut(from) {
+            side.put_aside(now, may);
+        }
+        self.send(from, Frame::Stop(vec![progress.run]));
+    }
+
+    /// Forgets sides that have been silent until all that ran there is over.
+    fn forget_sides(&mut self, now: Duration) {
+        let over = self.pace.over();
+        let gone: Vec<Key> = self
+            .fleet
+            .iter()
+            .filter(|(_, side)| side.link == Link::Lost)
+            .filter(|(_, side)| now.saturating_sub(side.heard) > over)
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.drop_side(now, key);
+        }
+    }
+
+    fn drop_side(&mut self, now: Duration, key: Key) {
+        let Some(side) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let runs: Vec<Run> = side.runs.iter().copied().collect();
+        log::warn!("event=side_dropped name={} runs={}", side.name, runs.len());
+        self.stats.lost += runs.len() as u64;
+        for run in runs {
+            let end = End {
+                run,
+                ending: Ending::Lapsed,
+                spent: 0,
+            };
+            self.end(now, key, end);
+        }
+        self.fleet.remove(key);
+    }
+
+    fn echo(&mut self, now: Duration) {
+        let mut frames = Vec::new();
+        for (key, side) in self.fleet.iter_mut() {
+            let Some(status) = side.status else { continue };
+            let due = now.saturating_sub(side.echo_at) >= echo_interval();
+            if side.link != Link::Up || status.clock <= side.echoed || !due {
+                continue;
+            }
+            side.echoed = status.clock;
+            side.echo_at = now;
+            let echo = Echo {
+                clock: status.clock,
+                ended: side.ended,
+            };
+            frames.push((key, Frame::Echo(echo)));
+        }
+        self.actions.extend(frames.into_iter().map(Action::Send));
+    }
+
+    fn send(&mut self, to: Incarnation, frame: Frame) {
+        self.actions.push(Action::Send((to, frame)));
+    }
+
+    fn answer(&mut self, customer: u64, answer: Answer) {
+        self.actions.push(Action::Answer(customer, answer));
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -0,0 +1,235 @@
+//! Other entries: the rules that they have, and their jobs.
+
+use super::{Answer, Dispatcher, Progressed, rules::is_newer};
+use crate::millis;
+use hashbrown::HashMap;
+use std::time::Duration;
+use wire::{
+    frame::{Hello, Known},
+    id::Incarnation,
+    lease::{Cancel, Cancelled, Frame, Peer as Beat, Rules},
+};
+
+/// Interval between heartbeats to other entries.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// Silence after which an entry's connection is replaced.
+const SILENCE: Duration = Duration::from_millis(900);
+
+/// Time that other entries have to say whether they know a job.
+const ASK: Duration = Duration::from_millis(400);
+
+/// Another entry.
+#[derive(Debug, Default)]
+pub(super) struct Peer {
+    heard: Duration,
+    sent: Duration,
+    clock: u64,
+    pub(super) pending: HashMap<String, u32>,
+    /// Work that waits there, in core-milliseconds, by priority.
+    pub(super) waiting: Vec<(u8, u64)>,
+}
+
+/// A customer's request that other entries were asked about.
+#[derive(Debug)]
+pub(super) struct Call {
+    customer: u64,
+    until: Duration,
+    open: usize,
+}
+
+impl Dispatcher {
+    /// Records a connection to another entry.
+    pub fn join_entry(&mut self, now: Duration, hello: &Hello) {
+        let peer = Peer {
+            heard: now,
+            ..Peer::default()
+        };
+        self.peers.insert(hello.incarnation, peer);
+        self.send(hello.incarnation, Frame::Pull);
+    }
+
+    /// Records that the connection to another entry is lost.
+    pub fn lose_entry(&mut self, entry: Incarnation) {
+        self.peers.remove(&entry);
+    }
+
+    /// Returns the entries whose connections have been silent for too long.
+    pub fn silent_entries(&self, now: Duration) -> Vec<Incarnation> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| now.saturating_sub(peer.heard) > SILENCE)
+            .map(|(entry, _)| *entry)
+            .collect()
+    }
+
+    /// Records all entries known, and tells the sides.
+    pub fn know_entries(&mut self, entries: &[Known]) {
+        if self.entries == entries {
+            return;
+        }
+        self.entries = entries.to_vec();
+        let sides: Vec<Incarnation> = self.fleet.iter().map(|(key, _)| key).collect();
+        for side in sides {
+            self.tell_entries(side);
+        }
+    }
+
+    /// Tells a side of all entries known.
+    pub fn tell_entries(&mut self, side: Incarnation) {
+        if !self.entries.is_empty() {
+            self.send(side, Frame::Entries(self.entries.clone()));
+        }
+    }
+
+    /// Puts rules in force, unless they are older than those in force. Returns
+    /// whether they were taken.
+    pub fn adopt(&mut self, rules: Rules) -> bool {
+        if !is_newer(self.rules.as_ref(), &rules) {
+            return false;
+        }
+        log::info!(
+            "event=rules_in_force revision={} version={} queues={} out=\"{}\"",
+            rules.revision,
+            rules.version,
+            rules.queues.len(),
+            rules.out.join(",")
+        );
+        self.rules = Some(rules.clone());
+        self.changed = true;
+        let peers: Vec<Incarnation> = self.peers.keys().copied().collect();
+        for peer in peers {
+            self.send(peer, Frame::Rules(rules.clone()));
+        }
+        true
+    }
+
+    pub(super) fn peer_frame(&mut self, now: Duration, from: Incarnation, frame: Frame) {
+        match frame {
+            Frame::Peer(beat) => self.peer_beat(now, from, beat),
+            Frame::Pull => {
+                if let Some(rules) = self.rules.clone() {
+                    self.send(from, Frame::Rules(rules));
+                }
+            }
+            Frame::Rules(rules) => {
+                self.adopt(rules);
+            }
+            Frame::Cancel(cancel) => {
+                let known = self.cancel_here(now, cancel.job);
+                let call = cancel.call;
+                self.send(from, Frame::Cancelled(Cancelled { call, known }));
+            }
+            Frame::Cancelled(reply) => self.cancelled(reply),
+            _ => log::debug!("event=frame_ignored peer={from}"),
+        }
+    }
+
+    fn peer_beat(&mut self, now: Duration, from: Incarnation, beat: Beat) {
+        let revision = self.rules.as_ref().map_or(0, |rules| rules.revision);
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
+        peer.heard = now;
+        peer.clock = beat.clock;
+        peer.pending = beat.pending.into_iter().collect();
+        peer.waiting = beat.waiting;
+        if beat.revision > revision {
+            self.send(from, Frame::Pull);
+        }
+    }
+
+    /// Sends heartbeats that are due, and ends calls that were not answered.
+    pub(super) fn beat(&mut self, now: Duration) {
+        let due: Vec<(Incarnation, u64)> = self
+            .peers
+            .iter_mut()
+            .filter(|(_, peer)| now.saturating_sub(peer.sent) >= INTERVAL)
+            .map(|(entry, peer)| {
+                peer.sent = now;
+                (*entry, peer.clock)
+            })
+            .collect();
+        if !due.is_empty() {
+            let beat = self.make_beat(now);
+            for (entry, echo) in due {
+                let beat = Beat {
+                    echo,
+                    ..beat.clone()
+                };
+                self.send(entry, Frame::Peer(beat));
+            }
+        }
+        let late: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| now >= call.until)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in late {
+            if let Some(call) = self.calls.remove(&number) {
+                self.answer(call.customer, Answer::NoJob);
+            }
+        }
+    }
+
+    fn make_beat(&self, now: Duration) -> Beat {
+        let mut pending: HashMap<&str, u32> = HashMap::new();
+        let mut waiting: HashMap<u8, u64> = HashMap::new();
+        for job in self.jobs.values() {
+            if !job.ordered {
+                *pending.entry(&job.queue).or_default() += 1;
+            }
+            *waiting.entry(job.priority).or_default() += job.work_left();
+        }
+        Beat {
+            clock: millis(now),
+            echo: 0,
+            revision: self.rules.as_ref().map_or(0, |rules| rules.revision),
+            pending: pending
+                .into_iter()
+                .map(|(queue, count)| (queue.to_owned(), count))
+                .collect(),
+            waiting: waiting.into_iter().collect(),
+        }
+    }
+
+    /// Cancels a job, wherever it is.
+    pub fn cancel(&mut self, now: Duration, customer: u64, job: u64) {
+        if self.cancel_here(now, job) {
+            self.answer(customer, Answer::State(Progressed::Cancelled));
+            return;
+        }
+        if self.peers.is_empty() {
+            self.answer(customer, Answer::NoJob);
+            return;
+        }
+        self.next_call += 1;
+        let call = self.next_call;
+        let peers: Vec<Incarnation> = self.peers.keys().copied().collect();
+        let waits = Call {
+            customer,
+            until: now + ASK,
+            open: peers.len(),
+        };
+        self.calls.insert(call, waits);
+        for peer in peers {
+            self.send(peer, Frame::Cancel(Cancel { call, job }));
+        }
+    }
+
+    fn cancelled(&mut self, reply: Cancelled) {
+        let Some(call) = self.calls.get_mut(&reply.call) else {
+            return;
+        };
+        call.open -= 1;
+        let customer = call.customer;
+        if reply.known {
+            self.calls.remove(&reply.call);
+            self.answer(customer, Answer::State(Progressed::Cancelled));
+        } else if call.open == 0 {
+            self.calls.remove(&reply.call);
+            self.answer(customer, Answer::NoJob);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/dispatch/rules.rs
@@ -0,0 +1,19 @@
+//! The operators' rules in force.
+
+use wire::lease::{Queue, Rules};
+
+/// Finds the queue that a request addresses, and the rest of its path.
+pub fn route<'a>(rules: &'a Rules, host: &str, path: &'a str) -> Option<(&'a Queue, &'a str)> {
+    let name = host.split(':').next().unwrap_or_default();
+    rules
+        .queues
+        .iter()
+        .filter(|queue| queue.host.eq_ignore_ascii_case(name))
+        .filter_map(|queue| Some((queue, path.strip_prefix(queue.prefix.as_str())?)))
+        .max_by_key(|(queue, _)| queue.prefix.len())
+}
+
+/// Returns whether `new` may replace `old`: rules never go back.
+pub fn is_newer(old: Option<&Rules>, new: &Rules) -> bool {
+    old.is_none_or(|old| new.revision > old.revision && new.version >= old.version)
+}
--- /dev/null
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -0,0 +1,275 @@
+//! Customers' requests: jobs handed in, asked for, cancelled, given up.
+
+use super::{Answer, Dispatcher, Job, Progressed, Reason, Submission, job::State, route};
+use hashbrown::HashMap;
+use std::{collections::VecDeque, time::Duration};
+use wire::lease::{Ending, Frame, Run, Task};
+
+/// Time for which ended jobs are remembered.
+const REMEMBER: Duration = Duration::from_mins(2);
+
+/// Least time after which a refused customer is told to come back.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Pause before a task that failed starts anew; doubles with each failure.
+const FAILED_PAUSE: Duration = Duration::from_millis(5);
+
+/// Jobs that have ended, for customers that ask again.
+#[derive(Debug, Default)]
+pub(super) struct Memory {
+    states: HashMap<u64, Progressed>,
+    order: VecDeque<(Duration, u64)>,
+}
+
+impl Memory {
+    pub(super) fn insert(&mut self, now: Duration, job: u64, state: Progressed) {
+        self.states.insert(job, state);
+        self.order.push_back((now + REMEMBER, job));
+    }
+
+    pub(super) fn get(&self, job: u64) -> Option<Progressed> {
+        self.states.get(&job).copied()
+    }
+
+    pub(super) fn expire(&mut self, now: Duration) {
+        while self.order.front().is_some_and(|(until, _)| *until <= now) {
+            if let Some((_, job)) = self.order.pop_front() {
+                self.states.remove(&job);
+            }
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Takes a job for the queue at this address.
+    pub fn submit(
+        &mut self,
+        now: Duration,
+        customer: u64,
+        host: &str,
+        path: &str,
+        submission: Submission,
+    ) {
+        if let Some(state) = self.ended.get(submission.job) {
+            self.answer(customer, Answer::State(state));
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&submission.job) {
+            job.customers.push(customer);
+            return;
+        }
+        let Some(rules) = &self.rules else {
+            self.refuse(customer, Reason::NoRules);
+            return;
+        };
+        let Some((queue, _)) = route(rules, host, path) else {
+            self.answer(customer, Answer::NoQueue);
+            return;
+        };
+        let objective = submission.chain().mul_f64(queue.slack)
+            + Duration::from_millis(queue.target.into());
+        let job = Job {
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            priority: queue.priority,
+            attempts: queue.attempts.max(1),
+            accepted: now,
+            due: now + objective,
+            deadline: now + submission.patience,
+            tasks: submission.slots(),
+            ordered: false,
+            customers: vec![customer],
+            submission,
+        };
+        if self.leaving {
+            self.refuse(customer, Reason::Leaving);
+        } else if let Some(reason) = self.hopeless(now, &job) {
+            self.refuse(customer, reason);
+        } else {
+            self.accept(job);
+        }
+    }
+
+    fn accept(&mut self, mut job: Job) {
+        self.stats.accepted += 1;
+        let tasks = job.unblock();
+        self.jobs.insert(job.submission.job, job);
+        for task in tasks {
+            self.enqueue(task);
+        }
+    }
+
+    /// Returns why a job cannot be served, if so.
+    fn hopeless(&self, now: Duration, job: &Job) -> Option<Reason> {
+        let (all, _) = self.capacity(now, &job.service);
+        if all.cpu == 0 {
+            let known = self
+                .fleet
+                .iter()
+                .any(|(key, _)| self.fleet.service(key) == Some(&job.service));
+            return (!known).then_some(Reason::NoUpstream);
+        }
+        None
+    }
+
+    /// Answers with a job's state.
+    pub fn inspect(&mut self, customer: u64, job: u64) {
+        let answer = if let Some(state) = self.ended.get(job) {
+            Answer::State(state)
+        } else {
+            self.jobs.get(&job).map_or(Answer::NoJob, |job| {
+                let state = if job.ordered {
+                    Progressed::Running
+                } else {
+                    Progressed::Queued
+                };
+                Answer::State(state)
+            })
+        };
+        self.answer(customer, answer);
+    }
+
+    /// Answers with the number of a queue's jobs of which no task has started.
+    pub fn count(&mut self, customer: u64, host: &str, path: &str) {
+        let Some(rules) = &self.rules else {
+            self.refuse(customer, Reason::NoRules);
+            return;
+        };
+        let Some((queue, _)) = route(rules, host, path) else {
+            self.answer(customer, Answer::NoQueue);
+            return;
+        };
+        let name = queue.name.clone();
+        let own = self.pending_of(&name);
+        let others: u32 = self
+            .peers
+            .values()
+            .map(|peer| peer.pending.get(&name).copied().unwrap_or_default())
+            .sum();
+        self.answer(customer, Answer::Pending(own + others));
+    }
+
+    /// Returns the number of a queue's jobs here of which no task has started.
+    pub(super) fn pending_of(&self, queue: &str) -> u32 {
+        let waits = |job: &&Job| job.queue == queue && !job.ordered;
+        u32::try_from(self.jobs.values().filter(waits).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Records that a customer has gone; a job that nobody waits for is
+    /// stopped.
+    pub fn forget(&mut self, job: u64, customer: u64) {
+        let Some(work) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        work.customers.retain(|other| *other != customer);
+        if work.customers.is_empty() {
+            self.stats.abandoned += 1;
+            self.drop_job(job);
+        }
+    }
+
+    /// Stops a job at its customer's request; false if it is not known here.
+    pub(super) fn cancel_here(&mut self, now: Duration, job: u64) -> bool {
+        if self.jobs.contains_key(&job) {
+            self.finish(now, job, Progressed::Cancelled);
+            return true;
+        }
+        self.ended.get(job).is_some()
+    }
+
+    /// Lets a job go on after the end of one of its runs.
+    pub(super) fn advance(&mut self, now: Duration, task: Task, ending: Ending) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if ending == Ending::Done {
+            if job.is_done() {
+                self.finish(now, task.job, Progressed::Completed);
+                return;
+            }
+            for freed in job.unblock() {
+                self.enqueue(freed);
+            }
+            return;
+        }
+        let attempts = job.attempts;
+        let Some(slot) = job.slot(task) else { return };
+        if slot.failures >= attempts {
+            self.finish(now, task.job, Progressed::Failed);
+            return;
+        }
+        if ending == Ending::Failed {
+            slot.resume = now + FAILED_PAUSE * (1 << slot.failures.min(6));
+        }
+        self.enqueue(task);
+    }
+
+    /// Ends a job and answers its customers.
+    pub(super) fn finish(&mut self, now: Duration, job: u64, state: Progressed) {
+        let Some(work) = self.drop_job(job) else {
+            return;
+        };
+        match state {
+            Progressed::Completed => self.stats.completed += 1,
+            Progressed::Failed => self.stats.failed += 1,
+            Progressed::Queued | Progressed::Running | Progressed::Cancelled => {}
+        }
+        self.ended.insert(now, job, state);
+        for customer in work.customers {
+            self.answer(customer, Answer::State(state));
+        }
+    }
+
+    /// Forgets a job and stops what runs of it.
+    fn drop_job(&mut self, job: u64) -> Option<Job> {
+        let work = self.jobs.remove(&job)?;
+        let rank = (work.priority, work.due);
+        for task in work.waiting() {
+            self.waiting.remove(&(rank, task));
+        }
+        let mut stops: HashMap<super::Key, Vec<Run>> = HashMap::new();
+        for (side, run) in work.placed() {
+            stops.entry(side).or_default().push(run);
+        }
+        for (side, runs) in stops {
+            self.send(side, Frame::Stop(runs));
+        }
+        Some(work)
+    }
+
+    /// Gives up jobs whose customers have gone, and those that wait without
+    /// hope.
+    pub(super) fn expire(&mut self, now: Duration) {
+        let over: Vec<u64> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| now >= job.deadline)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            let Some(job) = self.drop_job(id) else { continue };
+            self.stats.expired += 1;
+            for customer in &job.customers {
+                if job.ordered {
+                    self.answer(*customer, Answer::Expired);
+                } else {
+                    self.refuse(*customer, Reason::Overload);
+                }
+            }
+        }
+    }
+
+    pub(super) fn refuse(&mut self, customer: u64, reason: Reason) {
+        self.stats.refused += 1;
+        let retry = self.retry_pause(RETRY);
+        self.answer(customer, Answer::Refused { reason, retry });
+    }
+}
+
+impl Job {
+    /// Returns whether a run of the task is under way.
+    pub fn is_placed(&self, task: Task) -> bool {
+        let slot = &self.tasks[usize::from(task.step)][usize::from(task.index)];
+        matches!(slot.state, State::Placed { .. })
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/guard/hold.rs
@@ -0,0 +1,218 @@
+//! Renewal of leases, and what the upstream's lists tell.
+
+use super::{Action, Guard, Hold, Phase};
+use crate::millis;
+use std::time::Duration;
+use wire::lease::{Ending, Frame, Progress, Refusal, Run, Task};
+
+/// Factor on a task's estimate beyond which its progress is told.
+const TELL_FACTOR: u32 = 3;
+
+/// Time without progress that is told.
+const TELL_STILL: Duration = Duration::from_millis(240);
+
+/// Least time between two reports of one run's progress.
+const TELL_AGAIN: Duration = Duration::from_millis(200);
+
+/// A run that the upstream lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Listed {
+    /// The run.
+    pub run: Run,
+    /// Share of its work that is done, in percent.
+    pub percent: u8,
+}
+
+/// The upstream's lists.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// Start of the upstream's life, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// The upstream's clock, in milliseconds.
+    pub clock: u64,
+    /// What runs.
+    pub running: Vec<Listed>,
+    /// Ends not yet acknowledged, with their numbers, in order.
+    pub ended: Vec<(u64, Run, Ending)>,
+}
+
+impl Guard {
+    /// Sends the next call that renews leases, unless one is under way.
+    pub(super) fn hold(&mut self, now: Duration) {
+        if self.holding {
+            return;
+        }
+        self.holding = true;
+        let heard = now.saturating_sub(self.heard) <= self.pace.deaf();
+        let renews = heard && self.clean && !self.runs.is_empty();
+        let deadline = if renews { self.lease_end(now) } else { None };
+        if deadline.is_some() {
+            self.leased = self.leased.max(now + self.pace.longest_lease());
+        }
+        self.actions.push(Action::Hold(Hold {
+            token: self.token,
+            ended: self.cursor,
+            deadline,
+            wait: self.pace.wait(),
+        }));
+    }
+
+    /// Records that a call has failed.
+    pub fn hold_failed(&mut self, now: Duration) {
+        self.holding = false;
+        self.hold(now);
+    }
+
+    /// Records that another holder's token is higher than ours.
+    pub fn hold_fenced(&mut self, now: Duration) {
+        self.token += super::order::TOKEN_STEP;
+        self.hold_failed(now);
+    }
+
+    /// Records that the upstream is not there: nothing runs.
+    pub fn gone(&mut self, now: Duration) {
+        self.holding = false;
+        self.clean = false;
+        self.heard = Duration::ZERO;
+        self.end_all(now);
+    }
+
+    /// Takes the upstream's lists.
+    pub fn held(&mut self, now: Duration, held: &Held) {
+        self.holding = false;
+        if held.born >= self.born {
+            self.see_life(now, held.born);
+            self.heard = now;
+            for (number, run, ending) in &held.ended {
+                if *number > self.cursor {
+                    self.cursor = *number;
+                    self.ended(now, *run, *ending);
+                }
+            }
+            let newest = self.clock.is_none_or(|(clock, _)| held.clock >= clock);
+            if newest {
+                self.clock = Some((held.clock, now));
+                self.see_running(now, held);
+            }
+        }
+        self.hold(now);
+    }
+
+    /// Starts anew if the upstream has; what ran before is over.
+    pub(super) fn see_life(&mut self, now: Duration, born: u64) {
+        if born <= self.born {
+            return;
+        }
+        log::info!("event=upstream_life born={born} before={}", self.born);
+        self.stats.lives += 1;
+        self.born = born;
+        self.token = (self.token + 1).max(millis(now));
+        self.clock = None;
+        self.cursor = 0;
+        self.clean = false;
+        self.end_all(now);
+    }
+
+    fn end_all(&mut self, now: Duration) {
+        let tasks: Vec<Task> = self.runs.keys().copied().collect();
+        for task in tasks {
+            self.finish(now, task, Ending::Lapsed);
+        }
+        self.dirty = true;
+    }
+
+    /// Ends all runs once every lease must have run out.
+    pub(super) fn end_lapsed(&mut self, now: Duration) {
+        if !self.runs.is_empty() && now > self.leased {
+            log::warn!("event=leases_lapsed runs={}", self.runs.len());
+            self.clean = false;
+            self.end_all(now);
+        }
+    }
+
+    fn ended(&mut self, now: Duration, run: Run, ending: Ending) {
+        let matches = self
+            .runs
+            .get(&run.task)
+            .is_some_and(|slot| slot.attempt == run.attempt);
+        if matches {
+            self.finish(now, run.task, ending);
+        }
+    }
+
+    fn see_running(&mut self, now: Duration, held: &Held) {
+        let mut foreign = false;
+        for listed in &held.running {
+            if !self.see_run(now, *listed) {
+                foreign = true;
+                self.stats.foreign += 1;
+                log::warn!("event=foreign_run run={}", listed.run);
+                let (run, token) = (listed.run, self.token);
+                self.actions.push(Action::Stop { run, token });
+            }
+        }
+        if self.clean == foreign {
+            self.clean = !foreign;
+            self.dirty = true;
+        }
+        self.end_unstarted(now, held);
+    }
+
+    /// Records that a run is listed; false if nobody here has ordered it.
+    fn see_run(&mut self, now: Duration, listed: Listed) -> bool {
+        let Some(slot) = self.runs.get_mut(&listed.run.task) else {
+            return false;
+        };
+        if slot.attempt != listed.run.attempt {
+            return false;
+        }
+        slot.listed = true;
+        if slot.phase == Phase::Starting {
+            slot.phase = Phase::Running;
+        }
+        if listed.percent > slot.percent {
+            slot.percent = listed.percent;
+            slot.moved = now;
+        }
+        let elapsed = now.saturating_sub(slot.ordered);
+        let still = now.saturating_sub(slot.moved);
+        let long = elapsed > Duration::from_millis(slot.estimate.into()) * TELL_FACTOR;
+        let due = now.saturating_sub(slot.told) >= TELL_AGAIN;
+        if slot.stopped.is_none() && due && (long || still >= TELL_STILL) {
+            slot.told = now;
+            let progress = Progress {
+                run: listed.run,
+                elapsed: u32::try_from(millis(elapsed)).unwrap_or(u32::MAX),
+                percent: slot.percent,
+                still: u32::try_from(millis(still)).unwrap_or(u32::MAX),
+            };
+            let entry = slot.entry;
+            self.send(entry, Frame::Progress(progress));
+        }
+        true
+    }
+
+    /// Ends the runs that have not started and never will: barred by a stop,
+    /// or ordered under a lease that is over.
+    fn end_unstarted(&mut self, now: Duration, held: &Held) {
+        let stop = millis(self.pace.stop);
+        let absent: Vec<(Task, bool)> = self
+            .runs
+            .iter()
+            .filter(|(task, slot)| {
+                let listed = held.running.iter().any(|listed| listed.run == slot.id(**task));
+                let barred = slot.barred.is_some_and(|clock| held.clock > clock + stop);
+                !listed && (barred || held.clock > slot.lease + stop)
+            })
+            .map(|(task, slot)| (*task, slot.listed || slot.phase == Phase::Running))
+            .collect();
+        for (task, ran) in absent {
+            let ending = if ran {
+                Ending::Lapsed
+            } else {
+                Ending::NotRun(Refusal::Unanswered)
+            };
+            self.finish(now, task, ending);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/guard/mod.rs
@@ -0,0 +1,468 @@
+//! The side's state for leased tasks: the only process that gives orders to
+//! the upstream beside it, and so the one that guards the host's capacity.
+//!
+//! A run counts against the capacity from the order to start it until the
+//! upstream has listed its end, or until it is proved that it never ran.
+//! Whatever runs holds a short lease that [`Guard`] renews; it stops the runs
+//! of an entry that it has not heard for [`Pace::contact`], so that a job sent
+//! again through another entry never meets its own earlier runs.
+
+mod hold;
+mod order;
+mod pace;
+
+pub use hold::{Held, Listed};
+pub use order::Started;
+pub use pace::Pace;
+
+use crate::millis;
+use hashbrown::HashMap;
+use std::{collections::VecDeque, time::Duration};
+use wire::{
+    id::Incarnation,
+    lease::{
+        Addressed, Echo, End, Ending, Ends, Frame, Need, Refusal, Run, Status, Task, Upstream,
+    },
+};
+
+/// Longest time without a [`Status`] to a connected entry.
+pub const BEAT: Duration = Duration::from_millis(100);
+
+/// Least time between two [`Status`] frames, which gathers changes that come
+/// together.
+pub const GATHER: Duration = Duration::from_millis(4);
+
+/// Time for which ends wait for an entry that does not come back.
+const KEEP_ENDS: Duration = Duration::from_secs(10);
+
+/// What the runtime must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a frame to an entry.
+    Send(Addressed),
+    /// Order the upstream to start a run.
+    Start(Order),
+    /// Order the upstream to stop a run.
+    Stop {
+        /// The run.
+        run: Run,
+        /// Fencing token.
+        token: u64,
+    },
+    /// Renew the leases at the upstream and wait for an end.
+    Hold(Hold),
+    /// The entries known have changed.
+    Entries(Vec<wire::frame::Known>),
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The run.
+    pub run: Run,
+    /// Input.
+    pub input: String,
+    /// End of the lease, on the upstream's clock in milliseconds.
+    pub deadline: u64,
+    /// Fencing token.
+    pub token: u64,
+    /// The upstream that the order is meant for.
+    pub upstream: String,
+}
+
+/// A call that renews the leases and lists runs and ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hold {
+    /// Fencing token.
+    pub token: u64,
+    /// Ends up to this number have been taken.
+    pub ended: u64,
+    /// End of all leases, on the upstream's clock in milliseconds; `None`
+    /// leaves them as they are.
+    pub deadline: Option<u64>,
+    /// Longest time to wait for an end.
+    pub wait: Duration,
+}
+
+/// What an upstream says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    /// What entries need to know.
+    pub upstream: Upstream,
+    /// Time of its start, in milliseconds since the Unix epoch; rises from one
+    /// life to the next.
+    pub born: u64,
+    /// Whether it leaves and takes no new tasks.
+    pub leaving: bool,
+    /// Its clock, in milliseconds.
+    pub clock: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Ordered; no answer yet.
+    Starting,
+    /// Started.
+    Running,
+    /// The order's answer is lost; a stop bars it.
+    Unknown,
+    /// A stop is ordered.
+    Stopping,
+}
+
+#[derive(Debug)]
+struct Slot {
+    attempt: u32,
+    entry: Incarnation,
+    need: Need,
+    phase: Phase,
+    ordered: Duration,
+    /// End of the lease that the start order carried, on the upstream's clock.
+    lease: u64,
+    /// Whether a list of the upstream has shown the run.
+    listed: bool,
+    /// When a stop was last ordered.
+    stopped: Option<Duration>,
+    /// The upstream's clock when it had taken a stop.
+    barred: Option<u64>,
+    estimate: u32,
+    percent: u8,
+    moved: Duration,
+    told: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    /// Own clock at which the entry is known to have lived.
+    contact: Duration,
+    connected: bool,
+    received: u32,
+    /// Ends not yet acknowledged; the first has the number `first`.
+    ends: VecDeque<End>,
+    first: u64,
+    /// Number of the next end to send on this connection.
+    unsent: u64,
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Runs ordered.
+    pub started: u64,
+    /// Runs refused before any order.
+    pub refused: u64,
+    /// Orders without an answer.
+    pub unanswered: u64,
+    /// Runs stopped because their entry was silent.
+    pub orphaned: u64,
+    /// Runs at the upstream that nobody here ordered.
+    pub foreign: u64,
+    /// Lives of the upstream seen.
+    pub lives: u64,
+}
+
+/// The side's state.
+#[derive(Debug)]
+pub struct Guard {
+    pace: Pace,
+    token: u64,
+    announced: Option<Announcement>,
+    /// Start of the upstream's life that the lists speak of.
+    born: u64,
+    /// The upstream's clock and ours when it was last heard.
+    clock: Option<(u64, Duration)>,
+    heard: Duration,
+    /// Whether all runs at the upstream are known.
+    clean: bool,
+    /// No run outlives this time without a further order.
+    leased: Duration,
+    cursor: u64,
+    runs: HashMap<Task, Slot>,
+    peers: HashMap<Incarnation, Peer>,
+    holding: bool,
+    leaving: bool,
+    dirty: bool,
+    reported: Duration,
+    stats: Stats,
+    actions: Vec<Action>,
+}
+
+impl Guard {
+    /// Makes a guard that knows nothing of its upstream yet.
+    pub fn new(pace: Pace, now: Duration) -> Self {
+        Self {
+            pace,
+            token: millis(now),
+            announced: None,
+            born: 0,
+            clock: None,
+            heard: Duration::ZERO,
+            clean: false,
+            leased: Duration::ZERO,
+            cursor: 0,
+            runs: HashMap::new(),
+            peers: HashMap::new(),
+            holding: false,
+            leaving: false,
+            dirty: false,
+            reported: Duration::ZERO,
+            stats: Stats::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Drains what the runtime must do.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the counts since the start.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// Returns the number of runs that count against the capacity.
+    pub fn runs(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Returns what the upstream last said of itself.
+    pub fn announced(&self) -> Option<&Announcement> {
+        self.announced.as_ref()
+    }
+
+    /// Returns whether nothing runs and every end has reached its entry.
+    pub fn is_idle(&self) -> bool {
+        let told = |peer: &Peer| !peer.connected || peer.ends.is_empty();
+        self.runs.is_empty() && self.peers.values().all(told)
+    }
+
+    /// Starts no more tasks; those running go on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.dirty = true;
+    }
+
+    /// Returns whether a task may start now.
+    pub fn is_accepting(&self, now: Duration) -> bool {
+        let leaving = self.announced.as_ref().is_none_or(|known| known.leaving);
+        !self.leaving
+            && !leaving
+            && self.clean
+            && now.saturating_sub(self.heard) <= self.pace.deaf()
+    }
+
+    /// Returns the room left at the host.
+    pub fn free(&self) -> Need {
+        let Some(announced) = &self.announced else {
+            return Need::default();
+        };
+        let used = self
+            .runs
+            .values()
+            .fold(Need::default(), |sum, run| sum.plus(run.need));
+        announced.upstream.capacity.minus(used)
+    }
+
+    /// Records what the upstream says of itself.
+    pub fn announce(&mut self, now: Duration, announcement: Announcement) {
+        if announcement.born < self.born {
+            return;
+        }
+        self.see_life(now, announcement.born);
+        let known = self.announced.as_ref();
+        let changed = known.is_none_or(|known| {
+            known.upstream != announcement.upstream || known.leaving != announcement.leaving
+        });
+        self.announced = Some(announcement);
+        if changed {
+            self.dirty = true;
+            self.tell_upstream(None);
+        }
+    }
+
+    /// Records that the upstream has said that it ends.
+    pub fn withdraw(&mut self) {
+        if let Some(announced) = &mut self.announced {
+            announced.leaving = true;
+            self.dirty = true;
+        }
+    }
+
+    /// Records a connection to an entry and tells it what is held for it.
+    pub fn join(&mut self, now: Duration, entry: Incarnation) {
+        let peer = self.peers.entry(entry).or_insert_with(|| Peer {
+            first: 1,
+            ..Peer::default()
+        });
+        peer.contact = peer.contact.max(now);
+        peer.connected = true;
+        peer.received = 0;
+        peer.unsent = peer.first;
+        self.send_ends(entry);
+        let held = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.entry == entry)
+            .map(|(task, run)| run.id(*task))
+            .collect();
+        self.send(entry, Frame::Held(held));
+        self.tell_upstream(Some(entry));
+        self.dirty = true;
+    }
+
+    /// Records that the connection to an entry is lost.
+    pub fn lose(&mut self, entry: Incarnation) {
+        if let Some(peer) = self.peers.get_mut(&entry) {
+            peer.connected = false;
+        }
+    }
+
+    /// Returns the entries whose connections have been silent for too long.
+    pub fn silent(&self, now: Duration) -> Vec<Incarnation> {
+        let limit = self.pace.silence();
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.connected && now.saturating_sub(peer.contact) > limit)
+            .map(|(entry, _)| *entry)
+            .collect()
+    }
+
+    /// Takes a frame from an entry.
+    pub fn frame(&mut self, now: Duration, from: Incarnation, frame: Frame) {
+        match frame {
+            Frame::Echo(echo) => self.echo(from, echo),
+            Frame::Start(start) => self.start(now, from, start),
+            Frame::Stop(runs) => self.stop_runs(now, from, &runs),
+            Frame::Entries(entries) => self.actions.push(Action::Entries(entries)),
+            _ => log::debug!("event=frame_ignored entry={from}"),
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration) {
+        self.stop_orphans(now);
+        self.end_lapsed(now);
+        self.repeat_stops(now);
+        self.hold(now);
+        self.flush(now);
+        self.peers.retain(|_, peer| {
+            peer.connected || now.saturating_sub(peer.contact) <= KEEP_ENDS
+        });
+    }
+
+    /// Reports to the entries what is due.
+    pub fn flush(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.reported);
+        if age < GATHER || (age < BEAT && !self.dirty) {
+            return;
+        }
+        self.dirty = false;
+        self.reported = now;
+        let (free, accepting) = (self.free(), self.is_accepting(now));
+        let runs = u16::try_from(self.runs.len()).unwrap_or(u16::MAX);
+        for (entry, peer) in self.peers.iter().filter(|(_, peer)| peer.connected) {
+            let status = Status {
+                clock: millis(now),
+                received: peer.received,
+                free,
+                accepting,
+                runs,
+            };
+            self.actions
+                .push(Action::Send((*entry, Frame::Status(status))));
+        }
+    }
+
+    /// Returns whether a report waits for [`GATHER`] to pass.
+    pub fn is_dirty(&self) -> bool {
+        self.dirty
+    }
+
+    fn echo(&mut self, from: Incarnation, echo: Echo) {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
+        peer.contact = peer.contact.max(Duration::from_millis(echo.clock));
+        while peer.first <= echo.ended && peer.ends.pop_front().is_some() {
+            peer.first += 1;
+        }
+        peer.unsent = peer.unsent.max(peer.first);
+    }
+
+    fn tell_upstream(&mut self, entry: Option<Incarnation>) {
+        let upstream = self
+            .announced
+            .as_ref()
+            .map(|announced| announced.upstream.clone());
+        let connected = self.peers.iter().filter(|(_, peer)| peer.connected);
+        let entries: Vec<Incarnation> = match entry {
+            Some(entry) => vec![entry],
+            None => connected.map(|(entry, _)| *entry).collect(),
+        };
+        for entry in entries {
+            self.send(entry, Frame::Upstream(upstream.clone()));
+        }
+    }
+
+    /// Ends a run: frees its room and tells its entry.
+    fn finish(&mut self, now: Duration, task: Task, ending: Ending) {
+        let Some(run) = self.runs.remove(&task) else {
+            return;
+        };
+        self.dirty = true;
+        let end = End {
+            run: run.id(task),
+            ending,
+            spent: u32::try_from(millis(now.saturating_sub(run.ordered))).unwrap_or(u32::MAX),
+        };
+        self.tell_end(run.entry, end);
+    }
+
+    fn refuse(&mut self, entry: Incarnation, run: Run, refusal: Refusal) {
+        self.stats.refused += 1;
+        let end = End {
+            run,
+            ending: Ending::NotRun(refusal),
+            spent: 0,
+        };
+        self.tell_end(entry, end);
+    }
+
+    fn tell_end(&mut self, entry: Incarnation, end: End) {
+        if let Some(peer) = self.peers.get_mut(&entry) {
+            peer.ends.push_back(end);
+            self.send_ends(entry);
+        }
+    }
+
+    fn send_ends(&mut self, entry: Incarnation) {
+        let Some(peer) = self.peers.get_mut(&entry) else {
+            return;
+        };
+        let next = peer.first + peer.ends.len() as u64;
+        if !peer.connected || peer.unsent >= next {
+            return;
+        }
+        let skip = usize::try_from(peer.unsent - peer.first).unwrap_or(usize::MAX);
+        let ends = Ends {
+            first: peer.unsent,
+            ends: peer.ends.iter().skip(skip).copied().collect(),
+        };
+        peer.unsent = next;
+        self.send(entry, Frame::Ends(ends));
+    }
+
+    fn send(&mut self, to: Incarnation, frame: Frame) {
+        self.actions.push(Action::Send((to, frame)));
+    }
+}
+
+impl Slot {
+    fn id(&self, task: Task) -> Run {
+        Run {
+            task,
+            attempt: self.attempt,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/guard/order.rs
@@ -0,0 +1,252 @@
+//! Orders to the upstream: which starts are taken, and what becomes of those
+//! whose answers are lost.
+
+use super::{Action, Guard, Order, Phase, Slot};
+use crate::millis;
+use std::time::Duration;
+use wire::{
+    id::Incarnation,
+    lease::{Ending, Refusal, Run, Start, Task},
+};
+
+/// Least time between two stop orders for one run.
+const STOP_AGAIN: Duration = Duration::from_millis(100);
+
+/// Step by which the fencing token rises past one that is not known.
+pub(super) const TOKEN_STEP: u64 = 60_000;
+
+/// The upstream's answer to a start order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Started {
+    /// It runs.
+    Taken,
+    /// Another holder has a higher token.
+    Fenced,
+    /// A run with this number or a higher one was there before.
+    Old,
+    /// The lease was over when the order arrived.
+    Late,
+    /// The host has no room.
+    Room,
+    /// The upstream refuses, or is another one than was meant.
+    Refused,
+    /// There was no answer; the order may still be carried out.
+    Unanswered,
+}
+
+impl Guard {
+    /// Takes an order to start runs.
+    pub(super) fn start(&mut self, now: Duration, from: Incarnation, start: Start) {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
+        let clock = Duration::from_millis(start.clock);
+        peer.contact = peer.contact.max(clock);
+        peer.received = peer.received.wrapping_add(1);
+        self.dirty = true;
+        let fresh = now.saturating_sub(clock) <= self.pace.fresh();
+        for run in start.runs {
+            let refusal = if fresh {
+                self.refusal(now, run, start.need)
+            } else {
+                Some(Refusal::Stale)
+            };
+            match refusal {
+                Some(Refusal::Duplicate) => self.replace(now, from, run),
+                Some(refusal) => self.refuse(from, run, refusal),
+                None => {
+                    let slot = self.slot(now, from, run, start.need, start.estimate);
+                    self.order(now, run, slot, start.input.clone());
+                }
+            }
+        }
+    }
+
+    fn refusal(&self, now: Duration, run: Run, need: wire::lease::Need) -> Option<Refusal> {
+        if !self.is_accepting(now) {
+            Some(Refusal::Closed)
+        } else if self.runs.contains_key(&run.task) {
+            Some(Refusal::Duplicate)
+        } else if !need.fits(self.free()) {
+            Some(Refusal::Room)
+        } else {
+            None
+        }
+    }
+
+    /// Stops an earlier run of a task that is to start anew; the new order is
+    /// refused until that has ended.
+    fn replace(&mut self, now: Duration, from: Incarnation, run: Run) {
+        let same = self
+            .runs
+            .get(&run.task)
+            .is_some_and(|slot| slot.entry == from && slot.attempt == run.attempt);
+        if same {
+            return;
+        }
+        self.stop(now, run.task);
+        self.refuse(from, run, Refusal::Duplicate);
+    }
+
+    fn slot(
+        &self,
+        now: Duration,
+        entry: Incarnation,
+        run: Run,
+        need: wire::lease::Need,
+        estimate: u32,
+    ) -> Slot {
+        Slot {
+            attempt: run.attempt,
+            entry,
+            need,
+            phase: Phase::Starting,
+            ordered: now,
+            lease: self.lease_end(now).unwrap_or_default(),
+            listed: false,
+            stopped: None,
+            barred: None,
+            estimate,
+            percent: 0,
+            moved: now,
+            told: now,
+        }
+    }
+
+    fn order(&mut self, now: Duration, run: Run, slot: Slot, input: String) {
+        self.stats.started += 1;
+        self.leased = self.leased.max(now + self.pace.longest_lease());
+        let upstream = self
+            .announced
+            .as_ref()
+            .map_or_else(String::new, |known| known.upstream.id.clone());
+        self.actions.push(Action::Start(Order {
+            run,
+            input,
+            deadline: slot.lease,
+            token: self.token,
+            upstream,
+        }));
+        self.runs.insert(run.task, slot);
+    }
+
+    /// Returns the end of a lease given now, on the upstream's clock.
+    pub(super) fn lease_end(&self, now: Duration) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        Some(clock + millis(now.saturating_sub(at)) + millis(self.pace.lease))
+    }
+
+    /// Records the upstream's answer to a start order.
+    pub fn started(&mut self, now: Duration, run: Run, answer: Started) {
+        let Some(slot) = self.runs.get_mut(&run.task) else {
+            return;
+        };
+        if slot.attempt != run.attempt || slot.listed {
+            return;
+        }
+        let refusal = match answer {
+            Started::Taken => {
+                if slot.phase == Phase::Starting {
+                    slot.phase = Phase::Running;
+                }
+                return;
+            }
+            Started::Unanswered => {
+                self.stats.unanswered += 1;
+                slot.phase = Phase::Unknown;
+                self.order_stop(now, run.task);
+                return;
+            }
+            Started::Fenced => {
+                self.token += TOKEN_STEP;
+                Refusal::Upstream
+            }
+            Started::Old => Refusal::Attempt,
+            Started::Late => Refusal::Stale,
+            Started::Room => Refusal::Room,
+            Started::Refused => Refusal::Upstream,
+        };
+        log::warn!("event=order_refused run={run} answer={answer:?}");
+        self.finish(now, run.task, Ending::NotRun(refusal));
+    }
+
+    /// Takes an entry's order to stop runs.
+    pub(super) fn stop_runs(&mut self, now: Duration, from: Incarnation, runs: &[Run]) {
+        for run in runs {
+            let held = self.runs.get(&run.task);
+            if held.is_some_and(|slot| slot.entry == from && slot.attempt == run.attempt) {
+                self.stop(now, run.task);
+            }
+        }
+    }
+
+    /// Stops a run, unless a stop is already under way.
+    pub(super) fn stop(&mut self, now: Duration, task: Task) {
+        let Some(slot) = self.runs.get_mut(&task) else {
+            return;
+        };
+        if slot.stopped.is_some() {
+            return;
+        }
+        slot.phase = match slot.phase {
+            // Its own answer may still be under way.
+            Phase::Starting | Phase::Unknown => Phase::Unknown,
+            Phase::Running | Phase::Stopping => Phase::Stopping,
+        };
+        self.order_stop(now, task);
+    }
+
+    fn order_stop(&mut self, now: Duration, task: Task) {
+        let Some(slot) = self.runs.get_mut(&task) else {
+            return;
+        };
+        slot.stopped = Some(now);
+        let run = slot.id(task);
+        let token = self.token;
+        self.actions.push(Action::Stop { run, token });
+    }
+
+    /// Records that the upstream has taken a stop order, at its `clock`.
+    pub fn stopped(&mut self, run: Run, clock: u64) {
+        if let Some(slot) = self.runs.get_mut(&run.task)
+            && slot.attempt == run.attempt
+        {
+            slot.barred = Some(clock);
+        }
+    }
+
+    /// Orders stops again that got no answer.
+    pub(super) fn repeat_stops(&mut self, now: Duration) {
+        let due: Vec<Task> = self
+            .runs
+            .iter()
+            .filter(|(_, slot)| {
+                let waits = |at: Duration| now.saturating_sub(at) >= STOP_AGAIN;
+                slot.barred.is_none() && slot.stopped.is_some_and(waits)
+            })
+            .map(|(task, _)| *task)
+            .collect();
+        for task in due {
+            self.order_stop(now, task);
+        }
+    }
+
+    /// Stops the runs of entries that have been silent for too long.
+    pub(super) fn stop_orphans(&mut self, now: Duration) {
+        let limit = self.pace.contact;
+        let orphans: Vec<Task> = self
+            .runs
+            .iter()
+            .filter(|(_, slot)| {
+                let contact = self.peers.get(&slot.entry).map_or(Duration::ZERO, |peer| peer.contact);
+                slot.stopped.is_none() && now.saturating_sub(contact) > limit
+            })
+            .map(|(task, _)| *task)
+            .collect();
+        for task in orphans {
+            self.stats.orphaned += 1;
+            log::warn!("event=run_orphaned task={task}");
+            self.stop(now, task);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/guard/pace.rs
@@ -0,0 +1,82 @@
+//! The times that leases and silences keep to.
+
+use std::time::Duration;
+
+/// Rate by which an upstream's clock may be slow, in thousandths.
+const SLOW_CLOCK: u32 = 20;
+
+/// Share of the resend time that a lease takes, in hundredths. With
+/// [`CONTACT_SHARE`] it leaves a tenth for messages under way.
+const LEASE_SHARE: u32 = 40;
+
+/// Share of the resend time after which a silent entry's runs are stopped, in
+/// hundredths.
+const CONTACT_SHARE: u32 = 49;
+
+/// Time for which a call to the upstream waits for an end; a third of a lease
+/// of today's deployments, so that two calls may go unanswered.
+const WAIT: Duration = Duration::from_millis(120);
+
+/// The times of one deployment.
+///
+/// A job may be sent again through another entry `resend` after its first
+/// entry fell silent. By then its runs are over, since
+/// `contact + lease * 1.02 < resend`: the side stops them after `contact`,
+/// and if the side is gone too, their leases run out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// Length of a lease.
+    pub lease: Duration,
+    /// Silence of an entry after which its runs are stopped.
+    pub contact: Duration,
+    /// Longest time that a stop takes at the upstream.
+    pub stop: Duration,
+}
+
+impl Pace {
+    /// Derives the times from the longest lease that upstreams grant and the
+    /// least time after which a customer sends a job again.
+    pub fn new(longest: Duration, resend: Duration, stop: Duration) -> Self {
+        Self {
+            lease: longest.min(resend * LEASE_SHARE / 100),
+            contact: resend * CONTACT_SHARE / 100,
+            stop,
+        }
+    }
+
+    /// Returns the longest real time that a lease lasts on a slow clock.
+    pub fn longest_lease(&self) -> Duration {
+        self.lease * (1_000 + SLOW_CLOCK) / 1_000
+    }
+
+    /// Returns the time from the last word between an entry and a side until
+    /// all that the entry started there is over.
+    pub fn over(&self) -> Duration {
+        self.contact + self.longest_lease() + self.stop
+    }
+
+    /// Returns the silence after which a connection is replaced.
+    pub fn silence(&self) -> Duration {
+        self.contact * 2 / 3
+    }
+
+    /// Returns the age up to which an order to a side counts as current.
+    pub fn fresh(&self) -> Duration {
+        self.contact / 2
+    }
+
+    /// Returns the silence of the upstream after which nothing starts there.
+    pub fn deaf(&self) -> Duration {
+        self.lease * 3 / 4
+    }
+
+    /// Returns the time for which a call waits for an end.
+    pub fn wait(&self) -> Duration {
+        WAIT.min(self.lease / 3)
+    }
+
+    /// Returns the time after which a call to the upstream counts as lost.
+    pub fn answer(&self) -> Duration {
+        self.lease / 6
+    }
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -7,9 +7,11 @@
 //! runs under the network, under tests and under the model checker.
 
 pub mod authority;
+pub mod dispatch;
 pub mod document;
 pub mod entry;
 pub mod fleet;
+pub mod guard;
 pub mod ini;
 pub mod learn;
 pub mod mutation;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -16,6 +16,7 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
+    ops::Range,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
@@ -269,9 +270,11 @@
             })
         })
         .collect();
-    Ok(Json(
-        json!({ "count": found.len().to_string(), "kvs": found }),
-    ))
+    Ok(Json(json!({
+        "header": { "revision": state.revision.to_string() },
+        "count": found.len().to_string(),
+        "kvs": found,
+    })))
 }
 
 #[handler]
@@ -349,11 +352,12 @@
     shared.admit(false).await?;
     let create = &request["create_request"];
     let key = bytes(create, "key")?;
+    let end = bytes(create, "range_end")?;
     let start = integer(create, "start_revision")?;
     let shared = Arc::clone(&shared);
     let created = Bytes::from_static(b"{\"result\":{\"created\":true}}\n");
     let events = stream::unfold(Some(shared), move |shared| {
-        next_event(shared, key.clone(), start)
+        next_event(shared, key.clone()..end.clone(), start)
     });
     let lines = stream::iter([created]);
     let body = Body::from_bytes_stream(futures::StreamExt::map(
@@ -363,10 +367,10 @@
     Ok(Response::builder().body(body))
 }
 
-/// Waits for the key's next change; the stream ends after one event.
+/// Waits for the next change of a key in the range; the stream ends after one event.
 async fn next_event(
     shared: Option<Arc<Shared>>,
-    key: Vec<u8>,
+    keys: Range<Vec<u8>>,
     start: u64,
 ) -> Option<(Bytes, Option<Arc<Shared>>)> {
     let shared = shared?;
@@ -375,10 +379,14 @@
         let modified = {
             let state = shared.lock();
             let out = state.faults.outage;
-            let pair = state.pairs.get(&key);
-            (!out).then(|| pair.map_or(0, |pair| pair.modified))
+            let pairs = state.pairs.range(keys.clone());
+            let newest = pairs.max_by_key(|(_, pair)| pair.modified);
+            let found = newest.map_or((keys.start.clone(), 0), |(key, pair)| {
+                (key.clone(), pair.modified)
+            });
+            (!out).then_some(found)
         };
-        let modified = modified?;
+        let (key, modified) = modified?;
         if modified >= start {
             let event = json!({ "result": { "events": [{ "kv": {
                 "key": STANDARD.encode(&key),
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Error, Store, Value,
-    store::{Item, Lease},
+    store::{Item, Lease, Listing},
 };
 use base64::{Engine, engine::general_purpose::STANDARD};
 use futures::StreamExt;
@@ -28,10 +28,16 @@
 
 #[derive(Debug, Deserialize)]
 struct Range {
+    header: Header,
     #[serde(default)]
     kvs: Vec<Pair>,
 }
 
+#[derive(Debug, Deserialize)]
+struct Header {
+    revision: String,
+}
+
 #[derive(Debug, Deserialize)]
 struct Pair {
     key: String,
@@ -85,9 +91,13 @@
         Ok(response.json().await?)
     }
 
-    async fn range(&self, body: Json) -> Result<Vec<Item>, Error> {
+    async fn range(&self, body: Json) -> Result<Listing, Error> {
         let range: Range = self.call("/kv/range", body).await?;
-        range.kvs.into_iter().map(Pair::decode).collect()
+        let items = range.kvs.into_iter().map(Pair::decode);
+        Ok(Listing {
+            revision: number(&range.header.revision)?,
+            items: items.collect::<Result<_, _>>()?,
+        })
     }
 }
 
@@ -107,17 +117,12 @@
     type Error = Error;
 
     async fn get(&self, key: &str) -> Result<Option<Value>, Error> {
-        let items = self.range(json!({ "key": encode(key) })).await?;
-        Ok(items.into_iter().next().map(|item| item.value))
+        let listing = self.range(json!({ "key": encode(key) })).await?;
+        Ok(listing.items.into_iter().next().map(|item| item.value))
     }
 
-    async fn list(&self, prefix: &str) -> Result<Vec<Item>, Error> {
-        let mut end = prefix.as_bytes().to_vec();
-        if let Some(last) = end.last_mut() {
-            *last += 1;
-        }
-        let end = STANDARD.encode(end);
-        self.range(json!({ "key": encode(prefix), "range_end": end }))
+    async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        self.range(json!({ "key": encode(prefix), "range_end": range_end(prefix) }))
             .await
     }
 
@@ -157,8 +162,12 @@
         Ok(renewal.result.ttl.is_some_and(|ttl| ttl != "0"))
     }
 
-    async fn wait(&self, key: &str, after: u64) -> Result<bool, Error> {
-        let create = json!({ "key": encode(key), "start_revision": (after + 1).to_string() });
+    async fn wait(&self, prefix: &str, after: u64) -> Result<bool, Error> {
+        let create = json!({
+            "key": encode(prefix),
+            "range_end": range_end(prefix),
+            "start_revision": (after + 1).to_string(),
+        });
         let response = self
             .http
             .post(format!("{}/watch", self.base))
@@ -181,6 +190,15 @@
     }
 }
 
+/// Returns the end of the range of all keys with the prefix.
+fn range_end(prefix: &str) -> String {
+    let mut end = prefix.as_bytes().to_vec();
+    if let Some(last) = end.last_mut() {
+        *last += 1;
+    }
+    STANDARD.encode(end)
+}
+
 fn encode(key: &str) -> String {
     STANDARD.encode(key)
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -20,6 +20,15 @@
     pub value: Value,
 }
 
+/// All keys with a prefix, as they stood at one revision of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// The store's revision.
+    pub revision: u64,
+    /// The keys with their values.
+    pub items: Vec<Item>,
+}
+
 /// A lease: keys attached to it vanish unless it is renewed in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Lease(pub i64);
@@ -36,7 +45,7 @@
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Value>, Self::Error>> + Send;
 
     /// Reads all keys with a prefix.
-    fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<Item>, Self::Error>> + Send;
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, Self::Error>> + Send;
 
     /// Writes a key if its value still has `expected` as revision (0: the key
     /// is absent). Returns whether the write was made.
@@ -61,8 +70,11 @@
     /// Renews a lease. Returns false if it has lapsed.
     fn renew(&self, lease: Lease) -> impl Future<Output = Result<bool, Self::Error>> + Send;
 
-    /// Waits until a key changes after the store's revision `after`, or for
-    /// some seconds. Returns whether it changed.
-    fn wait(&self, key: &str, after: u64)
-    -> impl Future<Output = Result<bool, Self::Error>> + Send;
+    /// Waits until a key with the prefix changes after the store's revision
+    /// `after`, or for some seconds. Returns whether one may have changed.
+    fn wait(
+        &self,
+        prefix: &str,
+        after: u64,
+    ) -> impl Future<Output = Result<bool, Self::Error>> + Send;
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -372,4 +372,6 @@
     Forward(Forward),
     /// See [`Reply`].
     Reply(Reply),
+    /// See [`crate::lease`].
+    Lease(crate::lease::Frame),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod codec;
 pub mod frame;
 pub mod id;
+pub mod lease;
 pub mod payload;
 pub mod proof;
 
