Count runs, not frames, in the side's load report

Cause: the entry numbered runs, the side counted frames; a frame with several runs left all but one of them in the entry's list of starts under way, so its room shrank for good.

--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -46,7 +46,7 @@
     pub(super) heard: Duration,
     pub(super) upstream: Option<Upstream>,
     pub(super) status: Option<Status>,
-    /// Start frames sent on this connection.
+    /// Runs sent on this connection.
     pub(super) sent: u32,
     /// Starts that no status covers yet.
     flight: VecDeque<(u32, Need)>,
@@ -125,7 +125,7 @@
         self.status = Some(status);
     }
 
-    /// Records that runs were sent in one frame.
+    /// Records that a run was sent.
     pub(super) fn launch(&mut self, need: Need) {
         self.sent += 1;
         self.flight.push_back((self.sent, need));
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -42,7 +42,8 @@
         };
         let clock = Duration::from_millis(start.clock);
         peer.contact = peer.contact.max(clock);
-        peer.received = peer.received.wrapping_add(1);
+        let runs = u32::try_from(start.runs.len()).unwrap_or(u32::MAX);
+        peer.received = peer.received.wrapping_add(runs);
         self.dirty = true;
         let fresh = now.saturating_sub(clock) <= self.pace.fresh();
         for run in start.runs {
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -137,7 +137,7 @@
 pub struct Status {
     /// The side's clock, in milliseconds.
     pub clock: u64,
-    /// Number of [`Start`] frames taken on this connection.
+    /// Number of runs taken from [`Start`] frames on this connection.
     pub received: u32,
     /// Room left at the host.
     pub free: Need,
