Bind late: sides with room claim tasks by rank over all entries

Ruled out: idle room (0 to 3 of 64 cores free while tasks wait), lost capacity by put-aside upstreams (one, whose longest pause is now 2 s).

--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -131,7 +131,11 @@
     }
 }
 
-pub(crate) async fn follow_entries<S: Store, E: From<Event>>(store: &S, own: &Own, events: &mpsc::Sender<E>) {
+pub(crate) async fn follow_entries<S: Store, E: From<Event>>(
+    store: &S,
+    own: &Own,
+    events: &mpsc::Sender<E>,
+) {
     let mut lease = None;
     let prefix = publication::entries_prefix(&own.environment, &own.region);
     loop {
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -125,6 +125,7 @@
         status,
         customers: HashMap::new(),
         unready: false,
+        logged: 0,
     };
     let process = tokio::spawn(process.run(inbox, dumps));
     log::info!(
@@ -195,10 +196,15 @@
     status: watch::Sender<Status>,
     customers: HashMap<u64, oneshot::Sender<Answer>>,
     unready: bool,
+    logged: u128,
 }
 
 impl Process {
-    async fn run(mut self, mut inbox: mpsc::Receiver<Event>, mut dumps: mpsc::Receiver<admin::Dump>) {
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Event>,
+        mut dumps: mpsc::Receiver<admin::Dump>,
+    ) {
         let clock = Clock::default();
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -316,6 +322,10 @@
             }
         }
         self.kernel.tick(now);
+        if now.as_millis() / 500 != self.logged {
+            self.logged = now.as_millis() / 500;
+            log::info!("event=load {}", self.kernel.describe(now));
+        }
     }
 
     fn act(&mut self) {
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -112,7 +112,9 @@
             if events.send(Event::Report(report)).await.is_err() {
                 return StatusCode::SERVICE_UNAVAILABLE.into();
             }
-            Response::builder().content_type("application/json").body("{}")
+            Response::builder()
+                .content_type("application/json")
+                .body("{}")
         }
         Err(error) => {
             log::warn!("event=report_dropped reason=\"{error}\"");
@@ -199,7 +201,8 @@
             self.act();
             if leaving {
                 let idle = self.kernel.is_idle();
-                self.idle.send_if_modified(|known| std::mem::replace(known, idle) != idle);
+                self.idle
+                    .send_if_modified(|known| std::mem::replace(known, idle) != idle);
             }
         }
     }
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -19,7 +19,7 @@
 
 /// First and longest time aside; doubles from one to the other.
 const ASIDE_FIRST: Duration = Duration::from_secs(1);
-const ASIDE_LONGEST: Duration = Duration::from_secs(8);
+const ASIDE_LONGEST: Duration = Duration::from_secs(2);
 
 /// Weight of one run in the learnt slowness of a side.
 const RUN_WEIGHT: f64 = 0.15;
@@ -101,6 +101,12 @@
             .fold(status.free, |room, (_, need)| room.minus(*need))
     }
 
+    /// Returns all that the host has.
+    pub(super) fn capacity(&self) -> Need {
+        let upstream = self.upstream.as_ref();
+        upstream.map_or_else(Need::default, |known| known.capacity)
+    }
+
     /// Returns whether tasks may be placed here.
     pub(super) fn is_open(&self, now: Duration) -> bool {
         let accepting = self.status.is_some_and(|status| status.accepting);
@@ -125,10 +131,13 @@
         self.status = Some(status);
     }
 
-    /// Records that a run was sent.
-    pub(super) fn launch(&mut self, need: Need) {
+    /// Records that a run was sent; the side's reports count the room of one
+    /// that it claimed already.
+    pub(super) fn launch(&mut self, need: Need, claimed: bool) {
         self.sent += 1;
-        self.flight.push_back((self.sent, need));
+        if !claimed {
+            self.flight.push_back((self.sent, need));
+        }
         if let Some(aside) = &mut self.aside {
             aside.probing = true;
         }
@@ -161,7 +170,9 @@
         if !may && self.aside.is_none() {
             return false;
         }
-        let waits = self.aside.is_some_and(|aside| now < aside.until && !aside.probing);
+        let waits = self
+            .aside
+            .is_some_and(|aside| now < aside.until && !aside.probing);
         if waits {
             return false;
         }
@@ -190,6 +201,8 @@
     sides: HashMap<Key, Side>,
     /// Run time against the estimate, over recent runs of all sides.
     pub(super) mean: f64,
+    /// Run time, over recent runs of all sides, in milliseconds.
+    pub(super) run_ms: f64,
 }
 
 impl Fleet {
@@ -243,10 +256,12 @@
 
     /// Learns from a run that succeeded; returns whether the upstream is put
     /// aside as too slow.
-    pub(super) fn learn(&mut self, now: Duration, key: Key, ratio: f64) -> bool {
+    pub(super) fn learn(&mut self, now: Duration, key: Key, ratio: f64, spent: u32) -> bool {
         if self.mean == 0.0 {
             self.mean = ratio;
+            self.run_ms = spent.into();
         }
+        self.run_ms += (f64::from(spent) - self.run_ms) * RUN_WEIGHT / 4.0;
         self.mean += (ratio - self.mean) * RUN_WEIGHT / 4.0;
         let mean = self.mean;
         let may = self.may_put_aside(now, key);
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -81,8 +81,10 @@
     pub(super) deadline: Duration,
     /// Tasks of each step.
     pub(super) tasks: Vec<Vec<Slot>>,
-    /// Whether any run was ordered; "not run" would no longer be true.
-    pub(super) ordered: bool,
+    /// Whether any run has started; "not run" would no longer be true.
+    pub(super) ran: bool,
+    /// Sides that know of a step whose tasks wait.
+    pub(super) reserved: Vec<(u16, Key)>,
     /// Customers who wait for the answer.
     pub(super) customers: Vec<u64>,
 }
@@ -118,7 +120,30 @@
         runs
     }
 
-    /// Returns the tasks in the given state.
+    /// Returns whether a task may have started.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.ran || !self.placed().is_empty()
+    }
+
+    /// Returns the first task of a step that waits and may run at a side.
+    pub(super) fn claimable(&self, now: Duration, step: u16, side: Key) -> Option<Task> {
+        let slots = self.tasks.get(usize::from(step))?;
+        let ready = |slot: &Slot| slot.state == State::Waiting && slot.resume <= now;
+        let index = slots
+            .iter()
+            .position(|slot| ready(slot) && slot.avoid != Some(side))
+            .or_else(|| slots.iter().position(ready))?;
+        Some(self.id(step, u16::try_from(index).ok()?))
+    }
+
+    /// Returns the number of a step's tasks that wait for room.
+    pub(super) fn count_waiting(&self, step: u16) -> u16 {
+        let slots = self.tasks.get(usize::from(step)).into_iter().flatten();
+        let waiting = slots.filter(|slot| slot.state == State::Waiting);
+        u16::try_from(waiting.count()).unwrap_or(u16::MAX)
+    }
+
+    /// Returns the tasks that wait for room.
     pub(super) fn waiting(&self) -> Vec<Task> {
         let mut tasks = Vec::new();
         self.each(|task, slot| {
@@ -171,9 +196,9 @@
     pub(super) fn work_left(&self) -> u64 {
         let mut work = 0;
         for (step, slots) in self.submission.steps.iter().zip(&self.tasks) {
-            let left = slots.iter().filter(|slot| {
-                matches!(slot.state, State::Blocked | State::Waiting)
-            });
+            let left = slots
+                .iter()
+                .filter(|slot| matches!(slot.state, State::Blocked | State::Waiting));
             work += left.count() as u64 * step.work();
         }
         work
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -222,6 +222,9 @@
         if let Some(side) = self.fleet.get_mut(key) {
             side.link = Link::Lost;
         }
+        for job in self.jobs.values_mut() {
+            job.reserved.retain(|(_, side)| *side != key);
+        }
     }
 
     /// Returns the sides whose connections have been silent for too long.
@@ -246,11 +249,30 @@
             Frame::Ends(ends) => self.ends(now, from, &ends),
             Frame::Held(runs) => self.held(now, from, &runs),
             Frame::Progress(progress) => self.progress(now, from, progress),
+            Frame::Claim(step) => self.claim(now, from, step),
             other => self.peer_frame(now, from, other),
         }
         self.changed = true;
     }
 
+    /// Describes the load in one line.
+    pub fn describe(&self, now: Duration) -> String {
+        let mut line = format!("jobs={} waiting={}", self.jobs.len(), self.waiting.len());
+        for (_, side) in self.fleet.iter() {
+            let status = side.status.map_or(0, |s| s.free.cpu);
+            line.push_str(&format!(
+                " {}:{}{}{}/{}/{:.2}",
+                side.name,
+                if side.is_open(now) { "o" } else { "c" },
+                if side.is_aside(now) { "A" } else { "-" },
+                status / 1000,
+                side.room().cpu / 1000,
+                side.slowness
+            ));
+        }
+        line
+    }
+
     /// Does what is due.
     pub fn tick(&mut self, now: Duration) {
         self.forget_sides(now);
@@ -301,7 +323,10 @@
         let known = side.ended;
         side.ended = known.max(ends.first + ends.ends.len() as u64 - 1);
         let skip = known.saturating_add(1).saturating_sub(ends.first);
-        let new = ends.ends.iter().skip(usize::try_from(skip).unwrap_or(usize::MAX));
+        let new = ends
+            .ends
+            .iter()
+            .skip(usize::try_from(skip).unwrap_or(usize::MAX));
         for end in new {
             self.end(now, from, *end);
         }
@@ -328,7 +353,11 @@
         }
         let unknown: Vec<Run> = runs
             .iter()
-            .filter(|run| self.fleet.get(from).is_some_and(|side| !side.runs.contains(*run)))
+            .filter(|run| {
+                self.fleet
+                    .get(from)
+                    .is_some_and(|side| !side.runs.contains(*run))
+            })
             .copied()
             .collect();
         if !unknown.is_empty() {
@@ -352,6 +381,7 @@
             return;
         };
         let estimate = job.step(task).estimate;
+        job.ran |= !matches!(end.ending, Ending::NotRun(_));
         let Some(slot) = job.slot(task) else { return };
         match end.ending {
             Ending::Done => slot.state = State::Done,
@@ -372,7 +402,7 @@
         let aside = match end.ending {
             Ending::Done => {
                 let ratio = f64::from(end.spent.max(1)) / estimate.as_secs_f64().max(1e-3) / 1e3;
-                self.fleet.learn(now, from, ratio)
+                self.fleet.learn(now, from, ratio, end.spent)
             }
             Ending::Failed => {
                 let may = self.fleet.may_put_aside(now, from);
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -177,7 +177,7 @@
         let mut pending: HashMap<&str, u32> = HashMap::new();
         let mut waiting: HashMap<u8, u64> = HashMap::new();
         for job in self.jobs.values() {
-            if !job.ordered {
+            if !job.may_have_run() {
                 *pending.entry(&job.queue).or_default() += 1;
             }
             *waiting.entry(job.priority).or_default() += job.work_left();
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -3,9 +3,9 @@
 use super::{Dispatcher, Key, fleet::Side, job::State};
 use crate::millis;
 use hashbrown::HashMap;
-use rand::RngExt;
+use rand::{RngExt, seq::SliceRandom};
 use std::time::Duration;
-use wire::lease::{Frame, Need, Progress, Run, Start, Task};
+use wire::lease::{Frame, Need, Progress, Reserve, Run, Start, Step, Task};
 
 /// Order among waiting tasks: by priority, then by when their objectives are
 /// missed.
@@ -14,6 +14,10 @@
 /// Waiting tasks that may find no room before the rest are not tried.
 const MISSES: u32 = 12;
 
+/// Sides that are told of a step whose tasks wait, at least and for each task.
+const RESERVE_LEAST: usize = 16;
+const RESERVE_EACH: usize = 2;
+
 /// Weight of the used share of a host in the choice, against slowness.
 const LOAD_WEIGHT: f64 = 0.25;
 
@@ -38,10 +42,13 @@
         let mut misses = 0;
         let mut orders: HashMap<(Key, u64, u16), Vec<Run>> = HashMap::new();
         let mut sequence: Vec<(Key, u64, u16)> = Vec::new();
-        let waiting: Vec<(Rank, Task)> = self.waiting.iter().copied().collect();
+        let mut waiting: Vec<(Rank, Task)> = self.waiting.iter().copied().collect();
+        // What can no longer meet its objective does not delay what can.
+        waiting.sort_by_key(|(rank, task)| (self.is_late(now, *task), *rank));
         for (rank, task) in waiting {
             if misses >= MISSES {
-                break;
+                self.reserve(now, task);
+                continue;
             }
             match self.place_task(now, task) {
                 Placing::Placed(side, run) => {
@@ -53,7 +60,10 @@
                     });
                     runs.push(run);
                 }
-                Placing::NoRoom => misses += 1,
+                Placing::NoRoom => {
+                    misses += 1;
+                    self.reserve(now, task);
+                }
                 Placing::Later => {}
                 Placing::Void => {
                     self.waiting.remove(&(rank, task));
@@ -63,7 +73,105 @@
         for key in sequence {
             let runs = orders.remove(&key).unwrap_or_default();
             self.order(key, runs);
+            self.unreserve(key.1, key.2);
+        }
+    }
+
+    /// Tells sides of a step whose tasks wait, unless they know.
+    fn reserve(&mut self, now: Duration, task: Task) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        if job.reserved.iter().any(|(step, _)| *step == task.step) {
+            return;
+        }
+        let step = job.step(task);
+        let count = job.count_waiting(task.step);
+        let mut sides: Vec<(Key, u64)> = self
+            .fleet
+            .iter()
+            .filter(|(_, side)| self.may_run(now, side, &job.service, step.label.as_deref()))
+            .filter(|(_, side)| step.need.fits(side.capacity()))
+            .map(|(key, side)| (key, side.status.map_or(0, |status| status.clock)))
+            .collect();
+        sides.shuffle(&mut self.random);
+        sides.truncate(RESERVE_LEAST.max(usize::from(count) * RESERVE_EACH));
+        let reserve = |clock| Reserve {
+            clock,
+            step: Step {
+                job: task.job,
+                number: task.step,
+            },
+            count,
+            need: step.need,
+            priority: job.priority,
+            slack: u32::try_from(millis(job.due.saturating_sub(now + step.estimate)))
+                .unwrap_or(u32::MAX),
+        };
+        let frames: Vec<(Key, Frame)> = sides
+            .iter()
+            .map(|(key, clock)| (*key, Frame::Reserve(reserve(*clock))))
+            .collect();
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let known = sides.iter().map(|(key, _)| (task.step, *key));
+            job.reserved.extend(known);
+        }
+        for (key, frame) in frames {
+            self.send(key, frame);
+        }
+    }
+
+    /// Tells sides that no task of a step waits any more.
+    fn unreserve(&mut self, id: u64, number: u16) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.reserved.is_empty() || job.count_waiting(number) > 0 {
+            return;
+        }
+        let known: Vec<Key> = job
+            .reserved
+            .extract_if(.., |(step, _)| *step == number)
+            .map(|(_, key)| key)
+            .collect();
+        for key in known {
+            self.send(key, Frame::Unreserve(Step { job: id, number }));
+        }
+    }
+
+    /// Gives a waiting task to a side that keeps room for it.
+    pub(super) fn claim(&mut self, now: Duration, from: Key, step: Step) {
+        let task = self.claimed_task(now, from, step);
+        let Some(task) = task else {
+            if let Some(job) = self.jobs.get_mut(&step.job) {
+                job.reserved.retain(|known| *known != (step.number, from));
+            }
+            self.send(from, Frame::Unreserve(step));
+            return;
+        };
+        if let Some(job) = self.jobs.get(&task.job) {
+            self.waiting.remove(&((job.priority, job.due), task));
+        }
+        if let Some(run) = self.assign(now, task, from, true) {
+            self.order((from, step.job, step.number), vec![run]);
         }
+        self.unreserve(step.job, step.number);
+    }
+
+    fn claimed_task(&self, now: Duration, from: Key, step: Step) -> Option<Task> {
+        let job = self.jobs.get(&step.job)?;
+        let side = self.fleet.get(from)?;
+        let task = job.claimable(now, step.number, from)?;
+        let wanted = job.step(task);
+        let allowed = self.may_run(now, side, &job.service, wanted.label.as_deref())
+            && !is_crowded(job, wanted.spread, task, from);
+        allowed.then_some(task)
+    }
+
+    fn is_late(&self, now: Duration, task: Task) -> bool {
+        self.jobs
+            .get(&task.job)
+            .is_some_and(|job| now + job.step(task).estimate > job.due)
     }
 
     fn place_task(&mut self, now: Duration, task: Task) -> Placing {
@@ -82,14 +190,17 @@
         let Some(key) = self.choose(now, task) else {
             return Placing::NoRoom;
         };
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return Placing::Void;
-        };
-        job.ordered = true;
+        match self.assign(now, task, key, false) {
+            Some(run) => Placing::Placed(key, run),
+            None => Placing::Void,
+        }
+    }
+
+    /// Makes a run of a task at a side.
+    fn assign(&mut self, now: Duration, task: Task, key: Key, claimed: bool) -> Option<Run> {
+        let job = self.jobs.get_mut(&task.job)?;
         let need = job.step(task).need;
-        let Some(slot) = job.slot(task) else {
-            return Placing::Void;
-        };
+        let slot = job.slot(task)?;
         slot.attempt += 1;
         let run = Run {
             task,
@@ -100,11 +211,10 @@
             attempt: slot.attempt,
             since: now,
         };
-        if let Some(side) = self.fleet.get_mut(key) {
-            side.runs.insert(run);
-            side.launch(need);
-        }
-        Placing::Placed(key, run)
+        let side = self.fleet.get_mut(key)?;
+        side.runs.insert(run);
+        side.launch(need, claimed);
+        Some(run)
     }
 
     /// Sends the runs of one step that go to one side.
@@ -160,14 +270,42 @@
             .as_ref()
             .is_none_or(|rules| rules.out.contains(&side.domain));
         let labelled = label.is_none_or(|label| upstream.labels.iter().any(|own| own == label));
-        !out && labelled
-            && upstream.service == service
-            && side.is_open(now)
-            && !side.is_aside(now)
+        !out && labelled && upstream.service == service && side.is_open(now) && !side.is_aside(now)
+    }
+
+    /// Returns the expected wait of a new job, over all sides and entries.
+    #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
+    pub(super) fn outlook(&self, now: Duration, service: &str, priority: u8) -> Duration {
+        let (mut processor, mut free) = (0.0, 0);
+        for (_, side) in self.fleet.iter() {
+            if self.may_run(now, side, service, None) {
+                processor += f64::from(side.capacity().cpu);
+                free += side.room().cpu;
+            }
+        }
+        let own = self.backlog_work(priority) as f64;
+        let others = self
+            .peers
+            .values()
+            .flat_map(|peer| &peer.waiting)
+            .filter(|(other, _)| *other <= priority)
+            .map(|(_, work)| *work as f64);
+        let work = own + others.sum::<f64>() - f64::from(free) * self.fleet.run_ms / 1e3;
+        Duration::from_secs_f64((work / f64::max(processor, 1.0)).clamp(0.0, 3_600.0))
+    }
+
+    /// Returns the work of up to a priority that waits at this entry, in
+    /// core-milliseconds.
+    fn backlog_work(&self, most: u8) -> u64 {
+        let tasks = self.waiting.iter();
+        tasks
+            .filter(|((priority, _), _)| *priority <= most)
+            .filter_map(|(_, task)| Some(self.jobs.get(&task.job)?.step(*task).work()))
+            .sum()
     }
 
     fn cost(&self, side: &Side, rack: Option<&str>) -> f64 {
-        let capacity = side.upstream.as_ref().map_or(0, |known| known.capacity.cpu);
+        let capacity = side.capacity().cpu;
         let used = 1.0 - f64::from(side.room().cpu) / f64::from(capacity.max(1));
         let far = rack.is_some_and(|rack| {
             side.upstream
@@ -177,7 +315,11 @@
         let slowness = side.slowness / self.fleet.mean.max(1e-3);
         slowness * if far { FAR_FACTOR } else { 1.0 }
             + used * LOAD_WEIGHT
-            + if side.domain == self.domain { 0.0 } else { DOMAIN_WEIGHT }
+            + if side.domain == self.domain {
+                0.0
+            } else {
+                DOMAIN_WEIGHT
+            }
     }
 
     /// Returns a number from 0 to 1 that differs from entry to entry.
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -3,7 +3,7 @@
 use super::{Answer, Dispatcher, Job, Progressed, Reason, Submission, job::State, route};
 use hashbrown::HashMap;
 use std::{collections::VecDeque, time::Duration};
-use wire::lease::{Ending, Frame, Run, Task};
+use wire::lease::{Ending, Frame, Run, Step, Task};
 
 /// Time for which ended jobs are remembered.
 const REMEMBER: Duration = Duration::from_mins(2);
@@ -11,6 +11,10 @@
 /// Least time after which a refused customer is told to come back.
 const RETRY: Duration = Duration::from_secs(1);
 
+/// Least run time against the customer's estimate that is reckoned with when a
+/// job is given up, since estimates are rough.
+const FASTEST: f64 = 0.6;
+
 /// Pause before a task that failed starts anew; doubles with each failure.
 const FAILED_PAUSE: Duration = Duration::from_millis(5);
 
@@ -66,8 +70,8 @@
             self.answer(customer, Answer::NoQueue);
             return;
         };
-        let objective = submission.chain().mul_f64(queue.slack)
-            + Duration::from_millis(queue.target.into());
+        let objective =
+            submission.chain().mul_f64(queue.slack) + Duration::from_millis(queue.target.into());
         let job = Job {
             queue: queue.name.clone(),
             service: queue.service.clone(),
@@ -77,7 +81,8 @@
             due: now + objective,
             deadline: now + submission.patience,
             tasks: submission.slots(),
-            ordered: false,
+            ran: false,
+            reserved: Vec::new(),
             customers: vec![customer],
             submission,
         };
@@ -109,7 +114,9 @@
                 .any(|(key, _)| self.fleet.service(key) == Some(&job.service));
             return (!known).then_some(Reason::NoUpstream);
         }
-        None
+        let wait = self.outlook(now, &job.service, job.priority);
+        let end = now + wait + self.expected(&job.submission);
+        (end > job.deadline).then_some(Reason::Overload)
     }
 
     /// Answers with a job's state.
@@ -118,7 +125,7 @@
             Answer::State(state)
         } else {
             self.jobs.get(&job).map_or(Answer::NoJob, |job| {
-                let state = if job.ordered {
+                let state = if job.may_have_run() {
                     Progressed::Running
                 } else {
                     Progressed::Queued
@@ -151,7 +158,7 @@
 
     /// Returns the number of a queue's jobs here of which no task has started.
     pub(super) fn pending_of(&self, queue: &str) -> u32 {
-        let waits = |job: &&Job| job.queue == queue && !job.ordered;
+        let waits = |job: &&Job| job.queue == queue && !job.may_have_run();
         u32::try_from(self.jobs.values().filter(waits).count()).unwrap_or(u32::MAX)
     }
 
@@ -234,23 +241,37 @@
         for (side, runs) in stops {
             self.send(side, Frame::Stop(runs));
         }
+        for (number, side) in &work.reserved {
+            let step = Step {
+                job,
+                number: *number,
+            };
+            self.send(*side, Frame::Unreserve(step));
+        }
         Some(work)
     }
 
-    /// Gives up jobs whose customers have gone, and those that wait without
-    /// hope.
+    /// Gives up jobs whose customers have gone, and those that cannot end
+    /// before.
     pub(super) fn expire(&mut self, now: Duration) {
         let over: Vec<u64> = self
             .jobs
             .iter()
-            .filter(|(_, job)| now >= job.deadline)
+            .filter(|(_, job)| {
+                let late = now + self.expected(&job.submission) > job.deadline;
+                now >= job.deadline || (late && !job.may_have_run())
+            })
             .map(|(id, _)| *id)
             .collect();
         for id in over {
-            let Some(job) = self.drop_job(id) else { continue };
+            let Some(job) = self.drop_job(id) else {
+                continue;
+            };
             self.stats.expired += 1;
+            let started = job.may_have_run();
+            log::info!("event=job_given_up job={id:016x} started={started}");
             for customer in &job.customers {
-                if job.ordered {
+                if started {
                     self.answer(*customer, Answer::Expired);
                 } else {
                     self.refuse(*customer, Reason::Overload);
@@ -259,6 +280,13 @@
         }
     }
 
+    /// Returns the least time that a job takes once it has room.
+    fn expected(&self, submission: &Submission) -> Duration {
+        submission
+            .chain()
+            .mul_f64(self.fleet.mean.clamp(FASTEST, 1.0))
+    }
+
     pub(super) fn refuse(&mut self, customer: u64, reason: Reason) {
         self.stats.refused += 1;
         let retry = self.retry_pause(RETRY);
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -118,6 +118,7 @@
         for task in tasks {
             self.finish(now, task, Ending::Lapsed);
         }
+        self.queue.clear();
         self.dirty = true;
     }
 
@@ -200,7 +201,10 @@
             .runs
             .iter()
             .filter(|(task, slot)| {
-                let listed = held.running.iter().any(|listed| listed.run == slot.id(**task));
+                let listed = held
+                    .running
+                    .iter()
+                    .any(|listed| listed.run == slot.id(**task));
                 let barred = slot.barred.is_some_and(|clock| held.clock > clock + stop);
                 !listed && (barred || held.clock > slot.lease + stop)
             })
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -10,6 +10,7 @@
 mod hold;
 mod order;
 mod pace;
+mod queue;
 
 pub use hold::{Held, Listed};
 pub use order::Started;
@@ -17,6 +18,7 @@
 
 use crate::millis;
 use hashbrown::HashMap;
+use queue::Queue;
 use std::{collections::VecDeque, time::Duration};
 use wire::{
     id::Incarnation,
@@ -178,6 +180,7 @@
     leased: Duration,
     cursor: u64,
     runs: HashMap<Task, Slot>,
+    queue: Queue,
     peers: HashMap<Incarnation, Peer>,
     holding: bool,
     leaving: bool,
@@ -201,6 +204,7 @@
             leased: Duration::ZERO,
             cursor: 0,
             runs: HashMap::new(),
+            queue: Queue::default(),
             peers: HashMap::new(),
             holding: false,
             leaving: false,
@@ -241,6 +245,7 @@
     pub fn leave(&mut self) {
         self.leaving = true;
         self.dirty = true;
+        self.queue.clear();
     }
 
     /// Returns whether a task may start now.
@@ -260,7 +265,7 @@
         let used = self
             .runs
             .values()
-            .fold(Need::default(), |sum, run| sum.plus(run.need));
+            .fold(self.queue.kept(), |sum, run| sum.plus(run.need));
         announced.upstream.capacity.minus(used)
     }
 
@@ -279,6 +284,7 @@
             self.dirty = true;
             self.tell_upstream(None);
         }
+        self.claim(now);
     }
 
     /// Records that the upstream has said that it ends.
@@ -287,6 +293,7 @@
             announced.leaving = true;
             self.dirty = true;
         }
+        self.queue.clear();
     }
 
     /// Records a connection to an entry and tells it what is held for it.
@@ -316,6 +323,7 @@
         if let Some(peer) = self.peers.get_mut(&entry) {
             peer.connected = false;
         }
+        self.queue.remove_entry(entry);
     }
 
     /// Returns the entries whose connections have been silent for too long.
@@ -334,6 +342,11 @@
             Frame::Echo(echo) => self.echo(from, echo),
             Frame::Start(start) => self.start(now, from, start),
             Frame::Stop(runs) => self.stop_runs(now, from, &runs),
+            Frame::Reserve(reserve) => self.reserve(now, from, &reserve),
+            Frame::Unreserve(step) => {
+                self.queue.remove(from, step);
+                self.claim(now);
+            }
             Frame::Entries(entries) => self.actions.push(Action::Entries(entries)),
             _ => log::debug!("event=frame_ignored entry={from}"),
         }
@@ -345,10 +358,11 @@
         self.end_lapsed(now);
         self.repeat_stops(now);
         self.hold(now);
+        self.queue.expire(now);
+        self.claim(now);
         self.flush(now);
-        self.peers.retain(|_, peer| {
-            peer.connected || now.saturating_sub(peer.contact) <= KEEP_ENDS
-        });
+        self.peers
+            .retain(|_, peer| peer.connected || now.saturating_sub(peer.contact) <= KEEP_ENDS);
     }
 
     /// Reports to the entries what is due.
@@ -417,6 +431,7 @@
             spent: u32::try_from(millis(now.saturating_sub(run.ordered))).unwrap_or(u32::MAX),
         };
         self.tell_end(run.entry, end);
+        self.claim(now);
     }
 
     fn refuse(&mut self, entry: Incarnation, run: Run, refusal: Refusal) {
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use wire::{
     id::Incarnation,
-    lease::{Ending, Refusal, Run, Start, Task},
+    lease::{Ending, Frame, Need, Refusal, Reserve, Run, Start, Step, Task},
 };
 
 /// Least time between two stop orders for one run.
@@ -46,24 +46,26 @@
         peer.received = peer.received.wrapping_add(runs);
         self.dirty = true;
         let fresh = now.saturating_sub(clock) <= self.pace.fresh();
-        for run in start.runs {
+        for run in &start.runs {
+            let step = Step {
+                job: run.task.job,
+                number: run.task.step,
+            };
+            self.queue.redeem(from, step);
             let refusal = if fresh {
-                self.refusal(now, run, start.need)
+                self.refusal(now, *run, start.need)
             } else {
                 Some(Refusal::Stale)
             };
             match refusal {
-                Some(Refusal::Duplicate) => self.replace(now, from, run),
-                Some(refusal) => self.refuse(from, run, refusal),
-                None => {
-                    let slot = self.slot(now, from, run, start.need, start.estimate);
-                    self.order(now, run, slot, start.input.clone());
-                }
+                Some(Refusal::Duplicate) => self.replace(now, from, *run),
+                Some(refusal) => self.refuse(from, *run, refusal),
+                None => self.order(now, from, *run, &start),
             }
         }
     }
 
-    fn refusal(&self, now: Duration, run: Run, need: wire::lease::Need) -> Option<Refusal> {
+    fn refusal(&self, now: Duration, run: Run, need: Need) -> Option<Refusal> {
         if !self.is_accepting(now) {
             Some(Refusal::Closed)
         } else if self.runs.contains_key(&run.task) {
@@ -75,6 +77,29 @@
         }
     }
 
+    /// Takes a step whose tasks wait for room.
+    pub(super) fn reserve(&mut self, now: Duration, from: Incarnation, reserve: &Reserve) {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
+        let clock = Duration::from_millis(reserve.clock);
+        peer.contact = peer.contact.max(clock);
+        if now.saturating_sub(clock) <= self.pace.fresh() && self.is_accepting(now) {
+            self.queue.push(now, from, reserve);
+            self.claim(now);
+        }
+    }
+
+    /// Claims tasks for the room that is free.
+    pub(super) fn claim(&mut self, now: Duration) {
+        if self.queue.is_empty() || !self.is_accepting(now) {
+            return;
+        }
+        while let Some((entry, step)) = self.queue.claim(now, self.free()) {
+            self.send(entry, Frame::Claim(step));
+        }
+    }
+
     /// Stops an earlier run of a task that is to start anew; the new order is
     /// refused until that has ended.
     fn replace(&mut self, now: Duration, from: Incarnation, run: Run) {
@@ -89,45 +114,36 @@
         self.refuse(from, run, Refusal::Duplicate);
     }
 
-    fn slot(
-        &self,
-        now: Duration,
-        entry: Incarnation,
-        run: Run,
-        need: wire::lease::Need,
-        estimate: u32,
-    ) -> Slot {
-        Slot {
-            attempt: run.attempt,
-            entry,
-            need,
-            phase: Phase::Starting,
-            ordered: now,
-            lease: self.lease_end(now).unwrap_or_default(),
-            listed: false,
-            stopped: None,
-            barred: None,
-            estimate,
-            percent: 0,
-            moved: now,
-            told: now,
-        }
-    }
-
-    fn order(&mut self, now: Duration, run: Run, slot: Slot, input: String) {
+    fn order(&mut self, now: Duration, entry: Incarnation, run: Run, start: &Start) {
         self.stats.started += 1;
         self.leased = self.leased.max(now + self.pace.longest_lease());
+        let deadline = self.lease_end(now).unwrap_or_default();
         let upstream = self
             .announced
             .as_ref()
             .map_or_else(String::new, |known| known.upstream.id.clone());
         self.actions.push(Action::Start(Order {
             run,
-            input,
-            deadline: slot.lease,
+            input: start.input.clone(),
+            deadline,
             token: self.token,
             upstream,
         }));
+        let slot = Slot {
+            attempt: run.attempt,
+            entry,
+            need: start.need,
+            phase: Phase::Starting,
+            ordered: now,
+            lease: deadline,
+            listed: false,
+            stopped: None,
+            barred: None,
+            estimate: start.estimate,
+            percent: 0,
+            moved: now,
+            told: now,
+        };
         self.runs.insert(run.task, slot);
     }
 
@@ -239,7 +255,10 @@
             .runs
             .iter()
             .filter(|(_, slot)| {
-                let contact = self.peers.get(&slot.entry).map_or(Duration::ZERO, |peer| peer.contact);
+                let contact = self
+                    .peers
+                    .get(&slot.entry)
+                    .map_or(Duration::ZERO, |peer| peer.contact);
                 slot.stopped.is_none() && now.saturating_sub(contact) > limit
             })
             .map(|(task, _)| *task)
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -57,9 +57,7 @@
 impl Need {
     /// Returns whether `self` fits into `room`.
     pub fn fits(self, room: Need) -> bool {
-        self.cpu <= room.cpu
-            && self.memory <= room.memory
-            && self.accelerators <= room.accelerators
+        self.cpu <= room.cpu && self.memory <= room.memory && self.accelerators <= room.accelerators
     }
 
     /// Adds another need.
@@ -117,6 +115,8 @@
     Unanswered,
     /// The connection was lost before the order arrived.
     Lost,
+    /// The entry has taken the order back, or is silent.
+    Withdrawn,
 }
 
 /// Side to entry: what the upstream beside it is; sent on every change.
@@ -171,6 +171,33 @@
     pub runs: Vec<Run>,
 }
 
+/// Entry to side: tasks of one step wait for room. The entry may have told
+/// several sides; the one that has room first gets a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reserve {
+    /// The side's clock as last heard, in milliseconds.
+    pub clock: u64,
+    /// The step.
+    pub step: Step,
+    /// Tasks that wait.
+    pub count: u16,
+    /// What each task occupies.
+    pub need: Need,
+    /// Rank among queues; 0 comes first.
+    pub priority: u8,
+    /// Time left to start without missing the objective, in milliseconds.
+    pub slack: u32,
+}
+
+/// Identifies a step of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Step {
+    /// The job.
+    pub job: u64,
+    /// Number of the step, from 0.
+    pub number: u16,
+}
+
 /// A run's end within [`Ends`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
@@ -287,6 +314,13 @@
     Start(Start),
     /// Entry to side: stop these runs.
     Stop(Vec<Run>),
+    /// See [`Reserve`].
+    Reserve(Reserve),
+    /// Entry to side: no task of the step waits any more. Also the answer to a
+    /// claim for which there is none.
+    Unreserve(Step),
+    /// Side to entry: room is kept for a task of the step.
+    Claim(Step),
     /// See [`Ends`].
     Ends(Ends),
     /// Side to entry, once on a new connection, after [`Ends`]: the entry's
