--- a/crates/hyssoppost/src/link.rs
+++ b/crates/hyssoppost/src/link.rs
@@ -36,17 +36,19 @@
 };
 
 /// Time that a peer has for its hello and proof.
-const HANDSHAKE: Duration = Duration::from_secs(2);
+const HANDSHAKE: Duration = Duration::from_secs(1);
 
-/// Time that a connection attempt may take.
-const CONNECT: Duration = Duration::from_secs(1);
+/// Time that a connection attempt may take: ten ways between regions. A host
+/// without power answers nothing, and the system's own next attempt comes only
+/// after a second.
+const CONNECT: Duration = Duration::from_millis(200);
 
 /// Time that a write may take before the connection counts as silent.
 const WRITE: Duration = Duration::from_secs(4);
 
 /// First and longest pause between connection attempts.
 const PAUSE_FIRST: Duration = Duration::from_millis(50);
-const PAUSE_LONGEST: Duration = Duration::from_secs(2);
+const PAUSE_LONGEST: Duration = Duration::from_millis(800);
 
 /// Bytes gathered before a write.
 const BATCH_BYTES: usize = 64 * 1024;
