Let tasks yield that will hardly meet their objectives

Cause: in overload, earliest-objective-first starts each task at the last moment by its estimate, which is 40 % off, so half of them end late and delay the next.

--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -14,6 +14,11 @@
 /// Waiting tasks that may find no room before the rest are not tried.
 const MISSES: u32 = 12;
 
+/// Run time against the estimate that is reckoned with for whether a task can
+/// still meet its objective: estimates are rough, and the slowest task of a
+/// step counts.
+const CAUTION: f64 = 1.3;
+
 /// Sides that are told of a step whose tasks wait, at least and for each task.
 const RESERVE_LEAST: usize = 16;
 const RESERVE_EACH: usize = 2;
@@ -105,7 +110,7 @@
             count,
             need: step.need,
             priority: job.priority,
-            slack: u32::try_from(millis(job.due.saturating_sub(now + step.estimate)))
+            slack: u32::try_from(millis(job.start_by(task).saturating_sub(now)))
                 .unwrap_or(u32::MAX),
         };
         let frames: Vec<(Key, Frame)> = sides
@@ -171,7 +176,7 @@
     fn is_late(&self, now: Duration, task: Task) -> bool {
         self.jobs
             .get(&task.job)
-            .is_some_and(|job| now + job.step(task).estimate > job.due)
+            .is_some_and(|job| now > job.start_by(task))
     }
 
     fn place_task(&mut self, now: Duration, task: Task) -> Placing {
@@ -399,3 +404,11 @@
         .filter(|slot| matches!(slot.state, State::Placed { side, .. } if side == key));
     there.count() >= usize::from(most)
 }
+
+impl super::Job {
+    /// Returns the latest start of a task that is likely to meet the objective.
+    fn start_by(&self, task: Task) -> Duration {
+        let run = self.step(task).estimate.mul_f64(CAUTION);
+        self.due.saturating_sub(run)
+    }
+}
