Refuse at once what cannot end while its answer is of use

Cause: jobs that had missed their objectives stayed queued until the customer's own deadline and got 200 or 503 seconds later (a nudge refused 2.5 s after it came).

--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -74,9 +74,10 @@
     pub(super) service: String,
     pub(super) priority: u8,
     pub(super) attempts: u32,
-    pub(super) accepted: Duration,
     /// When the objective is missed.
     pub(super) due: Duration,
+    /// When an answer is of no use any more.
+    pub(super) useful: Duration,
     /// When the customer has gone.
     pub(super) deadline: Duration,
     /// Tasks of each step.
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -11,6 +11,10 @@
 /// Least time after which a refused customer is told to come back.
 const RETRY: Duration = Duration::from_secs(1);
 
+/// Factor on a job's objective beyond which the service contract counts an
+/// answer as missed.
+const USEFUL_FACTOR: u32 = 3;
+
 /// Least run time against the customer's estimate that is reckoned with when a
 /// job is given up, since estimates are rough.
 const FASTEST: f64 = 0.6;
@@ -77,8 +81,8 @@
             service: queue.service.clone(),
             priority: queue.priority,
             attempts: queue.attempts.max(1),
-            accepted: now,
             due: now + objective,
+            useful: now + submission.patience.min(objective * USEFUL_FACTOR),
             deadline: now + submission.patience,
             tasks: submission.slots(),
             ran: false,
@@ -115,8 +119,12 @@
             return (!known).then_some(Reason::NoUpstream);
         }
         let wait = self.outlook(now, &job.service, job.priority);
-        let end = now + wait + self.expected(&job.submission);
-        (end > job.deadline).then_some(Reason::Overload)
+        (!self.is_useful(now + wait, job)).then_some(Reason::Overload)
+    }
+
+    /// Returns whether a job that starts then may end in time to be of use.
+    fn is_useful(&self, start: Duration, job: &Job) -> bool {
+        start + self.expected(&job.submission) <= job.useful
     }
 
     /// Answers with a job's state.
@@ -257,10 +265,7 @@
         let over: Vec<u64> = self
             .jobs
             .iter()
-            .filter(|(_, job)| {
-                let late = now + self.expected(&job.submission) > job.deadline;
-                now >= job.deadline || (late && !job.may_have_run())
-            })
+            .filter(|(_, job)| now >= job.deadline || self.has_no_hope(now, job))
             .map(|(id, _)| *id)
             .collect();
         for id in over {
@@ -280,6 +285,16 @@
         }
     }
 
+    /// Returns whether a job that has not started cannot end in time. One that
+    /// misses its objective waits behind all others.
+    fn has_no_hope(&self, now: Duration, job: &Job) -> bool {
+        if now < job.due || job.may_have_run() {
+            return false;
+        }
+        let wait = self.outlook(now, &job.service, u8::MAX);
+        !self.is_useful(now + wait, job)
+    }
+
     /// Returns the least time that a job takes once it has room.
     fn expected(&self, submission: &Submission) -> Duration {
         submission
