--- a/crates/hyssoppost/src/admin.rs
+++ b/crates/hyssoppost/src/admin.rs
@@ -1,7 +1,7 @@
 //! The admin interface: metrics, state dump and health, behind a token.
 
 use crate::{Error, http, settings::Common};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use poem::{
     Endpoint, EndpointExt, Middleware, Request, Response, Route, get, handler,
     http::StatusCode,
@@ -14,6 +14,12 @@
 /// Time that the admin interface's requests have on a planned stop.
 const DRAIN: Duration = Duration::from_secs(1);
 
+/// Bounds of histograms of times, in seconds: a network hop to a long task.
+const SECONDS: [f64; 10] = [0.002, 0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/// Bounds of histograms of ratios; 1 is an objective just met, 3 one missed.
+const RATIOS: [f64; 7] = [0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0];
+
 /// A request for a dump of the process's state.
 pub type Dump = oneshot::Sender<Value>;
 
@@ -63,11 +69,19 @@
     http::bind(common.admin, DRAIN, app).await
 }
 
+/// Serves metrics alone, without a token.
+pub async fn bind_metrics(address: std::net::SocketAddr) -> Result<http::Handle, Error> {
+    recorder();
+    let app = Route::new().at("/metrics", get(render));
+    http::bind(address, DRAIN, app).await
+}
+
 /// Returns the process's metrics recorder, installed on first use.
 pub fn recorder() -> &'static PrometheusHandle {
     static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
     RECORDER.get_or_init(|| {
-        let recorder = PrometheusBuilder::new().build_recorder();
+        let builder = PrometheusBuilder::new();
+        let recorder = with_buckets(builder).build_recorder();
         let handle = recorder.handle();
         if metrics::set_global_recorder(recorder).is_err() {
             log::warn!("event=metrics_not_installed reason=\"another recorder is in place\"");
@@ -76,6 +90,22 @@
     })
 }
 
+/// Gives the histograms fixed buckets, which cost less than quantiles.
+fn with_buckets(builder: PrometheusBuilder) -> PrometheusBuilder {
+    let suffixes = [
+        ("_seconds", SECONDS.as_slice()),
+        ("_ratio", RATIOS.as_slice()),
+    ];
+    suffixes
+        .into_iter()
+        .fold(builder, |builder, (suffix, bounds)| {
+            let matcher = Matcher::Suffix(suffix.to_owned());
+            builder
+                .set_buckets_for_metric(matcher, bounds)
+                .expect("the bounds are not empty")
+        })
+}
+
 #[handler]
 fn render() -> String {
     recorder().run_upkeep();
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -1,6 +1,10 @@
 //! The entry process for leased tasks.
 
-use super::{BATCH, EXIT_MARGIN, INBOX, TICK, front, hello, pace, rules};
+use super::{
+    BATCH, EXIT_MARGIN, INBOX, TICK, dump, front, hello, pace,
+    record::{self, Recorder},
+    rules,
+};
 use crate::{
     Error, admin,
     clock::Clock,
@@ -8,7 +12,7 @@
     http,
     link::{self, Joined, Local},
     mesh::Mesh,
-    settings,
+    meter, settings,
 };
 use hashbrown::HashMap;
 use kernel::dispatch::{Action, Answer, Dispatcher};
@@ -82,7 +86,8 @@
 /// A running entry.
 #[derive(Debug)]
 pub struct Handle {
-    _admin: http::Handle,
+    /// Dropping them would stop them.
+    _admin: (http::Handle, Option<http::Handle>),
     customers: http::Handle,
     readiness: http::Handle,
     events: mpsc::Sender<Event>,
@@ -105,6 +110,10 @@
     services.spawn(link::accept(listener, local.clone(), events.clone()));
     let (status, watched) = watch::channel(Status::default());
     let admin = admin::bind(&settings.common, dump_requests).await?;
+    let metrics = match settings.common.metrics {
+        Some(address) => Some(admin::bind_metrics(address).await?),
+        None => None,
+    };
     let customers = front::bind(&settings, events.clone(), watched.clone()).await?;
     let readiness = front::bind_readiness(lease.readiness, watched.clone()).await?;
     let store = platform::store::Client::open(settings.store)?;
@@ -120,6 +129,8 @@
     let seed = settings.seed.unwrap_or_else(rand::random);
     let kernel = Dispatcher::new(&settings.common.domain, pace(lease), seed);
     let process = Process {
+        recorder: Recorder::new(settings.common.sample),
+        published: Duration::ZERO,
         kernel,
         mesh: Mesh::new(local, events.clone(), settings.peers.clone()),
         status,
@@ -133,7 +144,7 @@
         customers.address(),
     );
     Ok(Handle {
-        _admin: admin,
+        _admin: (admin, metrics),
         customers,
         readiness,
         events,
@@ -190,6 +201,8 @@
 }
 
 struct Process {
+    recorder: Recorder,
+    published: Duration,
     kernel: Dispatcher,
     mesh: Mesh<Event>,
     status: watch::Sender<Status>,
@@ -222,7 +235,7 @@
                 }
                 Some(reply) = dumps.recv() => {
                     // The asker may have gone away.
-                    let _ = reply.send(serde_json::json!({ "jobs": self.kernel.open() }));
+                    let _ = reply.send(self.dump(clock.now()));
                 }
                 _ = tick.tick() => self.tick(clock.now()),
             }
@@ -231,6 +244,13 @@
         }
     }
 
+    /// Describes the process's state.
+    fn dump(&self, now: Duration) -> serde_json::Value {
+        let mut state = record::describe(self.mesh.local());
+        state.insert("kernel".to_owned(), dump::dispatcher(&self.kernel, now));
+        state.into()
+    }
+
     fn handle(&mut self, now: Duration, event: Event) {
         match event {
             Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
@@ -266,10 +286,10 @@
             }
             Event::Gone { job, customer } => {
                 self.customers.remove(&customer);
-                self.kernel.forget(job, customer);
+                self.kernel.forget(now, job, customer);
             }
             Event::Rules(rules) => {
-                self.kernel.adopt(&rules);
+                self.kernel.adopt(&rules, None);
             }
             Event::Registry(registry::Event::Entries(entries)) => {
                 self.mesh.register(entries);
@@ -320,9 +340,16 @@
             }
         }
         self.kernel.tick(now);
+        if now.saturating_sub(self.published) >= meter::INTERVAL {
+            self.published = now;
+            record::publish_entry(&self.kernel, self.mesh.local(), now);
+        }
     }
 
     fn act(&mut self) {
+        for event in self.kernel.take_events() {
+            self.recorder.take(&event);
+        }
         for action in self.kernel.take_actions() {
             match action {
                 Action::Send((to, frame)) => self.mesh.send(to, Frame::Lease(frame)),
--- a/crates/hyssoppost/src/leased/mod.rs
+++ b/crates/hyssoppost/src/leased/mod.rs
@@ -1,8 +1,10 @@
 //! The two processes for leased tasks, around [`kernel::dispatch`] and
 //! [`kernel::guard`].
 
+mod dump;
 pub mod entry;
 mod front;
+mod record;
 mod rules;
 pub mod side;
 
--- /dev/null
+++ b/crates/hyssoppost/src/leased/record.rs
@@ -0,0 +1,186 @@
+//! Log lines and metrics of what a kernel decides.
+
+use crate::{link::Local, logging, meter};
+use kernel::{
+    dispatch::{Dispatcher, Progressed},
+    event::{Event, Weight},
+    guard::Guard,
+    millis,
+};
+use metrics::{counter, gauge, histogram};
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+use wire::lease::Ending;
+
+/// Notable events logged a second, and at once after a quiet time. Beyond that
+/// a failure of many jobs at a time would cost more than it tells.
+const NOTABLE_A_SECOND: u32 = 200;
+
+/// Logs and counts events.
+#[derive(Debug)]
+pub(super) struct Recorder {
+    /// One of so many jobs has its ordinary events logged, the same ones in
+    /// every process.
+    sample: u64,
+    left: u32,
+    filled: Instant,
+    suppressed: u64,
+}
+
+impl Recorder {
+    pub(super) fn new(sample: u64) -> Self {
+        Self {
+            sample: sample.max(1),
+            left: NOTABLE_A_SECOND,
+            filled: Instant::now(),
+            suppressed: 0,
+        }
+    }
+
+    pub(super) fn take(&mut self, event: &Event) {
+        measure(event);
+        match event.weight() {
+            Weight::Ordinary if !self.samples(event) => {}
+            Weight::Ordinary => log::info!("{event}"),
+            Weight::Notable => {
+                if self.may_log() {
+                    log::warn!("{event}");
+                } else {
+                    self.suppressed += 1;
+                }
+            }
+        }
+    }
+
+    fn samples(&self, event: &Event) -> bool {
+        // Customers choose identifiers at random; the multiplication guards
+        // against those who count.
+        let mixed = event
+            .job()
+            .map(|job| job.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32);
+        mixed.is_none_or(|mixed| mixed % self.sample == 0)
+    }
+
+    fn may_log(&mut self) -> bool {
+        if self.filled.elapsed() >= Duration::from_secs(1) {
+            self.filled = Instant::now();
+            self.left = NOTABLE_A_SECOND;
+            if self.suppressed > 0 {
+                log::warn!("event=log_suppressed lines={}", self.suppressed);
+                self.suppressed = 0;
+            }
+        }
+        let may = self.left > 0;
+        self.left = self.left.saturating_sub(1);
+        may
+    }
+}
+
+fn measure(event: &Event) {
+    match event {
+        Event::Accepted { queue, .. } => {
+            counter!("hyssoppost_jobs_accepted_total", "queue" => queue.clone()).increment(1);
+        }
+        Event::Refused { reason, held, .. } => {
+            let when = if held.is_zero() { "at_once" } else { "later" };
+            let reason = reason.to_string();
+            counter!("hyssoppost_jobs_refused_total", "reason" => reason, "when" => when)
+                .increment(1);
+        }
+        Event::Answered {
+            queue,
+            state,
+            took,
+            objective,
+            ..
+        } => {
+            let outcome = match state {
+                Progressed::Completed if took <= objective => "in_time",
+                Progressed::Completed => "late",
+                Progressed::Failed => "failed",
+                _ => "cancelled",
+            };
+            counter!("hyssoppost_jobs_total", "queue" => queue.clone(), "outcome" => outcome)
+                .increment(1);
+            histogram!("hyssoppost_job_seconds", "queue" => queue.clone(), "outcome" => outcome)
+                .record(took.as_secs_f64());
+            let share = took.as_secs_f64() / objective.as_secs_f64().max(1e-3);
+            histogram!("hyssoppost_job_objective_ratio", "queue" => queue.clone()).record(share);
+        }
+        Event::GivenUp { .. } => counter!("hyssoppost_jobs_given_up_total").increment(1),
+        Event::Abandoned { .. } => counter!("hyssoppost_jobs_abandoned_total").increment(1),
+        Event::Placed { waited, .. } => {
+            histogram!("hyssoppost_run_wait_seconds").record(waited.as_secs_f64());
+        }
+        Event::Ended { ending, spent, .. } | Event::RunOver { ending, spent, .. } => {
+            let how = match ending {
+                Ending::NotRun(refusal) => format!("not_run_{refusal:?}").to_lowercase(),
+                other => other.to_string(),
+            };
+            counter!("hyssoppost_runs_total", "ending" => how.clone()).increment(1);
+            histogram!("hyssoppost_run_seconds", "ending" => how).record(spent.as_secs_f64());
+        }
+        Event::Moved { .. } => counter!("hyssoppost_runs_moved_total").increment(1),
+        Event::Aside { .. } => counter!("hyssoppost_upstreams_aside_total").increment(1),
+        Event::RunUnanswered { .. } => counter!("hyssoppost_orders_unanswered_total").increment(1),
+        Event::RunOrphaned { .. } => counter!("hyssoppost_runs_orphaned_total").increment(1),
+        _ => {}
+    }
+}
+
+/// Publishes an entry's gauges.
+pub(super) fn publish_entry(kernel: &Dispatcher, local: &Local, now: Duration) {
+    meter::publish(&local.hello.name, local);
+    publish_logging();
+    gauge!("hyssoppost_jobs_open").set(meter::count(kernel.open()));
+    gauge!("hyssoppost_tasks_waiting").set(meter::count(kernel.backlog()));
+    let (open, aside) = kernel.sides(now);
+    gauge!("hyssoppost_sides_open").set(meter::count(open));
+    gauge!("hyssoppost_sides_aside").set(meter::count(aside));
+    let version = kernel.rules().map_or(0, |rules| rules.version);
+    counter!("hyssoppost_rules_version").absolute(version);
+}
+
+/// Publishes a side's gauges.
+pub(super) fn publish_side(kernel: &Guard, local: &Local) {
+    meter::publish(&local.hello.name, local);
+    publish_logging();
+    gauge!("hyssoppost_runs_here").set(meter::count(kernel.runs()));
+    gauge!("hyssoppost_room_mcpu").set(f64::from(kernel.free().cpu));
+    counter!("hyssoppost_upstream_lives_total").absolute(kernel.stats().lives);
+    counter!("hyssoppost_runs_foreign_total").absolute(kernel.stats().foreign);
+}
+
+fn publish_logging() {
+    counter!("hyssoppost_log_lines_dropped_total").absolute(logging::dropped());
+}
+
+/// Describes a process for a dump on request.
+pub(super) fn describe(local: &Local) -> serde_json::Map<String, serde_json::Value> {
+    let traffic = &local.traffic;
+    let number = |value: &std::sync::atomic::AtomicU64| value.load(Ordering::Relaxed);
+    let mut state = serde_json::Map::new();
+    state.insert("name".to_owned(), local.hello.name.clone().into());
+    state.insert("domain".to_owned(), local.hello.domain.clone().into());
+    state.insert(
+        "incarnation".to_owned(),
+        local.hello.incarnation.to_string().into(),
+    );
+    state.insert(
+        "frames_sent".to_owned(),
+        number(&traffic.frames_sent).into(),
+    );
+    state.insert(
+        "frames_received".to_owned(),
+        number(&traffic.frames_received).into(),
+    );
+    state.insert("log_lines_dropped".to_owned(), logging::dropped().into());
+    state
+}
+
+/// Returns a duration in milliseconds for a dump.
+pub(super) fn age(duration: Duration) -> serde_json::Value {
+    millis(duration).into()
+}
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -1,13 +1,16 @@
 //! The side process for leased tasks.
 
-use super::{BATCH, EXIT_MARGIN, INBOX, TICK, hello, pace};
+use super::{
+    BATCH, EXIT_MARGIN, INBOX, TICK, dump, hello, pace,
+    record::{self, Recorder},
+};
 use crate::{
     Error, admin,
     clock::Clock,
     http,
     link::{self, Joined, Local},
     mesh::Mesh,
-    settings,
+    meter, settings,
 };
 use kernel::guard::{Action, GATHER, Guard, Held, Started};
 use platform::upstream::{Client, Failure, Report};
@@ -42,7 +45,8 @@
 /// A running side.
 #[derive(Debug)]
 pub struct Handle {
-    _admin: http::Handle,
+    /// Dropping them would stop them.
+    _admin: (http::Handle, Option<http::Handle>),
     reports: http::Handle,
     events: mpsc::Sender<Event>,
     idle: watch::Receiver<bool>,
@@ -58,12 +62,18 @@
     let incarnation = hello.incarnation;
     let local = Local::new(hello, settings.common.keys.clone());
     let admin = admin::bind(&settings.common, dump_requests).await?;
+    let metrics = match settings.common.metrics {
+        Some(address) => Some(admin::bind_metrics(address).await?),
+        None => None,
+    };
     let reports = bind_reports(settings.upstream, lease.service.clone(), events.clone()).await?;
     let pace = pace(&lease.lease);
     let client = Client::open(lease.address, pace.answer()).map_err(store::Error::from)?;
     let clock = Clock::default();
     let (idle, watched) = watch::channel(false);
     let process = Process {
+        recorder: Recorder::new(settings.common.sample),
+        published: Duration::ZERO,
         kernel: Guard::new(pace, clock.now()),
         mesh: Mesh::new(local, events.clone(), settings.entries.clone()),
         client,
@@ -77,7 +87,7 @@
         lease.address
     );
     Ok(Handle {
-        _admin: admin,
+        _admin: (admin, metrics),
         reports,
         events,
         idle: watched,
@@ -157,6 +167,8 @@
 }
 
 struct Process {
+    recorder: Recorder,
+    published: Duration,
     kernel: Guard,
     mesh: Mesh<Event>,
     client: Client,
@@ -191,7 +203,7 @@
                 }
                 Some(reply) = dumps.recv() => {
                     // The asker may have gone away.
-                    let _ = reply.send(serde_json::json!({ "runs": self.kernel.runs() }));
+                    let _ = reply.send(self.dump(clock.now()));
                 }
                 () = tokio::time::sleep(GATHER), if self.kernel.is_dirty() => {
                     self.kernel.flush(clock.now());
@@ -207,6 +219,13 @@
         }
     }
 
+    /// Describes the process's state.
+    fn dump(&self, now: Duration) -> serde_json::Value {
+        let mut state = record::describe(self.mesh.local());
+        state.insert("kernel".to_owned(), dump::guard(&self.kernel, now));
+        state.into()
+    }
+
     fn handle(&mut self, now: Duration, event: Event) {
         match event {
             Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
@@ -256,9 +275,16 @@
             }
         }
         self.kernel.tick(now);
+        if now.saturating_sub(self.published) >= meter::INTERVAL {
+            self.published = now;
+            record::publish_side(&self.kernel, self.mesh.local());
+        }
     }
 
     fn act(&mut self) {
+        for event in self.kernel.take_events() {
+            self.recorder.take(&event);
+        }
         for action in self.kernel.take_actions() {
             match action {
                 Action::Send((to, frame)) => self.mesh.send(to, Frame::Lease(frame)),
--- a/crates/hyssoppost/src/mesh.rs
+++ b/crates/hyssoppost/src/mesh.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns what this process says of itself.
+    pub(crate) fn local(&self) -> &Local {
+        &self.local
+    }
+
     /// Takes a new connection unless a newer one of its peer is there.
     pub(crate) fn admit(&mut self, joined: Joined) -> Option<Admitted> {
         if !self.order.admit(&joined) {
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -32,6 +32,10 @@
     pub keys: Keyring,
     /// Least severe log level.
     pub level: LevelFilter,
+    /// One of so many jobs has its ordinary course logged.
+    pub sample: u64,
+    /// Address at which metrics are shown without a token, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// Longest time that a planned stop waits for work in progress.
     pub drain: Duration,
 }
@@ -244,6 +248,8 @@
     let admin_token = reader.required("security", "admin_token", "the admin interface's token");
     let keys = read_keys(reader);
     let level = reader.optional("log", "level", "off, error, warn, info, debug or trace");
+    let sample = reader.optional("log", "sample", "a number of jobs");
+    let metrics = reader.optional("listen", "metrics", ADDRESS);
     let drain: Option<f64> = reader.optional(section, "drain_s", SECONDS);
     let drain = drain.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     let drain_ms = reader.optional(section, "drain_ms", MILLISECONDS);
@@ -256,6 +262,8 @@
         admin_token: admin_token?,
         keys: keys?,
         level: level.unwrap_or(LevelFilter::Info),
+        sample: sample.unwrap_or(1),
+        metrics,
         drain: drain.unwrap_or(Duration::from_millis(DEFAULT_DRAIN_MS)),
     })
 }
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -152,10 +152,12 @@
         self.echoed = 0;
     }
 
-    pub(super) fn succeeded(&mut self, ratio: f64) {
+    /// Records a success; returns whether the upstream was put aside before.
+    pub(super) fn succeeded(&mut self, ratio: f64) -> bool {
         self.failures = 0;
-        self.aside = None;
+        let back = self.aside.take().is_some();
         self.slowness += (ratio - self.slowness) * RUN_WEIGHT;
+        back
     }
 
     /// Records a failure that may be the upstream's; returns whether it is put
@@ -195,6 +197,15 @@
     }
 }
 
+/// What a run that succeeded has changed.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Learnt {
+    /// The upstream is put aside as too slow.
+    pub(super) aside: bool,
+    /// The upstream was put aside and is used again.
+    pub(super) back: bool,
+}
+
 /// All sides that the entry knows.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -254,9 +265,8 @@
         Some(&upstream.service)
     }
 
-    /// Learns from a run that succeeded; returns whether the upstream is put
-    /// aside as too slow.
-    pub(super) fn learn(&mut self, now: Duration, key: Key, ratio: f64, spent: u32) -> bool {
+    /// Learns from a run that succeeded.
+    pub(super) fn learn(&mut self, now: Duration, key: Key, ratio: f64, spent: u32) -> Learnt {
         if self.mean == 0.0 {
             self.mean = ratio;
             self.run_ms = spent.into();
@@ -266,10 +276,14 @@
         let mean = self.mean;
         let may = self.may_put_aside(now, key);
         let Some(side) = self.get_mut(key) else {
-            return false;
+            return Learnt::default();
         };
-        side.succeeded(ratio);
-        side.slowness > mean * TOO_SLOW && side.put_aside(now, may)
+        let back = side.succeeded(ratio);
+        let aside = side.slowness > mean * TOO_SLOW && side.put_aside(now, may);
+        Learnt {
+            aside,
+            back: back && !aside,
+        }
     }
 }
 
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -74,6 +74,7 @@
     pub(super) service: String,
     pub(super) priority: u8,
     pub(super) attempts: u32,
+    pub(super) accepted: Duration,
     /// When the objective is missed.
     pub(super) due: Duration,
     /// When an answer is of no use any more.
@@ -155,6 +156,18 @@
         tasks
     }
 
+    /// Returns the number of tasks that have not succeeded.
+    pub(super) fn left(&self) -> u32 {
+        let left = |slot: &&Slot| slot.state != State::Done;
+        u32::try_from(self.tasks.iter().flatten().filter(left).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of runs beyond the first of each task.
+    pub(super) fn reruns(&self) -> u32 {
+        let slots = self.tasks.iter().flatten();
+        slots.map(|slot| slot.attempt.saturating_sub(1)).sum()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.tasks
             .iter()
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -17,7 +17,10 @@
 pub use job::{Job, Step, Submission};
 pub use rules::route;
 
-use crate::guard::Pace;
+use crate::{
+    event::{Event, Way},
+    guard::Pace,
+};
 use fleet::{Link, Side, echo_interval};
 use hashbrown::HashMap;
 use job::State;
@@ -27,7 +30,7 @@
 use wire::{
     frame::{Hello, Known},
     id::Incarnation,
-    lease::{Addressed, Echo, End, Ending, Ends, Frame, Progress, Refusal, Rules, Run, Task},
+    lease::{Addressed, Echo, End, Ending, Ends, Frame, Need, Progress, Refusal, Rules, Run, Task},
 };
 
 /// Pause before a task that was refused is placed anew.
@@ -92,6 +95,27 @@
     NoUpstream,
 }
 
+/// What an entry believes of a side.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct View<'a> {
+    /// The side's name.
+    pub name: &'a str,
+    /// Its failure domain.
+    pub domain: &'a str,
+    /// Whether tasks may be placed there.
+    pub open: bool,
+    /// Whether its upstream is put aside.
+    pub aside: bool,
+    /// Time since it was last heard.
+    pub silent: Duration,
+    /// Room left.
+    pub room: Need,
+    /// Runs of this entry there.
+    pub runs: usize,
+    /// Run time against the mean of all sides.
+    pub slowness: f64,
+}
+
 /// Counts since the start.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Stats {
@@ -139,6 +163,7 @@
     changed: bool,
     stats: Stats,
     actions: Vec<Action>,
+    events: Vec<Event>,
 }
 
 impl Dispatcher {
@@ -162,6 +187,7 @@
             changed: false,
             stats: Stats::default(),
             actions: Vec::new(),
+            events: Vec::new(),
         }
     }
 
@@ -170,6 +196,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Drains what was decided.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Returns the counts since the start.
     pub fn stats(&self) -> &Stats {
         &self.stats
@@ -190,6 +221,30 @@
         self.waiting.len()
     }
 
+    /// Returns what the entry believes of each side.
+    pub fn side_views(&self, now: Duration) -> impl Iterator<Item = View<'_>> {
+        self.fleet.iter().map(move |(_, side)| View {
+            name: &side.name,
+            domain: &side.domain,
+            open: side.is_open(now),
+            aside: side.is_aside(now),
+            silent: now.saturating_sub(side.heard),
+            room: side.room(),
+            runs: side.runs.len(),
+            slowness: side.slowness / self.fleet.mean.max(1e-3),
+        })
+    }
+
+    /// Returns the numbers of sides that are connected and of those whose
+    /// upstreams are put aside.
+    pub fn sides(&self, now: Duration) -> (usize, usize) {
+        let open = |side: &&Side| side.is_open(now);
+        let sides = self.fleet.iter().map(|(_, side)| side);
+        let (aside, used): (Vec<&Side>, Vec<&Side>) =
+            sides.filter(open).partition(|side| side.is_aside(now));
+        (aside.len() + used.len(), aside.len())
+    }
+
     /// Returns whether jobs can be served: rules are in force and a side is
     /// connected.
     pub fn is_ready(&self) -> bool {
@@ -319,6 +374,10 @@
             return;
         };
         side.link = Link::Up;
+        self.events.push(Event::SideUp {
+            name: side.name.clone(),
+            side: from,
+        });
         let missing: Vec<Run> = side
             .runs
             .iter()
@@ -379,6 +438,12 @@
             slot.state = State::Waiting;
             slot.avoid = Some(from);
         }
+        self.events.push(Event::Ended {
+            run: end.run,
+            side: from,
+            ending: end.ending,
+            spent: Duration::from_millis(end.spent.into()),
+        });
         self.judge(now, from, end, estimate);
         self.advance(now, task, end.ending);
     }
@@ -388,7 +453,11 @@
         let aside = match end.ending {
             Ending::Done => {
                 let ratio = f64::from(end.spent.max(1)) / estimate.as_secs_f64().max(1e-3) / 1e3;
-                self.fleet.learn(now, from, ratio, end.spent)
+                let learnt = self.fleet.learn(now, from, ratio, end.spent);
+                if learnt.back {
+                    self.events.push(Event::Back { side: from });
+                }
+                learnt.aside
             }
             Ending::Failed => {
                 let may = self.fleet.may_put_aside(now, from);
@@ -412,11 +481,7 @@
             }
         };
         if aside {
-            log::warn!(
-                "event=upstream_aside side={from} run={} ending={:?}",
-                end.run,
-                end.ending
-            );
+            self.tell_aside(from, end.run);
         }
     }
 
@@ -426,20 +491,40 @@
             return;
         }
         self.stats.moved += 1;
-        log::warn!(
-            "event=run_moved run={} side={from} elapsed_ms={} percent={} still_ms={}",
-            progress.run,
-            progress.elapsed,
-            progress.percent,
-            progress.still
-        );
+        self.events.push(Event::Moved {
+            run: progress.run,
+            side: from,
+            elapsed: Duration::from_millis(progress.elapsed.into()),
+            percent: progress.percent,
+            still: Duration::from_millis(progress.still.into()),
+        });
         let may = self.fleet.may_put_aside(now, from);
-        if let Some(side) = self.fleet.get_mut(from) {
-            side.put_aside(now, may);
+        let aside = self
+            .fleet
+            .get_mut(from)
+            .is_some_and(|side| side.put_aside(now, may));
+        if aside {
+            self.tell_aside(from, progress.run);
         }
         self.send(from, Frame::Stop(vec![progress.run]));
     }
 
+    fn tell_aside(&mut self, side: Key, run: Run) {
+        let slowness = self.fleet.get(side).map_or(1.0, |side| side.slowness);
+        let share = slowness / self.fleet.mean.max(1e-3) * 100.0;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "clamped to the range"
+        )]
+        let slowness = share.clamp(0.0, 1e6) as u32;
+        self.events.push(Event::Aside {
+            side,
+            run,
+            slowness,
+        });
+    }
+
     /// Forgets sides that have been silent until all that ran there is over.
     fn forget_sides(&mut self, now: Duration) {
         let over = self.pace.over();
@@ -460,7 +545,12 @@
             return;
         };
         let runs: Vec<Run> = side.runs.iter().copied().collect();
-        log::warn!("event=side_dropped name={} runs={}", side.name, runs.len());
+        self.events.push(Event::SideGone {
+            name: side.name.clone(),
+            side: key,
+            silent: now.saturating_sub(side.heard),
+            runs: u32::try_from(runs.len()).unwrap_or(u32::MAX),
+        });
         self.stats.lost += runs.len() as u64;
         for run in runs {
             let end = End {
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -1,6 +1,6 @@
 //! Other entries: the rules that they have, and their jobs.
 
-use super::{Answer, Dispatcher, Progressed, rules::is_newer};
+use super::{Answer, Dispatcher, Event, Progressed, rules::is_newer};
 use crate::millis;
 use hashbrown::HashMap;
 use std::time::Duration;
@@ -84,17 +84,17 @@
 
     /// Puts rules in force, unless they are older than those in force. Returns
     /// whether they were taken.
-    pub fn adopt(&mut self, rules: &Rules) -> bool {
+    pub fn adopt(&mut self, rules: &Rules, from: Option<Incarnation>) -> bool {
         if !is_newer(self.rules.as_ref(), rules) {
             return false;
         }
-        log::info!(
-            "event=rules_in_force revision={} version={} queues={} out=\"{}\"",
-            rules.revision,
-            rules.version,
-            rules.queues.len(),
-            rules.out.join(",")
-        );
+        self.events.push(Event::Rules {
+            revision: rules.revision,
+            version: rules.version,
+            queues: u32::try_from(rules.queues.len()).unwrap_or(u32::MAX),
+            out: rules.out.join(","),
+            from,
+        });
         self.rules = Some(rules.clone());
         self.changed = true;
         let peers: Vec<Incarnation> = self.peers.keys().copied().collect();
@@ -113,7 +113,7 @@
                 }
             }
             Frame::Rules(rules) => {
-                self.adopt(&rules);
+                self.adopt(&rules, Some(from));
             }
             Frame::Cancel(cancel) => {
                 let known = self.cancel_here(now, cancel.job);
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -1,6 +1,6 @@
 //! Which task is placed next, and where.
 
-use super::{Dispatcher, Key, fleet::Side, job::State};
+use super::{Dispatcher, Event, Key, Way, fleet::Side, job::State};
 use crate::millis;
 use hashbrown::HashMap;
 use rand::{RngExt, seq::SliceRandom};
@@ -216,7 +216,16 @@
             attempt: slot.attempt,
             since: now,
         };
+        let waited = now.saturating_sub(job.accepted);
         let side = self.fleet.get_mut(key)?;
+        self.events.push(Event::Placed {
+            run,
+            side: key,
+            way: if claimed { Way::Claim } else { Way::Room },
+            room: side.room().cpu,
+            age: now.saturating_sub(side.heard),
+            waited,
+        });
         side.runs.insert(run);
         side.launch(need, claimed);
         Some(run)
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -1,6 +1,6 @@
 //! Customers' requests: jobs handed in, asked for, cancelled, given up.
 
-use super::{Answer, Dispatcher, Job, Progressed, Reason, Submission, job::State, route};
+use super::{Answer, Dispatcher, Event, Job, Progressed, Reason, Submission, job::State, route};
 use hashbrown::HashMap;
 use std::{collections::VecDeque, time::Duration};
 use wire::lease::{Ending, Frame, Run, Step, Task};
@@ -81,6 +81,7 @@
             service: queue.service.clone(),
             priority: queue.priority,
             attempts: queue.attempts.max(1),
+            accepted: now,
             due: now + objective,
             useful: now + submission.patience.min(objective * USEFUL_FACTOR),
             deadline: now + submission.patience,
@@ -90,17 +91,30 @@
             customers: vec![customer],
             submission,
         };
-        if self.leaving {
-            self.refuse(customer, Reason::Leaving);
-        } else if let Some(reason) = self.hopeless(now, &job) {
-            self.refuse(customer, reason);
+        let wait = self.outlook(now, &job.service, job.priority);
+        let reason = if self.leaving {
+            Some(Reason::Leaving)
         } else {
-            self.accept(job);
+            self.hopeless(now, &job, wait)
+        };
+        match reason {
+            Some(reason) => {
+                self.tell_refused(now, &job, reason, wait);
+                self.refuse(customer, reason);
+            }
+            None => self.accept(job, wait),
         }
     }
 
-    fn accept(&mut self, mut job: Job) {
+    fn accept(&mut self, mut job: Job, wait: Duration) {
         self.stats.accepted += 1;
+        self.events.push(Event::Accepted {
+            job: job.submission.job,
+            queue: job.queue.clone(),
+            tasks: job.left(),
+            wait,
+            objective: job.due.saturating_sub(job.accepted),
+        });
         let tasks = job.unblock();
         self.jobs.insert(job.submission.job, job);
         for task in tasks {
@@ -109,7 +123,7 @@
     }
 
     /// Returns why a job cannot be served, if so.
-    fn hopeless(&self, now: Duration, job: &Job) -> Option<Reason> {
+    fn hopeless(&self, now: Duration, job: &Job, wait: Duration) -> Option<Reason> {
         let (all, _) = self.capacity(now, &job.service);
         if all.cpu == 0 {
             let known = self
@@ -118,7 +132,6 @@
                 .any(|(key, _)| self.fleet.service(key) == Some(&job.service));
             return (!known).then_some(Reason::NoUpstream);
         }
-        let wait = self.outlook(now, &job.service, job.priority);
         (!self.is_useful(now + wait, job)).then_some(Reason::Overload)
     }
 
@@ -172,13 +185,18 @@
 
     /// Records that a customer has gone; a job that nobody waits for is
     /// stopped.
-    pub fn forget(&mut self, job: u64, customer: u64) {
+    pub fn forget(&mut self, now: Duration, job: u64, customer: u64) {
         let Some(work) = self.jobs.get_mut(&job) else {
             return;
         };
         work.customers.retain(|other| *other != customer);
         if work.customers.is_empty() {
             self.stats.abandoned += 1;
+            self.events.push(Event::Abandoned {
+                job,
+                held: now.saturating_sub(work.accepted),
+                started: work.may_have_run(),
+            });
             self.drop_job(job);
         }
     }
@@ -229,6 +247,14 @@
             Progressed::Failed => self.stats.failed += 1,
             Progressed::Queued | Progressed::Running | Progressed::Cancelled => {}
         }
+        self.events.push(Event::Answered {
+            job,
+            queue: work.queue.clone(),
+            state,
+            took: now.saturating_sub(work.accepted),
+            objective: work.due.saturating_sub(work.accepted),
+            reruns: work.reruns(),
+        });
         self.ended.insert(now, job, state);
         for customer in work.customers {
             self.answer(customer, Answer::State(state));
@@ -274,7 +300,16 @@
             };
             self.stats.expired += 1;
             let started = job.may_have_run();
-            log::info!("event=job_given_up job={id:016x} started={started}");
+            if started {
+                self.events.push(Event::GivenUp {
+                    job: id,
+                    held: now.saturating_sub(job.accepted),
+                    left: job.left(),
+                });
+            } else {
+                let wait = self.outlook(now, &job.service, u8::MAX);
+                self.tell_refused(now, &job, Reason::Overload, wait);
+            }
             for customer in &job.customers {
                 if started {
                     self.answer(*customer, Answer::Expired);
@@ -302,6 +337,16 @@
             .mul_f64(self.fleet.mean.clamp(FASTEST, 1.0))
     }
 
+    fn tell_refused(&mut self, now: Duration, job: &Job, reason: Reason, wait: Duration) {
+        self.events.push(Event::Refused {
+            job: job.submission.job,
+            reason,
+            wait,
+            useful: job.useful.saturating_sub(now),
+            held: now.saturating_sub(job.accepted),
+        });
+    }
+
     pub(super) fn refuse(&mut self, customer: u64, reason: Reason) {
         self.stats.refused += 1;
         let retry = self.retry_pause(RETRY);
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -1,7 +1,7 @@
 //! Renewal of leases, and what the upstream's lists tell.
 
 use super::{Action, Guard, Hold, Phase};
-use crate::millis;
+use crate::{event::Event, millis};
 use std::time::Duration;
 use wire::lease::{Ending, Frame, Progress, Refusal, Run, Task};
 
@@ -103,7 +103,11 @@
         if born <= self.born {
             return;
         }
-        log::info!("event=upstream_life born={born} before={}", self.born);
+        self.events.push(Event::Life {
+            born,
+            before: self.born,
+            runs: u32::try_from(self.runs.len()).unwrap_or(u32::MAX),
+        });
         self.stats.lives += 1;
         self.born = born;
         self.token = (self.token + 1).max(millis(now));
@@ -149,7 +153,10 @@
     /// Ends all runs once every lease must have run out.
     pub(super) fn end_lapsed(&mut self, now: Duration) {
         if !self.runs.is_empty() && now > self.leased {
-            log::warn!("event=leases_lapsed runs={}", self.runs.len());
+            self.events.push(Event::Lapsed {
+                runs: u32::try_from(self.runs.len()).unwrap_or(u32::MAX),
+                silent: now.saturating_sub(self.heard),
+            });
             self.clean = false;
             self.end_all(now);
         }
@@ -173,7 +180,7 @@
             if !self.see_run(now, *listed) {
                 foreign = true;
                 self.stats.foreign += 1;
-                log::warn!("event=foreign_run run={}", listed.run);
+                self.events.push(Event::RunForeign { run: listed.run });
                 let (run, token) = (listed.run, self.token);
                 self.actions.push(Action::Stop { run, token });
             }
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -16,7 +16,7 @@
 pub use order::Started;
 pub use pace::Pace;
 
-use crate::millis;
+use crate::{event::Event, millis};
 use hashbrown::HashMap;
 use queue::Queue;
 use std::{collections::VecDeque, time::Duration};
@@ -189,6 +189,9 @@
     reported: Duration,
     stats: Stats,
     actions: Vec<Action>,
+    events: Vec<Event>,
+    /// Whether the last report said that tasks may start.
+    told: bool,
 }
 
 impl Guard {
@@ -213,6 +216,8 @@
             reported: Duration::ZERO,
             stats: Stats::default(),
             actions: Vec::new(),
+            events: Vec::new(),
+            told: false,
         }
     }
 
@@ -221,6 +226,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Drains what was decided.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Returns the counts since the start.
     pub fn stats(&self) -> &Stats {
         &self.stats
@@ -375,6 +385,15 @@
         self.dirty = false;
         self.reported = now;
         let (free, accepting) = (self.free(), self.is_accepting(now));
+        if accepting != self.told {
+            self.told = accepting;
+            self.events.push(Event::Accepting {
+                accepting,
+                leaving: self.leaving || self.announced.as_ref().is_some_and(|known| known.leaving),
+                clean: self.clean,
+                silent: now.saturating_sub(self.heard),
+            });
+        }
         let runs = u16::try_from(self.runs.len()).unwrap_or(u16::MAX);
         for (entry, peer) in self.peers.iter().filter(|(_, peer)| peer.connected) {
             let status = Status {
@@ -431,6 +450,11 @@
             ending,
             spent: u32::try_from(millis(now.saturating_sub(run.ordered))).unwrap_or(u32::MAX),
         };
+        self.events.push(Event::RunOver {
+            run: end.run,
+            ending,
+            spent: now.saturating_sub(run.ordered),
+        });
         self.tell_end(run.entry, end);
         self.claim(now);
     }
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -2,7 +2,7 @@
 //! whose answers are lost.
 
 use super::{Action, Guard, Order, Phase, Slot};
-use crate::millis;
+use crate::{event::Event, millis};
 use std::time::Duration;
 use wire::{
     id::Incarnation,
@@ -58,8 +58,20 @@
                 Some(Refusal::Stale)
             };
             match refusal {
-                Some(Refusal::Duplicate) => self.replace(now, from, *run),
-                Some(refusal) => self.refuse(from, *run, refusal),
+                Some(refusal) => {
+                    self.events.push(Event::RunRefused {
+                        run: *run,
+                        entry: from,
+                        refusal,
+                        free: self.free().cpu,
+                        age: now.saturating_sub(clock),
+                    });
+                    if refusal == Refusal::Duplicate {
+                        self.replace(now, from, *run);
+                    } else {
+                        self.refuse(from, *run, refusal);
+                    }
+                }
                 None => self.order(now, from, *run, start),
             }
         }
@@ -145,6 +157,12 @@
             told: now,
         };
         self.runs.insert(run.task, slot);
+        self.events.push(Event::RunOrdered {
+            run,
+            entry,
+            lease: deadline,
+            free: self.free().cpu,
+        });
     }
 
     /// Returns the end of a lease given now, on the upstream's clock.
@@ -170,6 +188,7 @@
             }
             Started::Unanswered => {
                 self.stats.unanswered += 1;
+                self.events.push(Event::RunUnanswered { run });
                 slot.phase = Phase::Unknown;
                 self.order_stop(now, run.task);
                 return;
@@ -183,7 +202,6 @@
             Started::Room => Refusal::Room,
             Started::Refused => Refusal::Upstream,
         };
-        log::warn!("event=order_refused run={run} answer={answer:?}");
         self.finish(now, run.task, Ending::NotRun(refusal));
     }
 
@@ -265,7 +283,14 @@
             .collect();
         for task in orphans {
             self.stats.orphaned += 1;
-            log::warn!("event=run_orphaned task={task}");
+            if let Some(slot) = self.runs.get(&task) {
+                let contact = self.peers.get(&slot.entry).map(|peer| peer.contact);
+                self.events.push(Event::RunOrphaned {
+                    run: slot.id(task),
+                    entry: slot.entry,
+                    silent: now.saturating_sub(contact.unwrap_or_default()),
+                });
+            }
             self.stop(now, task);
         }
     }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod document;
 pub mod entry;
+pub mod event;
 pub mod fleet;
 pub mod guard;
 pub mod ini;
--- a/crates/kernel/tests/lease_faults.rs
+++ b/crates/kernel/tests/lease_faults.rs
@@ -180,15 +180,24 @@
 #[test]
 fn domain_out() {
     let mut site = Site::new(1, 3);
-    site.entries[0].as_mut().unwrap().adopt(&rules(2, &["d1"]));
+    site.entries[0]
+        .as_mut()
+        .unwrap()
+        .adopt(&rules(2, &["d1"]), None);
     for id in 0..6 {
         site.submit(0, job(id, 8, 1_000, RUN));
         site.run(Duration::from_millis(250));
     }
     assert!(site.ups[1].starts.is_empty(), "nothing starts there");
-    let taken = site.entries[0].as_mut().unwrap().adopt(&rules(1, &[]));
+    let taken = site.entries[0]
+        .as_mut()
+        .unwrap()
+        .adopt(&rules(1, &[]), None);
     assert!(!taken, "older rules are refused");
-    site.entries[0].as_mut().unwrap().adopt(&rules(3, &[]));
+    site.entries[0]
+        .as_mut()
+        .unwrap()
+        .adopt(&rules(3, &[]), None);
     site.submit(0, job(100, 12, 1_000, RUN));
     site.run(Duration::from_millis(250));
     assert!(!site.ups[1].starts.is_empty(), "and it is back");
--- a/crates/kernel/tests/lease_histories.rs
+++ b/crates/kernel/tests/lease_histories.rs
@@ -97,7 +97,7 @@
         if let Some(dispatcher) = &mut self.site.entries[entry]
             && !self.site.frozen_entries[entry]
         {
-            dispatcher.forget(id, customer);
+            dispatcher.forget(self.site.now, id, customer);
         }
         let at = self.site.now + RESEND;
         self.lost.push(Lost { at, id, tasks });
--- a/crates/kernel/tests/leased_jobs.rs
+++ b/crates/kernel/tests/leased_jobs.rs
@@ -97,7 +97,8 @@
     let mut site = Site::new(1, 1);
     let customer = site.submit(0, job(1, 4, 1_000, RUN));
     site.run(Duration::from_millis(30));
-    site.entries[0].as_mut().unwrap().forget(1, customer);
+    let now = site.now;
+    site.entries[0].as_mut().unwrap().forget(now, 1, customer);
     site.run(Duration::from_millis(30));
     assert_eq!(site.ups[0].running().count(), 0, "its runs are stopped");
     let next = site.submit(0, job(2, 4, 1_000, RUN));
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -96,6 +96,18 @@
     NotRun(Refusal),
 }
 
+impl fmt::Display for Ending {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Done => formatter.write_str("done"),
+            Self::Failed => formatter.write_str("failed"),
+            Self::Stopped => formatter.write_str("stopped"),
+            Self::Lapsed => formatter.write_str("lapsed"),
+            Self::NotRun(refusal) => write!(formatter, "not_run:{refusal:?}"),
+        }
+    }
+}
+
 /// Why a run did not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
