--- /dev/null
+++ b/crates/hyssopctl/src/cmd/explain.rs
@@ -0,0 +1,111 @@
+//! `hyssopctl explain`.
+
+use crate::{
+    Error,
+    story::{self, Line},
+};
+use lexopt::{Arg, Parser, ValueExt};
+use std::{
+    fs::File,
+    io::{BufRead, BufReader, stdin},
+    path::{Path, PathBuf},
+};
+
+/// Usage of the command.
+pub const USAGE: &str = "\
+Tells a job's story from the logs of any number of processes.
+
+Usage:
+    hyssopctl explain ID [FILE...]
+
+Prints every line about the job in order of time, and its cause at the end.
+Reads standard input without FILE, or where FILE is -. The ordinary course of a
+job may not be logged (see [log] sample); failures are.
+
+Options:
+    -h, --help   Print this text.
+
+Example:
+    hyssopctl explain 5c0e7a21d94b36f8 entry-1.log entry-2.log side-*.log
+";
+
+#[derive(Debug)]
+struct Arguments {
+    job: String,
+    files: Vec<PathBuf>,
+}
+
+/// Runs the command.
+pub fn run(parser: Parser) -> Result<(), Error> {
+    let Some(arguments) = parse(parser)? else {
+        print!("{USAGE}");
+        return Ok(());
+    };
+    let mut lines = Vec::new();
+    for file in &arguments.files {
+        if file == Path::new("-") {
+            collect(stdin().lock(), &arguments.job, "-", &mut lines)?;
+            continue;
+        }
+        let opened = File::open(file).map_err(|source| Error::File {
+            file: file.clone(),
+            source,
+        })?;
+        let name = file.display().to_string();
+        collect(BufReader::new(opened), &arguments.job, &name, &mut lines)?;
+    }
+    if lines.is_empty() {
+        return Err(Error::Job(format!("no line about {}", arguments.job)));
+    }
+    lines.sort_by(|left, right| left.time.cmp(&right.time));
+    for line in &lines {
+        print_line(line);
+    }
+    println!("cause: {}", story::cause(&lines));
+    Ok(())
+}
+
+fn collect(
+    input: impl BufRead,
+    job: &str,
+    file: &str,
+    lines: &mut Vec<Line>,
+) -> Result<(), Error> {
+    for text in input.lines() {
+        lines.extend(story::read(&text?, job, file));
+    }
+    Ok(())
+}
+
+fn print_line(line: &Line) {
+    let pairs: Vec<String> = line
+        .pairs
+        .iter()
+        .map(|(key, value)| format!("{key}={value}"))
+        .collect();
+    println!(
+        "{} {} {} {}",
+        line.time,
+        line.process,
+        line.event,
+        pairs.join(" ")
+    );
+}
+
+fn parse(mut parser: Parser) -> Result<Option<Arguments>, lexopt::Error> {
+    let mut job: Option<String> = None;
+    let mut files = Vec::new();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            Arg::Value(value) if job.is_none() => job = Some(value.string()?),
+            Arg::Value(value) => files.push(PathBuf::from(value)),
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    let job = job.ok_or("missing argument ID; see --help")?;
+    if files.is_empty() {
+        files.push(PathBuf::from("-"));
+    }
+    Ok(Some(Arguments { job, files }))
+}
--- a/crates/hyssopctl/src/cmd/mod.rs
+++ b/crates/hyssopctl/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod domain;
 pub mod dump;
+pub mod explain;
 pub mod progress;
 pub mod publish;
 pub mod slopes;
--- a/crates/hyssopctl/src/main.rs
+++ b/crates/hyssopctl/src/main.rs
@@ -18,6 +18,7 @@
     demo     Run a whole site in one process and submit jobs to it.
     domain   Take a failure domain out of service or bring it back.
     dump     Print a process's whole state.
+    explain  Tell a job's story from logs.
     publish  Put an environment's document in force.
     slopes   Measure what entries and sides cost.
     submit   Submit jobs and print their answers.
@@ -57,6 +58,7 @@
         "demo" => cmd::demo::run(parser),
         "domain" => cmd::domain::run(parser),
         "dump" => cmd::dump::run(parser),
+        "explain" => cmd::explain::run(parser),
         "publish" => cmd::publish::run(parser),
         "slopes" => cmd::slopes::run(parser),
         "submit" => cmd::submit::run(parser),
