--- a/crates/hyssopctl/src/cmd/explain.rs
+++ b/crates/hyssopctl/src/cmd/explain.rs
@@ -65,12 +65,7 @@
     Ok(())
 }
 
-fn collect(
-    input: impl BufRead,
-    job: &str,
-    file: &str,
-    lines: &mut Vec<Line>,
-) -> Result<(), Error> {
+fn collect(input: impl BufRead, job: &str, file: &str, lines: &mut Vec<Line>) -> Result<(), Error> {
     for text in input.lines() {
         lines.extend(story::read(&text?, job, file));
     }
--- a/crates/hyssopctl/src/story.rs
+++ b/crates/hyssopctl/src/story.rs
@@ -129,7 +129,9 @@
         ));
     }
     for (ending, (count, spent)) in endings {
-        causes.push(format!("{count} runs ended {ending} after {spent} ms in all"));
+        causes.push(format!(
+            "{count} runs ended {ending} after {spent} ms in all"
+        ));
     }
     let slowest = lines
         .iter()
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -1,6 +1,6 @@
 //! Which task is placed next, and where.
 
-use super::{Dispatcher, Event, Key, Way, fleet::Side, job::State};
+use super::{Dispatcher, Event, Job, Key, Way, fleet::Side, job::State};
 use crate::millis;
 use hashbrown::HashMap;
 use rand::{RngExt, seq::SliceRandom};
@@ -49,7 +49,11 @@
         let mut sequence: Vec<(Key, u64, u16)> = Vec::new();
         let mut waiting: Vec<(Rank, Task)> = self.waiting.iter().copied().collect();
         // What can no longer meet its objective does not delay what can.
-        waiting.sort_by_key(|(rank, task)| (self.is_late(now, *task), *rank));
+        waiting.sort_by_cached_key(|(rank, task)| {
+            let begun = self.has_begun(*task);
+            let late = !begun && self.is_late(now, *task);
+            (late, rank.0, !begun, rank.1, *task)
+        });
         for (rank, task) in waiting {
             if misses >= MISSES {
                 self.reserve(now, task);
@@ -112,6 +116,7 @@
             priority: job.priority,
             slack: u32::try_from(millis(job.start_by(task).saturating_sub(now)))
                 .unwrap_or(u32::MAX),
+            begun: job.may_have_run(),
         };
         let frames: Vec<(Key, Frame)> = sides
             .iter()
@@ -154,13 +159,29 @@
             self.send(from, Frame::Unreserve(step));
             return;
         };
+        let mut first = false;
         if let Some(job) = self.jobs.get(&task.job) {
             self.waiting.remove(&((job.priority, job.due), task));
+            first = !job.may_have_run();
         }
         if let Some(run) = self.assign(now, task, from, true) {
             self.order((from, step.job, step.number), vec![run]);
         }
         self.unreserve(step.job, step.number);
+        if first {
+            self.raise(now, task);
+        }
+    }
+
+    /// Tells sides that a job has begun, which raises the rank of its rest.
+    fn raise(&mut self, now: Duration, task: Task) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if job.count_waiting(task.step) > 0 {
+            job.reserved.retain(|(step, _)| *step != task.step);
+            self.reserve(now, task);
+        }
     }
 
     fn claimed_task(&self, now: Duration, from: Key, step: Step) -> Option<Task> {
@@ -173,6 +194,11 @@
         allowed.then_some(task)
     }
 
+    /// Returns whether other tasks of the job have started.
+    fn has_begun(&self, task: Task) -> bool {
+        self.jobs.get(&task.job).is_some_and(Job::may_have_run)
+    }
+
     fn is_late(&self, now: Duration, task: Task) -> bool {
         self.jobs
             .get(&task.job)
@@ -406,7 +432,7 @@
 }
 
 /// Returns whether a side has as many tasks of the step as may run at one host.
-fn is_crowded(job: &super::Job, spread: Option<u16>, task: Task, key: Key) -> bool {
+fn is_crowded(job: &Job, spread: Option<u16>, task: Task, key: Key) -> bool {
     let Some(most) = spread else { return false };
     let there = job.tasks[usize::from(task.step)]
         .iter()
@@ -414,7 +440,7 @@
     there.count() >= usize::from(most)
 }
 
-impl super::Job {
+impl Job {
     /// Returns the latest start of a task that is likely to meet the objective.
     fn start_by(&self, task: Task) -> Duration {
         let run = self.step(task).estimate.mul_f64(CAUTION);
--- a/crates/kernel/src/guard/queue.rs
+++ b/crates/kernel/src/guard/queue.rs
@@ -3,8 +3,9 @@
 //! Late binding: entries tell several sides of a step whose tasks wait. A side
 //! with room keeps it, claims a task from the entry, and gets one unless all
 //! have found room elsewhere. Several entries compete here, and only here are
-//! their ranks compared: what can still meet its objective goes first, then the
-//! lower priority number, then what has to start soonest. The pattern is
+//! their ranks compared: what can still meet its objective, or has begun, goes
+//! first, then the lower priority number, then what has begun, then what has to
+//! start soonest. The pattern is
 //! Sparrow's batch sampling with late binding (Ousterhout et al., 2013).
 
 use std::time::Duration;
@@ -27,13 +28,15 @@
     need: Need,
     count: u16,
     priority: u8,
+    begun: bool,
     /// Latest start that meets the objective.
     start_by: Duration,
 }
 
 impl Waiting {
-    fn rank(&self, now: Duration) -> (bool, u8, Duration) {
-        (now > self.start_by, self.priority, self.start_by)
+    fn rank(&self, now: Duration) -> (bool, u8, bool, Duration) {
+        let late = now > self.start_by && !self.begun;
+        (late, self.priority, !self.begun, self.start_by)
     }
 }
 
@@ -75,6 +78,7 @@
             need: reserve.need,
             count: reserve.count,
             priority: reserve.priority,
+            begun: reserve.begun,
             start_by: now + Duration::from_millis(reserve.slack.into()),
         });
     }
@@ -122,7 +126,7 @@
             .enumerate()
             .filter(|(_, waiting)| waiting.need.fits(room))
             .filter(|(_, waiting)| {
-                let (late, priority, _) = waiting.rank(now);
+                let (late, priority, ..) = waiting.rank(now);
                 (late, priority) == (first.0, first.1)
             })
             .min_by_key(|(_, waiting)| waiting.rank(now))?;
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -199,6 +199,9 @@
     pub priority: u8,
     /// Time left to start without missing the objective, in milliseconds.
     pub slack: u32,
+    /// Whether other tasks of the job have started, whose work is of no use
+    /// without the rest.
+    pub begun: bool,
 }
 
 /// Identifies a step of a job.
