Leaving entries serve on; ten seeded bugs caught; kernels run alike each time

Found by tests: a crash's runs were blamed on the upstream as unanswered; a job that came again at the same entry could start while runs of its earlier life at a lost side went on (test job_again_after_lost_side). Hash maps with seeds of their own made histories differ from run to run; ordered maps replace them.

--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -29,9 +29,12 @@
     lease::Rules,
 };
 
-/// Share of a planned stop for which new jobs are still taken, in hundredths:
-/// the balancer takes about two seconds to notice that this entry leaves.
-const TAKING_SHARE: u32 = 45;
+/// Share of a planned stop before which the entry does not end, in hundredths:
+/// the balancer takes about two seconds to notice that it leaves.
+const STAY_SHARE: u32 = 45;
+
+/// Time without a job after which a leaving entry ends.
+const QUIET: Duration = Duration::from_millis(200);
 
 /// What the process's task waits for.
 #[derive(Debug)]
@@ -51,10 +54,9 @@
     },
     Rules(Rules),
     Registry(registry::Event),
-    /// The balancer is to send no more connections.
-    Unready,
-    /// No more jobs are taken.
-    Leave,
+    /// The balancer is to send no more connections, and the entry ends after
+    /// this time.
+    Leave(Duration),
 }
 
 impl From<link::Event> for Event {
@@ -136,7 +138,6 @@
         mesh: Mesh::new(local, events.clone(), settings.peers.clone()),
         status,
         customers: HashMap::new(),
-        unready: false,
     };
     let process = tokio::spawn(process.run(inbox, dumps));
     log::info!(
@@ -163,21 +164,27 @@
         self.customers.address()
     }
 
-    /// Stops in steps: first new connections are kept away, then new jobs are
-    /// refused, and jobs in progress end within the bound of the settings.
+    /// Keeps new connections away, takes only jobs that end before it does, and
+    /// stops once it has none, within the bound of the settings.
     pub async fn drain(mut self, hurry: impl Future<Output = ()>) -> Result<(), Error> {
         let bound = self.drain.saturating_sub(EXIT_MARGIN);
-        let taking = self.drain * TAKING_SHARE / 100;
+        let stay = self.drain * STAY_SHARE / 100;
         let events = self.events.clone();
+        let status = &mut self.status;
         let steps = async {
             // A process that has ended drains at once.
-            let _ = events.send(Event::Unready).await;
-            tokio::time::sleep(taking).await;
-            let _ = events.send(Event::Leave).await;
-            self.status
-                .wait_for(|status| status.leaving && status.idle)
-                .await
-                .is_ok()
+            let _ = events.send(Event::Leave(bound)).await;
+            tokio::time::sleep(stay).await;
+            loop {
+                let idle = status.wait_for(|status| status.leaving && status.idle);
+                if idle.await.is_err() {
+                    return false;
+                }
+                let busy = status.wait_for(|status| !status.idle);
+                if tokio::time::timeout(QUIET, busy).await.is_err() {
+                    return true;
+                }
+            }
         };
         let whole = tokio::select! {
             whole = tokio::time::timeout(bound, steps) => whole.unwrap_or(false),
@@ -209,7 +216,6 @@
     mesh: Mesh<Event>,
     status: watch::Sender<Status>,
     customers: HashMap<u64, oneshot::Sender<Answer>>,
-    unready: bool,
 }
 
 impl Process {
@@ -298,8 +304,7 @@
                 self.kernel.know_entries(&self.mesh.known());
             }
             Event::Registry(_) => {}
-            Event::Unready => self.unready = true,
-            Event::Leave => self.kernel.leave(),
+            Event::Leave(bound) => self.kernel.leave(now + bound),
         }
     }
 
@@ -367,7 +372,7 @@
 
     fn report(&self) {
         let status = Status {
-            ready: self.kernel.is_ready() && !self.unready,
+            ready: self.kernel.is_ready(),
             leaving: self.kernel.is_leaving(),
             idle: self.kernel.open() == 0,
         };
--- a/crates/hyssoppost/src/leased/rules.rs
+++ b/crates/hyssoppost/src/leased/rules.rs
@@ -11,7 +11,15 @@
 const CONFIRM: Duration = Duration::from_millis(500);
 
 /// Pause after a failed call.
-const PAUSE: Duration = Duration::from_millis(150);
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Time that the first call after a failure may take; doubles with each that
+/// fails. Calls that were sent while the store was silent never return, so a
+/// store that is back is asked anew soon.
+const PATIENCE: Duration = Duration::from_millis(150);
+
+/// Longest time that a call may take: many times a slow store's answer.
+const LONGEST: Duration = Duration::from_millis(1_200);
 
 /// Follows the store until the task is aborted.
 pub(super) async fn follow<S: Store, E: From<Rules>>(store: S, events: mpsc::Sender<E>) {
@@ -25,9 +33,17 @@
     mut change: mpsc::Receiver<()>,
 ) {
     let mut failing = false;
+    let mut patience = PATIENCE;
     loop {
         let begun = Instant::now();
-        let pause = match read(store).await {
+        let read = tokio::time::timeout(patience, read(store)).await;
+        let read = read.unwrap_or_else(|_| Err(format!("no answer in {patience:?}")));
+        patience = match read {
+            Ok(_) => LONGEST,
+            Err(_) if failing => (patience * 2).min(LONGEST),
+            Err(_) => PATIENCE,
+        };
+        let pause = match read {
             Ok(rules) => {
                 if failing {
                     log::info!("event=store_regained revision={}", rules.revision);
--- a/crates/hyssoppost/tests/fault_soak.rs
+++ b/crates/hyssoppost/tests/fault_soak.rs
@@ -13,7 +13,10 @@
 const SHORT: Range<u64> = 0..2;
 
 /// Seeds that failed once, kept as regression cases.
-const FAILED: [u64; 0] = [];
+///
+/// 28, 34: the soak itself sent a second SIGTERM, which hurries a stop, and
+/// still asked that nothing be cut.
+const FAILED: [u64; 2] = [28, 34];
 
 /// Sites at a time.
 const AT_ONCE: usize = 5;
--- a/crates/hyssoppost/tests/soak/mod.rs
+++ b/crates/hyssoppost/tests/soak/mod.rs
@@ -33,6 +33,8 @@
 struct Entry {
     settings: PathBuf,
     process: Option<Process>,
+    /// Whether a stop was asked for.
+    leaving: bool,
     links: Relay,
 }
 
@@ -102,6 +104,7 @@
             site.entries.push(Entry {
                 settings,
                 process: None,
+                leaving: false,
                 links,
             });
         }
@@ -161,6 +164,7 @@
         if entry.process.is_none() {
             let process = Process::start("entry", &entry.settings, &self.log);
             entry.links.aim(Some(process.address("links")));
+            entry.leaving = false;
             let mut told = self.book.lock();
             told.entries[index] = Some(process.address("customers"));
             told.planned[index] = false;
@@ -264,8 +268,12 @@
     }
 
     fn stop_entry(&mut self, index: usize) {
-        if let Some(process) = &self.entries[index].process {
-            self.book.lock().planned[index] = true;
+        let entry = &mut self.entries[index];
+        if let Some(process) = &entry.process {
+            // A second signal hurries the stop, as the usage text says; only
+            // the first one promises to cut nothing (seed 28).
+            let again = std::mem::replace(&mut entry.leaving, true);
+            self.book.lock().planned[index] = !again;
             process.signal(Signal::TERM);
         }
     }
@@ -328,7 +336,7 @@
             let ended = self.entries[index]
                 .process
                 .as_mut()
-                .is_some_and(|process| process.ended().is_some());
+                .is_some_and(Process::has_ended);
             if ended {
                 self.book.lock().entries[index] = None;
                 self.entries[index].process = None;
@@ -339,7 +347,7 @@
             let ended = self.sides[index]
                 .process
                 .as_mut()
-                .is_some_and(|process| process.ended().is_some());
+                .is_some_and(Process::has_ended);
             if ended {
                 self.sides[index].process = None;
             }
--- a/crates/hyssoppost/tests/soak/process.rs
+++ b/crates/hyssoppost/tests/soak/process.rs
@@ -67,10 +67,9 @@
         let _ = kill_process(Pid::from_raw(pid).expect("not zero"), signal);
     }
 
-    /// Returns the exit code once the program has ended.
-    pub fn ended(&mut self) -> Option<Option<i32>> {
-        let status = self.child.try_wait().expect("a child of ours")?;
-        Some(status.code())
+    /// Returns whether the program has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("a child of ours").is_some()
     }
 
     pub fn kill(&mut self) {
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -1,8 +1,10 @@
 //! The sides that the entry knows, and what it believes of their upstreams.
 
 use crate::guard::BEAT;
-use hashbrown::{HashMap, HashSet};
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
 use wire::{
     id::Incarnation,
     lease::{Need, Run, Status, Upstream},
@@ -50,7 +52,7 @@
     pub(super) sent: u32,
     /// Starts that no status covers yet.
     flight: VecDeque<(u32, Need)>,
-    pub(super) runs: HashSet<Run>,
+    pub(super) runs: BTreeSet<Run>,
     /// Ends up to this number were taken.
     pub(super) ended: u64,
     /// The side's clock that was last echoed.
@@ -81,7 +83,7 @@
             status: None,
             sent: 0,
             flight: VecDeque::new(),
-            runs: HashSet::new(),
+            runs: BTreeSet::new(),
             ended: 0,
             echoed: 0,
             echo_at: Duration::ZERO,
@@ -209,7 +211,7 @@
 /// All sides that the entry knows.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    sides: HashMap<Key, Side>,
+    sides: BTreeMap<Key, Side>,
     /// Run time against the estimate, over recent runs of all sides.
     pub(super) mean: f64,
     /// Run time, over recent runs of all sides, in milliseconds.
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -20,13 +20,16 @@
 use crate::{
     event::{Event, Way},
     guard::Pace,
+    mutation::{Mutant, is_seeded},
 };
 use fleet::{Link, Side, echo_interval};
-use hashbrown::HashMap;
 use job::State;
 use peers::Peer;
 use rand::{SeedableRng, rngs::SmallRng};
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 use wire::{
     frame::{Hello, Known},
     id::Incarnation,
@@ -151,15 +154,16 @@
     random: SmallRng,
     rules: Option<Rules>,
     fleet: Fleet,
-    peers: HashMap<Incarnation, Peer>,
+    peers: BTreeMap<Incarnation, Peer>,
     entries: Vec<Known>,
-    jobs: HashMap<u64, Job>,
+    jobs: BTreeMap<u64, Job>,
     /// Tasks that wait, by rank.
     waiting: BTreeSet<(place::Rank, Task)>,
     ended: serve::Memory,
-    calls: HashMap<u64, peers::Call>,
+    calls: BTreeMap<u64, peers::Call>,
     next_call: u64,
-    leaving: bool,
+    /// When the entry will have left.
+    leaving: Option<Duration>,
     changed: bool,
     stats: Stats,
     actions: Vec<Action>,
@@ -176,14 +180,14 @@
             random: SmallRng::seed_from_u64(seed),
             rules: None,
             fleet: Fleet::default(),
-            peers: HashMap::new(),
+            peers: BTreeMap::new(),
             entries: Vec::new(),
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             waiting: BTreeSet::new(),
             ended: serve::Memory::default(),
-            calls: HashMap::new(),
+            calls: BTreeMap::new(),
             next_call: 0,
-            leaving: false,
+            leaving: None,
             changed: false,
             stats: Stats::default(),
             actions: Vec::new(),
@@ -249,17 +253,17 @@
     /// connected.
     pub fn is_ready(&self) -> bool {
         let connected = self.fleet.iter().any(|(_, side)| side.link == Link::Up);
-        self.rules.is_some() && connected && !self.leaving
+        self.rules.is_some() && connected && self.leaving.is_none()
     }
 
-    /// Takes no more jobs; those accepted go on.
-    pub fn leave(&mut self) {
-        self.leaving = true;
+    /// Takes only jobs that are likely to end before `end`.
+    pub fn leave(&mut self, end: Duration) {
+        self.leaving = Some(end);
     }
 
     /// Returns whether the entry leaves.
     pub fn is_leaving(&self) -> bool {
-        self.leaving
+        self.leaving.is_some()
     }
 
     /// Records a connection to a side.
@@ -423,6 +427,9 @@
         };
         // The job may have come again since, with runs of the same numbers.
         if !job.placed().contains(&(from, end.run)) {
+            if let Some(slot) = job.slot(task) {
+                slot.resume = slot.resume.min(now);
+            }
             return;
         }
         let estimate = job.step(task).estimate;
@@ -527,7 +534,11 @@
 
     /// Forgets sides that have been silent until all that ran there is over.
     fn forget_sides(&mut self, now: Duration) {
-        let over = self.pace.over();
+        let over = if is_seeded(Mutant::EarlyOver) {
+            Duration::ZERO
+        } else {
+            self.pace.over()
+        };
         let gone: Vec<Key> = self
             .fleet
             .iter()
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -2,8 +2,7 @@
 
 use super::{Answer, Dispatcher, Event, Progressed, rules::is_newer};
 use crate::millis;
-use hashbrown::HashMap;
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 use wire::{
     frame::{Hello, Known},
     id::Incarnation,
@@ -25,7 +24,7 @@
     heard: Duration,
     sent: Duration,
     clock: u64,
-    pub(super) pending: HashMap<String, u32>,
+    pub(super) pending: BTreeMap<String, u32>,
     /// Work that waits there, in core-milliseconds, by priority.
     pub(super) waiting: Vec<(u8, u64)>,
 }
@@ -174,8 +173,8 @@
     }
 
     fn make_beat(&self, now: Duration) -> Beat {
-        let mut pending: HashMap<&str, u32> = HashMap::new();
-        let mut waiting: HashMap<u8, u64> = HashMap::new();
+        let mut pending: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut waiting: BTreeMap<u8, u64> = BTreeMap::new();
         for job in self.jobs.values() {
             if !job.may_have_run() {
                 *pending.entry(&job.queue).or_default() += 1;
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -2,9 +2,8 @@
 
 use super::{Dispatcher, Event, Job, Key, Way, fleet::Side, job::State};
 use crate::millis;
-use hashbrown::HashMap;
 use rand::{RngExt, seq::SliceRandom};
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 use wire::lease::{Frame, Need, Progress, Reserve, Run, Start, Step, Task};
 
 /// Order among waiting tasks: by priority, then by when their objectives are
@@ -38,14 +37,17 @@
 /// Time that a run takes to stop and start elsewhere, beside its own.
 const MOVE_COST: Duration = Duration::from_millis(80);
 
-/// Time without progress after which a run is moved at any cost.
+/// Time without progress after which a run counts as hung.
 const STILL: Duration = Duration::from_millis(400);
 
+/// Percents of progress in whose time a run has made none, if it is hung.
+const STILL_STEPS: u32 = 5;
+
 impl Dispatcher {
     /// Places as many waiting tasks as find room.
     pub(super) fn place(&mut self, now: Duration) {
         let mut misses = 0;
-        let mut orders: HashMap<(Key, u64, u16), Vec<Run>> = HashMap::new();
+        let mut orders: BTreeMap<(Key, u64, u16), Vec<Run>> = BTreeMap::new();
         let mut sequence: Vec<(Key, u64, u16)> = Vec::new();
         let mut waiting: Vec<(Rank, Task)> = self.waiting.iter().copied().collect();
         // What can no longer meet its objective does not delay what can.
@@ -391,15 +393,22 @@
         }
         let typical = job.step(task).estimate.mul_f64(self.fleet.mean.max(0.1));
         let elapsed = Duration::from_millis(progress.elapsed.into());
-        let hung = Duration::from_millis(progress.still.into()) >= STILL;
-        let total = if progress.percent == 0 {
-            elapsed * 100
-        } else {
-            elapsed * 100 / u32::from(progress.percent)
-        };
+        if is_hung(progress) {
+            return self.has_other(now, &job.service, progress.run);
+        }
+        if progress.percent == 0 {
+            return false;
+        }
+        let total = elapsed * 100 / u32::from(progress.percent);
         let left = total.saturating_sub(elapsed);
-        let slow = left > typical * 2 + MOVE_COST;
-        (hung || slow) && self.choose(now, task).is_some()
+        left > typical * 2 + MOVE_COST && self.choose(now, task).is_some()
+    }
+
+    /// Returns whether another upstream of the service is in use.
+    fn has_other(&self, now: Duration, service: &str, run: Run) -> bool {
+        self.fleet
+            .iter()
+            .any(|(_, side)| !side.runs.contains(&run) && self.may_run(now, side, service, None))
     }
 
     /// Returns a random pause for customers to come back after.
@@ -423,6 +432,15 @@
     }
 }
 
+/// Returns whether a run stands still: for [`STILL`], and for several times as
+/// long as a percent of its work has taken so far.
+fn is_hung(progress: Progress) -> bool {
+    let still = Duration::from_millis(progress.still.into());
+    let moving = progress.elapsed.saturating_sub(progress.still);
+    let step = moving / u32::from(progress.percent.max(1));
+    still >= STILL && still > Duration::from_millis(step.into()) * STILL_STEPS
+}
+
 /// What became of an attempt to place a task.
 enum Placing {
     Placed(Key, Run),
--- a/crates/kernel/src/dispatch/rules.rs
+++ b/crates/kernel/src/dispatch/rules.rs
@@ -1,5 +1,6 @@
 //! The operators' rules in force.
 
+use crate::mutation::{Mutant, is_seeded};
 use wire::lease::{Queue, Rules};
 
 /// Finds the queue that a request addresses, and the rest of its path.
@@ -16,4 +17,5 @@
 /// Returns whether `new` may replace `old`: rules never go back.
 pub fn is_newer(old: Option<&Rules>, new: &Rules) -> bool {
     old.is_none_or(|old| new.revision > old.revision && new.version >= old.version)
+        || is_seeded(Mutant::OldRules)
 }
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -1,8 +1,11 @@
 //! Customers' requests: jobs handed in, asked for, cancelled, given up.
 
 use super::{Answer, Dispatcher, Event, Job, Progressed, Reason, Submission, job::State, route};
-use hashbrown::HashMap;
-use std::{collections::VecDeque, time::Duration};
+use crate::mutation::{Mutant, is_seeded};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 use wire::lease::{Ending, Frame, Run, Step, Task};
 
 /// Time for which ended jobs are remembered.
@@ -15,6 +18,10 @@
 /// answer as missed.
 const USEFUL_FACTOR: u32 = 3;
 
+/// Factor on a job's expected time within which it must end before its entry
+/// leaves: room for a rough estimate and one run that fails.
+const LEAVE_CAUTION: f64 = 2.0;
+
 /// Least run time against the customer's estimate that is reckoned with when a
 /// job is given up, since estimates are rough.
 const FASTEST: f64 = 0.6;
@@ -25,7 +32,7 @@
 /// Jobs that have ended, for customers that ask again.
 #[derive(Debug, Default)]
 pub(super) struct Memory {
-    states: HashMap<u64, Progressed>,
+    states: BTreeMap<u64, Progressed>,
     order: VecDeque<(Duration, u64)>,
 }
 
@@ -92,7 +99,7 @@
             submission,
         };
         let wait = self.outlook(now, &job.service, job.priority);
-        let reason = if self.leaving {
+        let reason = if self.outlives(now + wait, &job) {
             Some(Reason::Leaving)
         } else {
             self.hopeless(now, &job, wait)
@@ -115,6 +122,7 @@
             wait,
             objective: job.due.saturating_sub(job.accepted),
         });
+        self.await_earlier_runs(&mut job);
         let tasks = job.unblock();
         self.jobs.insert(job.submission.job, job);
         for task in tasks {
@@ -122,6 +130,27 @@
         }
     }
 
+    /// Holds back the tasks of a job that has come again while runs of its
+    /// earlier life may go on: until they have ended, or must have.
+    fn await_earlier_runs(&self, job: &mut Job) {
+        if is_seeded(Mutant::AgainAtOnce) {
+            return;
+        }
+        let over = job.accepted + self.pace.over();
+        let earlier: Vec<Task> = self
+            .fleet
+            .iter()
+            .flat_map(|(_, side)| &side.runs)
+            .filter(|run| run.task.job == job.submission.job)
+            .map(|run| run.task)
+            .collect();
+        for task in earlier {
+            if let Some(slot) = job.slot(task) {
+                slot.resume = over;
+            }
+        }
+    }
+
     /// Returns why a job cannot be served, if so.
     fn hopeless(&self, now: Duration, job: &Job, wait: Duration) -> Option<Reason> {
         let (all, _) = self.capacity(now, &job.service);
@@ -135,6 +164,14 @@
         (!self.is_useful(now + wait, job)).then_some(Reason::Overload)
     }
 
+    /// Returns whether a job that starts then may still run when the entry has
+    /// left.
+    fn outlives(&self, start: Duration, job: &Job) -> bool {
+        let mean = self.fleet.mean.max(1.0);
+        let run = job.submission.chain().mul_f64(mean * LEAVE_CAUTION);
+        self.leaving.is_some_and(|end| start + run > end)
+    }
+
     /// Returns whether a job that starts then may end in time to be of use.
     fn is_useful(&self, start: Duration, job: &Job) -> bool {
         start + self.expected(&job.submission) <= job.useful
@@ -268,7 +305,7 @@
         for task in work.waiting() {
             self.waiting.remove(&(rank, task));
         }
-        let mut stops: HashMap<super::Key, Vec<Run>> = HashMap::new();
+        let mut stops: BTreeMap<super::Key, Vec<Run>> = BTreeMap::new();
         for (side, run) in work.placed() {
             stops.entry(side).or_default().push(run);
         }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -292,15 +292,15 @@
             Self::Accepted { .. }
             | Self::Placed { .. }
             | Self::RunOrdered { .. }
+            | Self::RunRefused {
+                refusal: Refusal::Room,
+                ..
+            }
             | Self::Abandoned { .. } => Weight::Ordinary,
             Self::Ended { ending, .. } | Self::RunOver { ending, .. } => match ending {
                 Ending::Done | Ending::Stopped | Ending::NotRun(Refusal::Room) => Weight::Ordinary,
                 Ending::Failed | Ending::Lapsed | Ending::NotRun(_) => Weight::Notable,
             },
-            Self::RunRefused { refusal, .. } => match refusal {
-                Refusal::Room => Weight::Ordinary,
-                _ => Weight::Notable,
-            },
             Self::Answered {
                 state,
                 took,
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -1,10 +1,22 @@
 //! Renewal of leases, and what the upstream's lists tell.
 
 use super::{Action, Guard, Hold, Phase};
-use crate::{event::Event, millis};
+use crate::{
+    event::Event,
+    millis,
+    mutation::{Mutant, is_seeded},
+};
 use std::time::Duration;
 use wire::lease::{Ending, Frame, Progress, Refusal, Run, Task};
 
+/// Lease of a run that was ordered in an earlier life of the upstream; it was
+/// reckoned on a clock that is gone, so no time ends it.
+const EARLIER_LIFE: u64 = u64::MAX;
+
+/// Time for which a call waits while what runs is not known, since nothing
+/// starts meanwhile.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(5);
+
 /// Factor on a task's estimate beyond which its progress is told.
 const TELL_FACTOR: u32 = 3;
 
@@ -53,7 +65,11 @@
             token: self.token,
             ended: self.cursor,
             deadline,
-            wait: self.pace.wait(),
+            wait: if self.clean {
+                self.pace.wait()
+            } else {
+                UNKNOWN_WAIT
+            },
         }));
     }
 
@@ -120,8 +136,10 @@
     /// Ends what ran in an upstream's earlier life. A run that was ordered and
     /// never listed may have reached the next life; it is stopped there.
     fn end_life(&mut self, now: Duration) {
-        let (listed, unknown): (Vec<Task>, Vec<Task>) =
-            self.runs.keys().partition(|task| self.runs[*task].listed);
+        let (listed, unknown): (Vec<Task>, Vec<Task>) = self
+            .runs
+            .keys()
+            .partition(|task| self.runs[*task].listed || is_seeded(Mutant::EarlyLife));
         for task in listed {
             self.finish(now, task, Ending::Lapsed);
         }
@@ -129,8 +147,7 @@
             if let Some(slot) = self.runs.get_mut(&task) {
                 slot.phase = Phase::Unknown;
                 slot.barred = None;
-                // Reckoned on a clock that is gone.
-                slot.lease = u64::MAX;
+                slot.lease = EARLIER_LIFE;
                 if slot.stopped.is_none() {
                     self.leased = self.leased.max(now + self.pace.longest_grant());
                     self.order_stop(now, task);
@@ -242,7 +259,10 @@
                 let barred = slot.barred.is_some_and(|clock| held.clock > clock + stop);
                 !listed && (barred || held.clock > slot.lease.saturating_add(stop))
             })
-            .map(|(task, slot)| (*task, slot.listed || slot.phase == Phase::Running))
+            .map(|(task, slot)| {
+                let lost = slot.lease == EARLIER_LIFE;
+                (*task, lost || slot.listed || slot.phase == Phase::Running)
+            })
             .collect();
         for (task, ran) in absent {
             let ending = if ran {
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -16,10 +16,16 @@
 pub use order::Started;
 pub use pace::Pace;
 
-use crate::{event::Event, millis};
-use hashbrown::HashMap;
+use crate::{
+    event::Event,
+    millis,
+    mutation::{Mutant, is_seeded},
+};
 use queue::Queue;
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 use wire::{
     id::Incarnation,
     lease::{
@@ -165,6 +171,10 @@
 
 /// The side's state.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a condition of its own"
+)]
 pub struct Guard {
     pace: Pace,
     token: u64,
@@ -179,9 +189,9 @@
     /// No run outlives this time without a further order.
     leased: Duration,
     cursor: u64,
-    runs: HashMap<Task, Slot>,
+    runs: BTreeMap<Task, Slot>,
     queue: Queue,
-    peers: HashMap<Incarnation, Peer>,
+    peers: BTreeMap<Incarnation, Peer>,
     /// Token of the call under way that renews leases.
     holding: Option<u64>,
     leaving: bool,
@@ -207,9 +217,9 @@
             clean: false,
             leased: Duration::ZERO,
             cursor: 0,
-            runs: HashMap::new(),
+            runs: BTreeMap::new(),
             queue: Queue::default(),
-            peers: HashMap::new(),
+            peers: BTreeMap::new(),
             holding: None,
             leaving: false,
             dirty: false,
@@ -273,9 +283,11 @@
         let Some(announced) = &self.announced else {
             return Need::default();
         };
+        let early = is_seeded(Mutant::EarlyRoom);
         let used = self
             .runs
             .values()
+            .filter(|run| !early || run.stopped.is_none())
             .fold(self.queue.kept(), |sum, run| sum.plus(run.need));
         announced.upstream.capacity.minus(used)
     }
@@ -316,7 +328,9 @@
         peer.contact = peer.contact.max(now);
         peer.connected = true;
         peer.received = 0;
-        peer.unsent = peer.first;
+        if !is_seeded(Mutant::LostEnd) {
+            peer.unsent = peer.first;
+        }
         self.send_ends(entry);
         let held = self
             .runs
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -2,7 +2,11 @@
 //! whose answers are lost.
 
 use super::{Action, Guard, Order, Phase, Slot};
-use crate::{event::Event, millis};
+use crate::{
+    event::Event,
+    millis,
+    mutation::{Mutant, is_seeded},
+};
 use std::time::Duration;
 use wire::{
     id::Incarnation,
@@ -168,7 +172,12 @@
     /// Returns the end of a lease given now, on the upstream's clock.
     pub(super) fn lease_end(&self, now: Duration) -> Option<u64> {
         let (clock, at) = self.clock?;
-        Some(clock + millis(now.saturating_sub(at)) + millis(self.pace.lease))
+        let lease = if is_seeded(Mutant::LongLease) {
+            self.pace.lease * 3
+        } else {
+            self.pace.lease
+        };
+        Some(clock + millis(now.saturating_sub(at)) + millis(lease))
     }
 
     /// Records the upstream's answer to a start order.
@@ -186,6 +195,7 @@
                 }
                 return;
             }
+            Started::Unanswered if is_seeded(Mutant::Forgotten) => Refusal::Unanswered,
             Started::Unanswered => {
                 self.stats.unanswered += 1;
                 self.events.push(Event::RunUnanswered { run });
@@ -277,7 +287,9 @@
                     .peers
                     .get(&slot.entry)
                     .map_or(Duration::ZERO, |peer| peer.contact);
-                slot.stopped.is_none() && now.saturating_sub(contact) > limit
+                slot.stopped.is_none()
+                    && now.saturating_sub(contact) > limit
+                    && !is_seeded(Mutant::Orphan)
             })
             .map(|(task, _)| *task)
             .collect();
--- a/crates/kernel/src/guard/queue.rs
+++ b/crates/kernel/src/guard/queue.rs
@@ -8,6 +8,7 @@
 //! start soonest. The pattern is
 //! Sparrow's batch sampling with late binding (Ousterhout et al., 2013).
 
+use crate::mutation::{Mutant, is_seeded};
 use std::time::Duration;
 use wire::{
     id::Incarnation,
@@ -105,6 +106,9 @@
     /// Gives up the room kept for one claim that a start answers.
     pub(super) fn redeem(&mut self, entry: Incarnation, step: Step) {
         let find = |claim: &Claim| claim.entry == entry && claim.step == step;
+        if is_seeded(Mutant::KeptRoom) {
+            return;
+        }
         if let Some(at) = self.claims.iter().position(find) {
             self.claims.swap_remove(at);
         }
@@ -113,7 +117,7 @@
     /// Gives up the room kept for claims that nobody has answered.
     pub(super) fn expire(&mut self, now: Duration) {
         self.claims
-            .retain(|claim| now.saturating_sub(claim.since) <= KEPT);
+            .retain(|claim| now.saturating_sub(claim.since) <= KEPT || is_seeded(Mutant::KeptRoom));
     }
 
     /// Claims room for the first step by rank. A step of a lower priority does
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -20,6 +20,26 @@
     Partial,
     /// A lost side's tasks are sent again elsewhere.
     Resend,
+    /// Runs of a silent entry go on.
+    Orphan,
+    /// Leases last three times as long as they may.
+    LongLease,
+    /// Room is given back when a stop is ordered, not when the run has ended.
+    EarlyRoom,
+    /// Ends that were sent on a lost connection are not sent again.
+    LostEnd,
+    /// An order without an answer counts as refused.
+    Forgotten,
+    /// Runs of a silent side count as over at once.
+    EarlyOver,
+    /// A new life of the upstream ends runs that may have reached it.
+    EarlyLife,
+    /// Older rules replace newer ones.
+    OldRules,
+    /// A job that comes again starts while its earlier runs may go on.
+    AgainAtOnce,
+    /// A step's kept room is never given back.
+    KeptRoom,
 }
 
 #[cfg(feature = "mutation")]
--- a/crates/kernel/tests/lease_histories.rs
+++ b/crates/kernel/tests/lease_histories.rs
@@ -5,9 +5,12 @@
 
 mod site;
 
-use kernel::dispatch::Progressed;
+use kernel::{
+    dispatch::Progressed,
+    mutation::{self, Mutant},
+};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use site::{Site, job, upstream::Fault};
+use site::{Site, job, rules, upstream::Fault};
 use std::{collections::BTreeMap, time::Duration};
 
 const HISTORIES: u64 = 120;
@@ -78,8 +81,9 @@
                 self.site.ups[side].set_alive(now, !alive);
             }
             22 => {
-                let late = self.random.random_range(0..3);
-                self.site.ups[side].late = (late > 0).then(|| Duration::from_secs(late));
+                let late = self.random.random_range(0..2_500);
+                let late = (late > 500).then(|| Duration::from_millis(late - 400));
+                self.site.ups[side].late = late;
             }
             23 => self.site.ups[side].fault = Fault::Failing,
             24 => self.site.ups[side].fault = Fault::Hanging,
@@ -163,21 +167,29 @@
         history.site.run(Duration::from_millis(pause));
         history.resend();
     }
+    let older = history.site.entries.iter_mut().flatten().any(|entry| {
+        entry.adopt(&rules(3, &[]), None);
+        entry.adopt(&rules(2, &["d0"]), None)
+    });
+    assert!(!older, "seed {seed}: older rules were taken");
     history.heal();
     history.site.run(Duration::from_secs(12));
     for (customer, (_, id, _)) in &history.open {
         let answered = history.site.answers.contains_key(customer);
         assert!(answered, "seed {seed}: job {id} has no answer");
     }
+    // All room is there again: as many tasks as fit at once take one run.
+    let places = u16::try_from(history.site.sides.len() * 4).expect("a few");
+    let longest = Duration::from_millis(700);
     let last = history
         .site
-        .submit(0, job(1_000_000, 2, 1_000, Duration::from_millis(700)));
-    history.site.run(Duration::from_secs(2));
+        .submit(0, job(1_000_000, places, 1_000, longest));
+    history.site.run(longest + Duration::from_millis(300));
     let state = history.site.state(last);
     assert_eq!(
         state,
         Some(Progressed::Completed),
-        "seed {seed}: work goes on"
+        "seed {seed}: room is lost"
     );
 }
 
@@ -193,3 +205,103 @@
         assert!(played.is_ok(), "history of seed {seed} failed");
     }
 }
+
+/// An order that a side reads after a pause does not start.
+#[test]
+fn order_older_than_pause() {
+    let mut site = Site::new(1, 3);
+    for up in &mut site.ups {
+        up.run_time = Duration::from_secs(3);
+    }
+    site.frozen_sides[0] = true;
+    let customer = site.submit(0, job(1, 6, 1_000, Duration::from_secs(3)));
+    site.run(Duration::from_secs(2));
+    site.frozen_sides[0] = false;
+    site.run(Duration::from_secs(5));
+    assert_eq!(site.state(customer), Some(Progressed::Completed));
+}
+
+/// An order that was under way when the upstream started anew runs there; it
+/// does not count as over (seed 11).
+#[test]
+fn order_reaches_next_life() {
+    let mut site = Site::new(1, 2);
+    for up in &mut site.ups {
+        up.run_time = Duration::from_secs(1);
+    }
+    let customer = site.submit(0, job(1, 6, 1_000, Duration::from_secs(1)));
+    site.run(Duration::from_millis(2));
+    let now = site.now;
+    site.ups[0].set_alive(now, false);
+    site.ups[0].set_alive(now, true);
+    site.run(Duration::from_secs(5));
+    assert_eq!(site.state(customer), Some(Progressed::Completed));
+}
+
+/// Ends of a job's earlier runs, with the same numbers, do not count when the
+/// job comes again (seed 62).
+#[test]
+fn job_again_after_lost_side() {
+    let mut site = Site::new(1, 2);
+    for up in &mut site.ups {
+        up.run_time = Duration::from_secs(3);
+    }
+    let long = Duration::from_secs(3);
+    let customer = site.submit(0, job(1, 2, 4_000, long));
+    site.run(Duration::from_millis(20));
+    site.kill_side(0);
+    let now = site.now;
+    if let Some(entry) = &mut site.entries[0] {
+        entry.forget(now, 1, customer);
+    }
+    site.run(Duration::from_millis(100));
+    let begun = site.now;
+    let again = site.submit(0, job(1, 2, 1_000, long));
+    site.run(Duration::from_secs(6));
+    assert_eq!(site.state(again), Some(Progressed::Completed));
+    let starts = site.ups.iter().flat_map(|up| &up.starts);
+    let count = starts.filter(|(at, _)| *at > begun).count();
+    assert_eq!(count, 2, "the runs that go on are not started anew");
+}
+
+/// Histories within which each seeded bug must be found.
+const WITHIN: u64 = 200;
+
+#[test]
+fn seeded_bugs_found() {
+    let mutants = [
+        Mutant::Orphan,
+        Mutant::LongLease,
+        Mutant::EarlyRoom,
+        Mutant::LostEnd,
+        Mutant::Forgotten,
+        Mutant::EarlyOver,
+        Mutant::OldRules,
+        Mutant::KeptRoom,
+    ];
+    let mut missed = Vec::new();
+    let fails =
+        |test: &dyn Fn()| std::panic::catch_unwind(std::panic::AssertUnwindSafe(test)).is_err();
+    for mutant in mutants {
+        mutation::seed(Some(mutant));
+        let found = (0..WITHIN).find(|seed| fails(&|| play(*seed)));
+        match found {
+            Some(seed) => println!("{mutant:?}: found by history {seed}"),
+            None => missed.push(mutant),
+        }
+    }
+    let directed: [(Mutant, &dyn Fn()); 2] = [
+        (Mutant::EarlyLife, &order_reaches_next_life),
+        (Mutant::AgainAtOnce, &job_again_after_lost_side),
+    ];
+    for (mutant, test) in directed {
+        mutation::seed(Some(mutant));
+        if fails(test) {
+            println!("{mutant:?}: found by its own case");
+        } else {
+            missed.push(mutant);
+        }
+    }
+    mutation::seed(None);
+    assert!(missed.is_empty(), "not found: {missed:?}");
+}
--- a/crates/kernel/tests/leased_jobs.rs
+++ b/crates/kernel/tests/leased_jobs.rs
@@ -139,3 +139,31 @@
         );
     }
 }
+
+#[test]
+fn leaving_entry() {
+    let mut site = Site::new(1, 3);
+    let end = site.now + Duration::from_secs(2);
+    site.entries[0].as_mut().unwrap().leave(end);
+    let short = site.submit(0, job(1, 4, 1_000, RUN));
+    let long = site.submit(0, job(2, 4, 1_000, RUN * 15));
+    let refused = |answer: &Answer| {
+        matches!(
+            answer,
+            Answer::Refused {
+                reason: Reason::Leaving,
+                ..
+            }
+        )
+    };
+    assert!(
+        refused(&site.answers[&long].1),
+        "it might outlive the entry"
+    );
+    site.run(Duration::from_millis(200));
+    assert_eq!(
+        site.state(short),
+        Some(Progressed::Completed),
+        "it ends before"
+    );
+}
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -245,7 +245,7 @@
             let link = self.links[&(entry, side)];
             let due = self.now.saturating_sub(link.since) >= REDIAL;
             let frozen = self.frozen_sides[side] || self.frozen_entries[entry];
-            if link.entry_up || link.side_up || link.cut || !due || frozen {
+            if (link.entry_up && link.side_up) || link.cut || !due || frozen {
                 continue;
             }
             let (Some(dispatcher), Some(guard)) = (&mut self.entries[entry], &mut self.sides[side])
@@ -308,8 +308,9 @@
             self.ups[index].advance(now);
         }
         self.audit();
-        self.connect();
+        // A process that wakes reads what its old connections hold first.
         self.deliver();
+        self.connect();
         self.call_upstreams();
         let millis = u64::try_from(now.as_millis()).expect("small");
         let tick = u64::try_from(TICK.as_millis()).expect("small");
@@ -374,7 +375,8 @@
             for id in silent.unwrap_or_default() {
                 if let Some(side) = self.side_ids.iter().position(|known| *known == id) {
                     self.drop_at_entry(entry, side);
-                    if !self.links[&(entry, side)].cut {
+                    // A process that is paused reads its connection later.
+                    if !self.links[&(entry, side)].cut && !self.frozen_sides[side] {
                         self.drop_at_side(entry, side);
                     }
                 } else if let Some(dispatcher) = &mut self.entries[entry] {
