--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -1,7 +1,7 @@
 //! The entry process for leased tasks.
 
 use super::{
-    BATCH, EXIT_MARGIN, INBOX, TICK, dump, front, hello, pace,
+    BATCH, EXIT_MARGIN, Entries, INBOX, Seeds, TICK, dump, front, hello, pace,
     record::{self, Recorder},
     rules,
 };
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 pub(super) enum Event {
     Link(link::Event),
+    /// The settings name other entries to begin with.
+    Seeds(Seeds),
     Ask {
         customer: u64,
         host: String,
@@ -59,6 +61,12 @@
     Leave(Duration),
 }
 
+impl From<Seeds> for Event {
+    fn from(seeds: Seeds) -> Self {
+        Self::Seeds(seeds)
+    }
+}
+
 impl From<link::Event> for Event {
     fn from(event: link::Event) -> Self {
         Self::Link(event)
@@ -159,6 +167,11 @@
 }
 
 impl Handle {
+    /// Returns the means to set other entries to begin with.
+    pub fn entries(&self) -> Entries<impl From<Seeds> + use<>> {
+        Entries(self.events.clone())
+    }
+
     /// Returns the address for customers.
     pub fn customers(&self) -> std::net::SocketAddr {
         self.customers.address()
@@ -261,6 +274,7 @@
 
     fn handle(&mut self, now: Duration, event: Event) {
         match event {
+            Event::Seeds(Seeds(addresses)) => self.mesh.seed(addresses),
             Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
             Event::Link(link::Event::Frame(number, Frame::Lease(frame))) => {
                 if let Some(from) = self.mesh.peer(number) {
--- a/crates/hyssoppost/src/leased/mod.rs
+++ b/crates/hyssoppost/src/leased/mod.rs
@@ -10,7 +10,8 @@
 
 use crate::settings;
 use kernel::guard::Pace;
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
+use tokio::sync::mpsc;
 use wire::{
     frame::{Hello, Role, VERSION},
     id::Incarnation,
@@ -28,6 +29,22 @@
 /// Time kept of a planned stop for the process's own end.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
+/// Sets the addresses of entries that a running process begins with.
+#[derive(Debug, Clone)]
+pub struct Entries<E>(mpsc::Sender<E>);
+
+impl<E: From<Seeds>> Entries<E> {
+    /// Sets the addresses.
+    pub async fn set(&self, addresses: Vec<SocketAddr>) {
+        // A process that has ended needs none.
+        let _ = self.0.send(Seeds(addresses).into()).await;
+    }
+}
+
+/// New addresses of entries to begin with.
+#[derive(Debug)]
+pub struct Seeds(Vec<SocketAddr>);
+
 fn pace(lease: &settings::Lease) -> Pace {
     Pace::new(lease.longest, lease.resend, lease.stop)
 }
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -1,7 +1,7 @@
 //! The side process for leased tasks.
 
 use super::{
-    BATCH, EXIT_MARGIN, INBOX, TICK, dump, hello, pace,
+    BATCH, EXIT_MARGIN, Entries, INBOX, Seeds, TICK, dump, hello, pace,
     record::{self, Recorder},
 };
 use crate::{
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 enum Event {
     Link(link::Event),
+    /// The settings name other entries to begin with.
+    Seeds(Seeds),
     Report(Report),
     Started(Run, Started),
     Stopped(Run, u64),
@@ -36,6 +38,12 @@
     Leave,
 }
 
+impl From<Seeds> for Event {
+    fn from(seeds: Seeds) -> Self {
+        Self::Seeds(seeds)
+    }
+}
+
 impl From<link::Event> for Event {
     fn from(event: link::Event) -> Self {
         Self::Link(event)
@@ -135,6 +143,11 @@
 }
 
 impl Handle {
+    /// Returns the means to set other entries to begin with.
+    pub fn entries(&self) -> Entries<impl From<Seeds> + use<>> {
+        Entries(self.events.clone())
+    }
+
     /// Returns the address at which the upstream reports.
     pub fn reports(&self) -> SocketAddr {
         self.reports.address()
@@ -229,6 +242,7 @@
 
     fn handle(&mut self, now: Duration, event: Event) {
         match event {
+            Event::Seeds(Seeds(addresses)) => self.mesh.seed(addresses),
             Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
             Event::Link(link::Event::Frame(number, Frame::Lease(frame))) => {
                 if let Some(from) = self.mesh.peer(number) {
--- a/crates/hyssoppost/src/lib.rs
+++ b/crates/hyssoppost/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logging;
 mod mesh;
 mod meter;
+pub mod reload;
 pub mod settings;
 pub mod side;
 pub mod usage;
--- a/crates/hyssoppost/src/main.rs
+++ b/crates/hyssoppost/src/main.rs
@@ -1,6 +1,6 @@
 //! The dispatcher.
 
-use hyssoppost::{Error, entry, leased, logging, settings, side};
+use hyssoppost::{Error, entry, leased, logging, reload, settings, side};
 use lexopt::{Arg, Parser, ValueExt};
 use std::{path::PathBuf, process::ExitCode};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -53,7 +53,9 @@
             let settings = settings::Entry::open(&path)?;
             logging::open(settings.common.level)?;
             match settings.lease.clone() {
-                Some(lease) => thin_runtime()?.block_on(run_leased_entry(settings, &lease))?,
+                Some(lease) => {
+                    thin_runtime()?.block_on(run_leased_entry(path, settings, &lease))?;
+                }
                 None => runtime()?.block_on(run_entry(settings))?,
             }
         }
@@ -61,7 +63,9 @@
             let settings = settings::Side::open(&path)?;
             logging::open(settings.common.level)?;
             match settings.beside.clone() {
-                Some(beside) => thin_runtime()?.block_on(run_leased_side(settings, &beside))?,
+                Some(beside) => {
+                    thin_runtime()?.block_on(run_leased_side(path, settings, &beside))?;
+                }
                 None => runtime()?.block_on(run_side(settings))?,
             }
         }
@@ -82,21 +86,41 @@
         .build()?)
 }
 
-async fn run_leased_entry(settings: settings::Entry, lease: &settings::Lease) -> Result<(), Error> {
+async fn run_leased_entry(
+    path: PathBuf,
+    settings: settings::Entry,
+    lease: &settings::Lease,
+) -> Result<(), Error> {
     let mut stop = signal(SignalKind::terminate())?;
-    let hup = signal(SignalKind::hangup())?;
+    let hangup = signal(SignalKind::hangup())?;
     let handle = leased::entry::spawn(settings, lease).await?;
-    tokio::spawn(watch_settings(hup));
+    let entries = handle.entries();
+    tokio::spawn(reload::follow(
+        path,
+        hangup,
+        |path| Ok(settings::Entry::open(path)?.into()),
+        async move |change| entries.set(change.entries).await,
+    ));
     wait(&mut stop).await;
     log::info!("event=draining");
     handle.drain(wait(&mut stop)).await
 }
 
-async fn run_leased_side(settings: settings::Side, beside: &settings::Beside) -> Result<(), Error> {
+async fn run_leased_side(
+    path: PathBuf,
+    settings: settings::Side,
+    beside: &settings::Beside,
+) -> Result<(), Error> {
     let mut stop = signal(SignalKind::terminate())?;
-    let hup = signal(SignalKind::hangup())?;
+    let hangup = signal(SignalKind::hangup())?;
     let handle = leased::side::spawn(settings, beside).await?;
-    tokio::spawn(watch_settings(hup));
+    let entries = handle.entries();
+    tokio::spawn(reload::follow(
+        path,
+        hangup,
+        |path| Ok(settings::Side::open(path)?.into()),
+        async move |change| entries.set(change.entries).await,
+    ));
     wait(&mut stop).await;
     log::info!("event=draining");
     handle.drain(wait(&mut stop)).await
@@ -124,13 +148,6 @@
     handle.drain(wait(&mut stop)).await
 }
 
-/// Takes hangups, which would end the process otherwise.
-async fn watch_settings(mut hup: Signal) {
-    while hup.recv().await.is_some() {
-        log::info!("event=hangup");
-    }
-}
-
 async fn wait(signal: &mut Signal) {
     if signal.recv().await.is_none() {
         // No more signals can arrive.
--- a/crates/hyssoppost/src/mesh.rs
+++ b/crates/hyssoppost/src/mesh.rs
@@ -180,6 +180,12 @@
         }
     }
 
+    /// Sets the addresses to begin with, and connects to them.
+    pub(crate) fn seed(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+        self.dial_known();
+    }
+
     /// Records the entries registered, and connects to them.
     pub(crate) fn register(&mut self, entries: Vec<Known>) {
         self.registered = entries;
--- a/crates/hyssoppost/tests/soak/process.rs
+++ b/crates/hyssoppost/tests/soak/process.rs
@@ -1,5 +1,7 @@
 //! One program under test, started from outside and signalled by its id.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     io::{BufRead, BufReader, Write},
