--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -74,6 +74,13 @@
             return;
         }
         let Some(rules) = &self.rules else {
+            self.events.push(Event::Refused {
+                job: submission.job,
+                reason: Reason::NoRules,
+                wait: Duration::ZERO,
+                useful: submission.patience,
+                held: Duration::ZERO,
+            });
             self.refuse(customer, Reason::NoRules);
             return;
         };
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -81,6 +81,8 @@
     UnknownJob = 113, "unknown-job", 404, "Submit the job.";
     /// The job ended earlier and its answer is no longer held.
     AnswerReleased = 114, "answer-released", 410, "Check outside the system what was done.";
+    /// The job asks for what this deployment does not run.
+    UnsupportedJob = 115, "unsupported-job", 503, "Ask for less; the Limits of the design page name what is not run.";
     /// The queue is full.
     QueueFull = 201, "queue-full", 503, "Retry after the stated time.";
     /// The process is leaving and takes no new jobs.
