--- a/crates/hyssopctl/src/cmd/explain.rs
+++ b/crates/hyssopctl/src/cmd/explain.rs
@@ -7,7 +7,7 @@
 use lexopt::{Arg, Parser, ValueExt};
 use std::{
     fs::File,
-    io::{BufRead, BufReader, stdin},
+    io::{self, BufRead, BufReader, ErrorKind, Write, stdin, stdout},
     path::{Path, PathBuf},
 };
 
@@ -58,11 +58,18 @@
         return Err(Error::Job(format!("no line about {}", arguments.job)));
     }
     lines.sort_by(|left, right| left.time.cmp(&right.time));
-    for line in &lines {
-        print_line(line);
+    match print(&lines, stdout().lock()) {
+        // Whoever reads has seen enough.
+        Err(error) if error.kind() == ErrorKind::BrokenPipe => Ok(()),
+        printed => Ok(printed?),
     }
-    println!("cause: {}", story::cause(&lines));
-    Ok(())
+}
+
+fn print(lines: &[Line], mut output: impl Write) -> io::Result<()> {
+    for line in lines {
+        print_line(line, &mut output)?;
+    }
+    writeln!(output, "cause: {}", story::cause(lines))
 }
 
 fn collect(input: impl BufRead, job: &str, file: &str, lines: &mut Vec<Line>) -> Result<(), Error> {
@@ -72,19 +79,20 @@
     Ok(())
 }
 
-fn print_line(line: &Line) {
+fn print_line(line: &Line, output: &mut impl Write) -> io::Result<()> {
     let pairs: Vec<String> = line
         .pairs
         .iter()
         .map(|(key, value)| format!("{key}={value}"))
         .collect();
-    println!(
+    writeln!(
+        output,
         "{} {} {} {}",
         line.time,
         line.process,
         line.event,
         pairs.join(" ")
-    );
+    )
 }
 
 fn parse(mut parser: Parser) -> Result<Option<Arguments>, lexopt::Error> {
--- /dev/null
+++ b/crates/hyssopctl/tests/explain_story.rs
@@ -0,0 +1,65 @@
+//! A job's story from the lines of several processes, and its cause.
+
+use hyssopctl::story::{cause, read};
+
+const JOB: &str = "b29852c7766e0bc2";
+
+fn story(lines: &[&str]) -> String {
+    let mut read: Vec<_> = lines
+        .iter()
+        .filter_map(|line| read(line, JOB, "file.log"))
+        .collect();
+    read.sort_by(|left, right| left.time.cmp(&right.time));
+    cause(&read)
+}
+
+#[test]
+fn refused_kinds() {
+    let line = |held: u32| {
+        format!(
+            "time=2026-08-29T17:47:05.570Z level=WARN event=refused job={JOB} reason=overload \
+             wait_ms=175 useful_ms=181 held_ms={held} ran=no"
+        )
+    };
+    let expected = "not run: overload; expected wait 175 ms, an answer was of use for 181 ms";
+    assert_eq!(story(&[&line(0)]), format!("refused at once, {expected}"));
+    assert_eq!(
+        story(&[&line(171)]),
+        format!("refused after 171 ms, {expected}")
+    );
+}
+
+#[test]
+fn moved_run() {
+    let text = story(&[
+        "2.3 e1 time=2026-07-25T07:38:14.643Z level=WARN event=answered job=b29852c7766e0bc2 \
+         queue=r state=completed took_ms=482 objective_ms=200 reruns=1",
+        "2.1 e1 time=2026-07-25T07:38:14.451Z level=WARN event=moved \
+         run=b29852c7766e0bc2.0.0.6/1 side=bb6b elapsed_ms=285 percent=36 still_ms=0",
+        "2.2 e1 time=2026-07-25T07:38:14.486Z level=INFO event=ended \
+         run=b29852c7766e0bc2.0.0.6/1 side=bb6b ending=stopped spent_ms=320",
+        "2.2 e1 time=2026-07-25T07:38:14.486Z level=INFO event=placed \
+         run=b29852c7766e0bc2.0.0.6/2 side=cd7a way=Room room_mcpu=8 age_ms=13 waited_ms=324",
+        "2.0 e1 time=2026-07-25T07:38:14.486Z level=INFO event=placed run=0000000000000000.0.0.6/2",
+    ]);
+    assert_eq!(
+        text,
+        "completed late: 482 ms of 200 ms; run b29852c7766e0bc2.0.0.6/1 made 36 % in 285 ms at \
+         side bb6b, so it was moved; 1 runs ended stopped after 320 ms in all; last task placed \
+         after 324 ms"
+    );
+}
+
+#[test]
+fn line_parts() {
+    let text = "7.85 e1 time=T level=WARN event=refused job=b29852c7766e0bc2 out=\"a,b\"";
+    let line = read(text, JOB, "file.log").unwrap();
+    assert_eq!(
+        (line.process.as_str(), line.event.as_str()),
+        ("e1", "refused")
+    );
+    assert_eq!(line.get("out"), Some("a,b"));
+    let bare = read("time=T event=x job=b29852c7766e0bc2", JOB, "file.log").unwrap();
+    assert_eq!(bare.process, "file.log", "where no collector names it");
+    assert!(read("time=T event=x job=1", JOB, "f").is_none());
+}
