One copy of the connections' code; kernel files of one job each

The two older processes kept their own copy of what mesh::Mesh does. Types, reports and texts of the new kernels move to files of their own.

--- a/crates/hyssoppost/src/entry/process.rs
+++ b/crates/hyssoppost/src/entry/process.rs
@@ -4,21 +4,19 @@
 use crate::{
     admin::Dump,
     clock::Clock,
-    link::{self, Joined, Link, Local, Order},
+    link::{self, Joined, Local},
+    mesh::Mesh,
 };
-use hashbrown::{HashMap, HashSet};
+use hashbrown::HashMap;
 use kernel::{
     entry::{Action, Adoption, Entry},
     work::{Customer, failed},
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use tokio::{
-    sync::{mpsc, oneshot, watch},
-    task::JoinHandle,
-};
+use tokio::sync::{mpsc, oneshot, watch};
 use wire::{
     Code, Frame,
-    frame::{Hello, Known, Request, Role, Started},
+    frame::{Hello, Request, Role, Started},
     id::{Incarnation, Job},
 };
 
@@ -28,12 +26,6 @@
 /// Events handled before the actions that follow are carried out.
 const BATCH: usize = 256;
 
-#[derive(Debug)]
-struct Connection {
-    peer: Hello,
-    dialled: Option<SocketAddr>,
-}
-
 #[derive(Debug)]
 struct Pending {
     job: Option<Job>,
@@ -43,32 +35,13 @@
 #[derive(Debug)]
 pub(super) struct Process {
     kernel: Entry,
-    local: Local,
+    mesh: Mesh<Event>,
     status: watch::Sender<Status>,
-    events: mpsc::Sender<Event>,
-    links: HashMap<Incarnation, Link>,
-    order: Order,
-    connections: HashMap<u64, Connection>,
     pending: HashMap<u64, Pending>,
-    dialers: HashMap<SocketAddr, JoinHandle<()>>,
-    passive: HashSet<SocketAddr>,
-    seeds: Vec<SocketAddr>,
-    registered: Vec<Known>,
     retired: bool,
     published: Duration,
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        for dialer in self.dialers.values() {
-            dialer.abort();
-        }
-        for (_, link) in self.links.drain() {
-            link.close();
-        }
-    }
-}
-
 impl Process {
     pub(super) fn new(
         kernel: Entry,
@@ -79,17 +52,9 @@
     ) -> Self {
         Self {
             kernel,
-            local,
+            mesh: Mesh::new(local, events, seeds),
             status,
-            events,
-            links: HashMap::new(),
-            order: Order::default(),
-            connections: HashMap::new(),
             pending: HashMap::new(),
-            dialers: HashMap::new(),
-            passive: HashSet::new(),
-            seeds,
-            registered: Vec::new(),
             retired: false,
             published: Duration::ZERO,
         }
@@ -116,7 +81,7 @@
                     }
                 }
                 Some(reply) = dumps.recv() => {
-                    let state = dump::entry(&self.kernel, &self.local, clock.now());
+                    let state = dump::entry(&self.kernel, self.mesh.local(), clock.now());
                     // The asker may have gone away.
                     let _ = reply.send(state);
                 }
@@ -146,97 +111,30 @@
     }
 
     fn joined(&mut self, now: Duration, joined: Joined) {
-        if !self.order.admit(&joined) {
-            joined.link.close();
-            return;
-        }
-        let Joined {
-            hello,
-            link,
-            dialled,
-        } = joined;
-        if hello.role == Role::Entry && !self.keeps(&hello, dialled) {
-            link.close();
+        let Some(admitted) = self.mesh.admit(joined) else {
             return;
-        }
-        let incarnation = hello.incarnation;
-        log::info!(
-            "event=peer_joined role={:?} name={} incarnation={incarnation} connection={}",
-            hello.role,
-            hello.name,
-            link.number()
-        );
-        if let Some(old) = self.links.remove(&incarnation) {
-            self.connections.remove(&old.number());
-            self.lose(now, &hello);
-            old.close();
-        }
-        let connection = Connection {
-            peer: hello.clone(),
-            dialled,
         };
-        self.connections.insert(link.number(), connection);
-        self.links.insert(incarnation, link);
-        match hello.role {
-            Role::Side => self.kernel.join_side(now, &hello),
-            Role::Entry => {
-                self.kernel.join_entry(now, &hello);
-                self.update_known();
-            }
+        if admitted.replaces {
+            self.lose(now, &admitted.peer);
         }
-    }
-
-    /// Of two connections between the same entries, both keep the one that the
-    /// smaller name dialled.
-    fn keeps(&mut self, hello: &Hello, dialled: Option<SocketAddr>) -> bool {
-        let smaller = self.local.hello.name < hello.name;
-        match dialled {
-            Some(address) if !smaller => {
-                if let Some(dialer) = self.dialers.remove(&address) {
-                    dialer.abort();
-                }
-                self.passive.insert(address);
-                false
-            }
-            None if smaller => {
-                if let Ok(address) = hello.address.parse() {
-                    self.dial(address);
-                }
-                false
+        match admitted.peer.role {
+            Role::Side => self.kernel.join_side(now, &admitted.peer),
+            Role::Entry => {
+                self.kernel.join_entry(now, &admitted.peer);
+                self.kernel.know_entries(&self.mesh.known());
             }
-            Some(_) | None => true,
         }
     }
 
     fn frame(&mut self, now: Duration, number: u64, frame: Frame) {
-        if let Some(connection) = self.connections.get(&number) {
-            let from = connection.peer.incarnation;
+        if let Some(from) = self.mesh.peer(number) {
             self.kernel.frame(now, from, frame);
         }
     }
 
     fn lost(&mut self, now: Duration, number: u64) {
-        let Some(connection) = self.connections.remove(&number) else {
-            return;
-        };
-        let incarnation = connection.peer.incarnation;
-        if self
-            .links
-            .get(&incarnation)
-            .is_some_and(|link| link.number() == number)
-            && let Some(link) = self.links.remove(&incarnation)
-        {
-            link.close();
-        }
-        log::info!(
-            "event=peer_lost role={:?} name={} incarnation={incarnation} connection={number}",
-            connection.peer.role,
-            connection.peer.name
-        );
-        self.lose(now, &connection.peer);
-        if connection.peer.role == Role::Entry && connection.dialled.is_none() {
-            self.passive.clear();
-            self.dial_known();
+        if let Some(peer) = self.mesh.lost(number) {
+            self.lose(now, &peer);
         }
     }
 
@@ -289,73 +187,10 @@
             registry::Event::Absent => {}
             registry::Event::Failed => self.kernel.store_failed(),
             registry::Event::Entries(entries) => {
-                self.registered = entries;
-                self.update_known();
-                self.dial_known();
-            }
-        }
-    }
-
-    /// Entries of the registry, and those connected, which may not be there
-    /// yet or any more.
-    fn update_known(&mut self) {
-        let mut known = self.registered.clone();
-        for connection in self.connections.values() {
-            let peer = &connection.peer;
-            if peer.role == Role::Entry && known.iter().all(|entry| entry.name != peer.name) {
-                known.push(Known {
-                    name: peer.name.clone(),
-                    address: peer.address.clone(),
-                });
-            }
-        }
-        let own = &self.local.hello;
-        if known.iter().all(|entry| entry.name != own.name) {
-            known.push(Known {
-                name: own.name.clone(),
-                address: own.address.clone(),
-            });
-        }
-        known.sort_by(|left, right| left.name.cmp(&right.name));
-        self.kernel.know_entries(&known);
-    }
-
-    fn dial_known(&mut self) {
-        let own = self.local.hello.address.clone();
-        let registered = self
-            .registered
-            .iter()
-            .filter(|known| known.address != own)
-            .filter_map(|known| known.address.parse().ok());
-        let wanted: HashSet<SocketAddr> = registered.chain(self.seeds.iter().copied()).collect();
-        let unwanted: Vec<SocketAddr> = self
-            .dialers
-            .keys()
-            .filter(|address| !wanted.contains(*address) && !self.is_connected(**address))
-            .copied()
-            .collect();
-        for address in unwanted {
-            if let Some(dialer) = self.dialers.remove(&address) {
-                dialer.abort();
+                self.mesh.register(entries);
+                self.kernel.know_entries(&self.mesh.known());
             }
         }
-        for address in wanted {
-            self.dial(address);
-        }
-    }
-
-    fn is_connected(&self, address: SocketAddr) -> bool {
-        self.connections
-            .values()
-            .any(|connection| connection.dialled == Some(address))
-    }
-
-    fn dial(&mut self, address: SocketAddr) {
-        if self.dialers.contains_key(&address) || self.passive.contains(&address) {
-            return;
-        }
-        let dialer = link::dial(address, self.local.clone(), self.events.clone());
-        self.dialers.insert(address, dialer);
     }
 
     fn tick(&mut self, now: Duration) {
@@ -367,24 +202,21 @@
             .collect();
         for incarnation in silent {
             self.kernel.count_silence();
-            log::warn!("event=peer_silent incarnation={incarnation}");
-            if let Some(link) = self.links.remove(&incarnation) {
-                let number = link.number();
-                link.close();
-                self.lost(now, number);
+            if let Some(peer) = self.mesh.close(incarnation, "silent") {
+                self.lose(now, &peer);
             }
         }
         self.kernel.tick(now);
         if now.saturating_sub(self.published) >= crate::meter::INTERVAL {
             self.published = now;
-            meter::publish(&self.kernel, &self.local, now);
+            meter::publish(&self.kernel, self.mesh.local(), now);
         }
     }
 
     fn act(&mut self) {
         for action in self.kernel.take_actions() {
             match action {
-                Action::Send(to, frame) => self.send(to, frame),
+                Action::Send(to, frame) => self.mesh.send(to, frame),
                 Action::Answer(number, answer) => {
                     if let Some(pending) = self.pending.remove(&number) {
                         let job = pending.job;
@@ -394,21 +226,15 @@
                 }
                 Action::Retire => {
                     self.retired = true;
-                    log::error!("event=fenced incarnation={}", self.local.hello.incarnation);
+                    log::error!(
+                        "event=fenced incarnation={}",
+                        self.mesh.local().hello.incarnation
+                    );
                 }
             }
         }
     }
 
-    fn send(&mut self, to: Incarnation, frame: Frame) {
-        let sent = self.links.get(&to).is_some_and(|link| link.send(frame));
-        if !sent && let Some(link) = self.links.remove(&to) {
-            log::warn!("event=peer_slow incarnation={to}");
-            // The reader's end reports the loss.
-            link.close();
-        }
-    }
-
     fn phase(&self, now: Duration) -> Phase {
         if self.retired {
             Phase::Retired
--- a/crates/hyssoppost/src/side/process.rs
+++ b/crates/hyssoppost/src/side/process.rs
@@ -8,20 +8,13 @@
     Error,
     admin::Dump,
     clock::Clock,
-    link::{self, Joined, Link, Local, Order},
+    link::{self, Joined, Local},
+    mesh::Mesh,
 };
-use hashbrown::{HashMap, HashSet};
 use kernel::side::{Action, Side};
 use std::{net::SocketAddr, time::Duration};
-use tokio::{
-    sync::{mpsc, watch},
-    task::JoinHandle,
-};
-use wire::{
-    Frame,
-    frame::{Known, Offer, Role},
-    id::Incarnation,
-};
+use tokio::sync::{mpsc, watch};
+use wire::frame::Offer;
 
 /// Interval at which silences and queued tasks are looked for.
 const TICK: Duration = Duration::from_millis(50);
@@ -35,14 +28,8 @@
 #[derive(Debug)]
 pub(super) struct Process {
     kernel: Side,
-    local: Local,
+    mesh: Mesh<Event>,
     status: watch::Sender<Status>,
-    events: mpsc::Sender<Event>,
-    links: HashMap<Incarnation, Link>,
-    order: Order,
-    connections: HashMap<u64, Incarnation>,
-    dialers: HashMap<SocketAddr, JoinHandle<()>>,
-    seeds: Vec<SocketAddr>,
     discover: bool,
     client: upstream::Client,
     announced: Option<Duration>,
@@ -58,17 +45,6 @@
     pub(super) discover: bool,
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        for dialer in self.dialers.values() {
-            dialer.abort();
-        }
-        for (_, link) in self.links.drain() {
-            link.close();
-        }
-    }
-}
-
 impl Process {
     pub(super) fn new(
         kernel: Side,
@@ -79,15 +55,9 @@
     ) -> Result<Self, Error> {
         Ok(Self {
             kernel,
-            local,
+            mesh: Mesh::new(local, events.clone(), entries.seeds),
             status,
-            client: upstream::Client::open(events.clone())?,
-            events,
-            links: HashMap::new(),
-            order: Order::default(),
-            connections: HashMap::new(),
-            dialers: HashMap::new(),
-            seeds: entries.seeds,
+            client: upstream::Client::open(events)?,
             discover: entries.discover,
             announced: None,
             published: Duration::ZERO,
@@ -103,7 +73,7 @@
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut batch = Vec::with_capacity(BATCH);
-        self.dial(&[]);
+        self.mesh.dial_known();
         loop {
             tokio::select! {
                 count = inbox.recv_many(&mut batch, BATCH) => {
@@ -116,7 +86,7 @@
                     }
                 }
                 Some(reply) = dumps.recv() => {
-                    let state = dump::side(&self.kernel, &self.local, clock.now());
+                    let state = dump::side(&self.kernel, self.mesh.local(), clock.now());
                     // The asker may have gone away.
                     let _ = reply.send(state);
                 }
@@ -131,8 +101,8 @@
         match event {
             Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
             Event::Link(link::Event::Frame(number, frame)) => {
-                if let Some(from) = self.connections.get(&number) {
-                    self.kernel.frame(now, *from, frame);
+                if let Some(from) = self.mesh.peer(number) {
+                    self.kernel.frame(now, from, frame);
                 }
             }
             Event::Link(link::Event::Lost(number)) => self.lost(number),
@@ -150,35 +120,15 @@
     }
 
     fn joined(&mut self, now: Duration, joined: Joined) {
-        if !self.order.admit(&joined) {
-            joined.link.close();
-            return;
-        }
-        let Joined { hello, link, .. } = joined;
-        if hello.role != Role::Entry {
-            link.close();
-            return;
+        if let Some(admitted) = self.mesh.admit(joined) {
+            self.kernel.join(now, admitted.peer.incarnation);
         }
-        let entry = hello.incarnation;
-        log::info!("event=entry_joined name={} incarnation={entry}", hello.name);
-        if let Some(old) = self.links.remove(&entry) {
-            self.connections.remove(&old.number());
-            old.close();
-        }
-        self.connections.insert(link.number(), entry);
-        self.links.insert(entry, link);
-        self.kernel.join(now, entry);
     }
 
     fn lost(&mut self, number: u64) {
-        let Some(entry) = self.connections.remove(&number) else {
-            return;
-        };
-        log::info!("event=entry_lost incarnation={entry}");
-        if let Some(link) = self.links.remove(&entry) {
-            link.close();
+        if let Some(peer) = self.mesh.lost(number) {
+            self.kernel.lose(peer.incarnation);
         }
-        self.kernel.lose(entry);
     }
 
     fn announced(&mut self, now: Duration, announcement: Announcement) {
@@ -194,11 +144,7 @@
 
     fn tick(&mut self, now: Duration) {
         for entry in self.kernel.silent(now) {
-            log::warn!("event=entry_silent incarnation={entry}");
-            if let Some(link) = self.links.remove(&entry) {
-                self.connections.remove(&link.number());
-                link.close();
-            }
+            self.mesh.close(entry, "silent");
             self.kernel.lose(entry);
         }
         let silent = self
@@ -212,50 +158,21 @@
         self.kernel.tick(now);
         if now.saturating_sub(self.published) >= crate::meter::INTERVAL {
             self.published = now;
-            meter::publish(&self.kernel, &self.local, now);
+            meter::publish(&self.kernel, self.mesh.local(), now);
         }
     }
 
     fn act(&mut self, now: Duration) {
         for action in self.kernel.take_actions() {
             match action {
-                Action::Send(to, frame) => self.send(to, frame),
+                Action::Send(to, frame) => self.mesh.send(to, frame),
                 Action::Start(start) => self.client.start(now, start),
-                Action::Entries(entries) if self.discover => self.dial(&entries),
+                Action::Entries(entries) if self.discover => self.mesh.register(entries),
                 Action::Entries(_) => {}
             }
         }
     }
 
-    fn send(&mut self, to: Incarnation, frame: Frame) {
-        let sent = self.links.get(&to).is_some_and(|link| link.send(frame));
-        if !sent && let Some(link) = self.links.remove(&to) {
-            log::warn!("event=entry_slow incarnation={to}");
-            link.close();
-        }
-    }
-
-    /// Dials the entries known and the seeds, and no others.
-    fn dial(&mut self, entries: &[Known]) {
-        let known = entries
-            .iter()
-            .filter_map(|known| known.address.parse().ok());
-        let wanted: HashSet<SocketAddr> = known.chain(self.seeds.iter().copied()).collect();
-        self.dialers.retain(|address, dialer| {
-            let keep = wanted.contains(address);
-            if !keep {
-                dialer.abort();
-            }
-            keep
-        });
-        for address in wanted {
-            let (local, events) = (&self.local, &self.events);
-            self.dialers
-                .entry(address)
-                .or_insert_with(|| link::dial(address, local.clone(), events.clone()));
-        }
-    }
-
     fn report(&self) {
         let idle = self.kernel.is_idle();
         self.status.send_if_modified(|status| {
--- /dev/null
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -0,0 +1,208 @@
+//! What sides report: their load, the ends and the progress of runs.
+
+use super::{Dispatcher, Event, Key, REFUSED_PAUSE, fleet::Link, job::State};
+use std::time::Duration;
+use wire::lease::{End, Ending, Ends, Frame, Progress, Refusal, Run};
+
+impl Dispatcher {
+    pub(super) fn status(&mut self, now: Duration, from: Key, status: wire::lease::Status) {
+        let Some(side) = self.fleet.get_mut(from) else {
+            return;
+        };
+        side.report(now, status);
+        let (accepting, name) = (status.accepting, side.name.clone());
+        if accepting {
+            self.supersede(now, from, &name);
+        }
+    }
+
+    /// A side that accepts has made sure that nothing of its earlier life runs.
+    fn supersede(&mut self, now: Duration, key: Key, name: &str) {
+        let earlier: Vec<Key> = self
+            .fleet
+            .iter()
+            .filter(|(other, side)| *other != key && side.name == name)
+            .filter(|(_, side)| side.link == Link::Lost)
+            .map(|(other, _)| other)
+            .collect();
+        for other in earlier {
+            self.drop_side(now, other);
+        }
+    }
+
+    pub(super) fn ends(&mut self, now: Duration, from: Key, ends: &Ends) {
+        let Some(side) = self.fleet.get_mut(from) else {
+            return;
+        };
+        side.heard = now;
+        let known = side.ended;
+        side.ended = known.max(ends.first + ends.ends.len() as u64 - 1);
+        let skip = known.saturating_add(1).saturating_sub(ends.first);
+        let new = ends
+            .ends
+            .iter()
+            .skip(usize::try_from(skip).unwrap_or(usize::MAX));
+        for end in new {
+            self.end(now, from, *end);
+        }
+    }
+
+    pub(super) fn held(&mut self, now: Duration, from: Key, runs: &[Run]) {
+        let Some(side) = self.fleet.get_mut(from) else {
+            return;
+        };
+        side.link = Link::Up;
+        self.events.push(Event::SideUp {
+            name: side.name.clone(),
+            side: from,
+        });
+        let missing: Vec<Run> = side
+            .runs
+            .iter()
+            .filter(|run| !runs.contains(run))
+            .copied()
+            .collect();
+        for run in missing {
+            let end = End {
+                run,
+                ending: Ending::NotRun(Refusal::Lost),
+                spent: 0,
+            };
+            self.end(now, from, end);
+        }
+        let unknown: Vec<Run> = runs
+            .iter()
+            .filter(|run| {
+                self.fleet
+                    .get(from)
+                    .is_some_and(|side| !side.runs.contains(*run))
+            })
+            .copied()
+            .collect();
+        if !unknown.is_empty() {
+            self.send(from, Frame::Stop(unknown));
+        }
+    }
+
+    pub(super) fn end(&mut self, now: Duration, from: Key, end: End) {
+        let known = self
+            .fleet
+            .get_mut(from)
+            .is_some_and(|side| side.runs.remove(&end.run));
+        if !known {
+            return;
+        }
+        let task = end.run.task;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            if let Some(side) = self.fleet.get_mut(from) {
+                side.probe_void();
+            }
+            return;
+        };
+        // The job may have come again since, with runs of the same numbers.
+        if !job.placed().contains(&(from, end.run)) {
+            if let Some(slot) = job.slot(task) {
+                slot.resume = slot.resume.min(now);
+            }
+            return;
+        }
+        let estimate = job.step(task).estimate;
+        job.ran |= !matches!(end.ending, Ending::NotRun(_));
+        let Some(slot) = job.slot(task) else { return };
+        match end.ending {
+            Ending::Done => slot.state = State::Done,
+            Ending::Failed => slot.failures += 1,
+            Ending::Stopped | Ending::Lapsed => {}
+            Ending::NotRun(_) => slot.resume = now + REFUSED_PAUSE,
+        }
+        if end.ending != Ending::Done {
+            slot.state = State::Waiting;
+            slot.avoid = Some(from);
+        }
+        self.events.push(Event::Ended {
+            run: end.run,
+            side: from,
+            ending: end.ending,
+            spent: Duration::from_millis(end.spent.into()),
+        });
+        self.judge(now, from, end, estimate);
+        self.advance(now, task, end.ending);
+    }
+
+    /// Learns about the upstream from a run's end.
+    fn judge(&mut self, now: Duration, from: Key, end: End, estimate: Duration) {
+        let aside = match end.ending {
+            Ending::Done => {
+                let ratio = f64::from(end.spent.max(1)) / estimate.as_secs_f64().max(1e-3) / 1e3;
+                let learnt = self.fleet.learn(now, from, ratio, end.spent);
+                if learnt.back {
+                    self.events.push(Event::Back { side: from });
+                }
+                learnt.aside
+            }
+            Ending::Failed => {
+                let may = self.fleet.may_put_aside(now, from);
+                self.fleet
+                    .get_mut(from)
+                    .is_some_and(|side| side.failed(now, may))
+            }
+            Ending::NotRun(Refusal::Upstream | Refusal::Unanswered) => {
+                let may = self.fleet.may_put_aside(now, from);
+                self.stats.rejected += 1;
+                self.fleet
+                    .get_mut(from)
+                    .is_some_and(|side| side.failed(now, may))
+            }
+            Ending::NotRun(_) | Ending::Stopped | Ending::Lapsed => {
+                self.stats.rejected += u64::from(matches!(end.ending, Ending::NotRun(_)));
+                if let Some(side) = self.fleet.get_mut(from) {
+                    side.probe_void();
+                }
+                false
+            }
+        };
+        if aside {
+            self.tell_aside(from, end.run);
+        }
+    }
+
+    /// Moves a run away from an upstream where it makes too little progress.
+    pub(super) fn progress(&mut self, now: Duration, from: Key, progress: Progress) {
+        if !self.is_better_elsewhere(now, progress) {
+            return;
+        }
+        self.stats.moved += 1;
+        self.events.push(Event::Moved {
+            run: progress.run,
+            side: from,
+            elapsed: Duration::from_millis(progress.elapsed.into()),
+            percent: progress.percent,
+            still: Duration::from_millis(progress.still.into()),
+        });
+        let may = self.fleet.may_put_aside(now, from);
+        let aside = self
+            .fleet
+            .get_mut(from)
+            .is_some_and(|side| side.put_aside(now, may));
+        if aside {
+            self.tell_aside(from, progress.run);
+        }
+        self.send(from, Frame::Stop(vec![progress.run]));
+    }
+
+    fn tell_aside(&mut self, side: Key, run: Run) {
+        let slowness = self.fleet.get(side).map_or(1.0, |side| side.slowness);
+        let share = slowness / self.fleet.mean.max(1e-3) * 100.0;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "clamped to the range"
+        )]
+        let slowness = share.clamp(0.0, 1e6) as u32;
+        self.events.push(Event::Aside {
+            side,
+            run,
+            slowness,
+        });
+    }
+}
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -6,13 +6,16 @@
 //! placed anew only when its earlier run is proved over: its end was listed,
 //! its side has refused it, or all leases that it could hold have run out.
 
+mod answer;
 mod fleet;
+mod follow;
 mod job;
 mod peers;
 mod place;
 mod rules;
 mod serve;
 
+pub use answer::{Answer, Progressed, Reason, Stats, View};
 pub use fleet::{Fleet, Key};
 pub use job::{Job, Step, Submission};
 pub use rules::route;
@@ -23,7 +26,6 @@
     mutation::{Mutant, is_seeded},
 };
 use fleet::{Link, Side, echo_interval};
-use job::State;
 use peers::Peer;
 use rand::{SeedableRng, rngs::SmallRng};
 use std::{
@@ -33,7 +35,7 @@
 use wire::{
     frame::{Hello, Known},
     id::Incarnation,
-    lease::{Addressed, Echo, End, Ending, Ends, Frame, Need, Progress, Refusal, Rules, Run, Task},
+    lease::{Addressed, Echo, End, Ending, Frame, Rules, Run, Task},
 };
 
 /// Pause before a task that was refused is placed anew.
@@ -48,102 +50,6 @@
     Answer(u64, Answer),
 }
 
-/// State of a job, as customers see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Progressed {
-    /// No task has started.
-    Queued,
-    /// A task has started.
-    Running,
-    /// All tasks succeeded.
-    Completed,
-    /// A task failed for good.
-    Failed,
-    /// It was cancelled.
-    Cancelled,
-}
-
-/// An answer to a customer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Answer {
-    /// The job's state; final if the customer handed the job in.
-    State(Progressed),
-    /// The job was not run and will not be.
-    Refused {
-        /// Why.
-        reason: Reason,
-        /// When to come back.
-        retry: Duration,
-    },
-    /// Nobody knows whether the job would have ended.
-    Expired,
-    /// No queue is at this address.
-    NoQueue,
-    /// No such job is known.
-    NoJob,
-    /// Jobs of the queue of which no task has started.
-    Pending(u32),
-}
-
-/// Why a job was not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reason {
-    /// No rules are known yet.
-    NoRules,
-    /// The entry leaves.
-    Leaving,
-    /// The job could not end in time.
-    Overload,
-    /// No upstream can run it.
-    NoUpstream,
-}
-
-/// What an entry believes of a side.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct View<'a> {
-    /// The side's name.
-    pub name: &'a str,
-    /// Its failure domain.
-    pub domain: &'a str,
-    /// Whether tasks may be placed there.
-    pub open: bool,
-    /// Whether its upstream is put aside.
-    pub aside: bool,
-    /// Time since it was last heard.
-    pub silent: Duration,
-    /// Room left.
-    pub room: Need,
-    /// Runs of this entry there.
-    pub runs: usize,
-    /// Run time against the mean of all sides.
-    pub slowness: f64,
-}
-
-/// Counts since the start.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Stats {
-    /// Jobs accepted.
-    pub accepted: u64,
-    /// Jobs that succeeded.
-    pub completed: u64,
-    /// Jobs of which a task failed for good.
-    pub failed: u64,
-    /// Jobs refused.
-    pub refused: u64,
-    /// Jobs whose customers left.
-    pub abandoned: u64,
-    /// Jobs that outlived their customers' patience.
-    pub expired: u64,
-    /// Runs ordered.
-    pub runs: u64,
-    /// Runs that sides refused.
-    pub rejected: u64,
-    /// Runs stopped to run elsewhere.
-    pub moved: u64,
-    /// Runs lost with their sides.
-    pub lost: u64,
-}
-
 /// The entry's state.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -331,207 +237,6 @@
         }
     }
 
-    fn status(&mut self, now: Duration, from: Key, status: wire::lease::Status) {
-        let Some(side) = self.fleet.get_mut(from) else {
-            return;
-        };
-        side.report(now, status);
-        let (accepting, name) = (status.accepting, side.name.clone());
-        if accepting {
-            self.supersede(now, from, &name);
-        }
-    }
-
-    /// A side that accepts has made sure that nothing of its earlier life runs.
-    fn supersede(&mut self, now: Duration, key: Key, name: &str) {
-        let earlier: Vec<Key> = self
-            .fleet
-            .iter()
-            .filter(|(other, side)| *other != key && side.name == name)
-            .filter(|(_, side)| side.link == Link::Lost)
-            .map(|(other, _)| other)
-            .collect();
-        for other in earlier {
-            self.drop_side(now, other);
-        }
-    }
-
-    fn ends(&mut self, now: Duration, from: Key, ends: &Ends) {
-        let Some(side) = self.fleet.get_mut(from) else {
-            return;
-        };
-        side.heard = now;
-        let known = side.ended;
-        side.ended = known.max(ends.first + ends.ends.len() as u64 - 1);
-        let skip = known.saturating_add(1).saturating_sub(ends.first);
-        let new = ends
-            .ends
-            .iter()
-            .skip(usize::try_from(skip).unwrap_or(usize::MAX));
-        for end in new {
-            self.end(now, from, *end);
-        }
-    }
-
-    fn held(&mut self, now: Duration, from: Key, runs: &[Run]) {
-        let Some(side) = self.fleet.get_mut(from) else {
-            return;
-        };
-        side.link = Link::Up;
-        self.events.push(Event::SideUp {
-            name: side.name.clone(),
-            side: from,
-        });
-        let missing: Vec<Run> = side
-            .runs
-            .iter()
-            .filter(|run| !runs.contains(run))
-            .copied()
-            .collect();
-        for run in missing {
-            let end = End {
-                run,
-                ending: Ending::NotRun(Refusal::Lost),
-                spent: 0,
-            };
-            self.end(now, from, end);
-        }
-        let unknown: Vec<Run> = runs
-            .iter()
-            .filter(|run| {
-                self.fleet
-                    .get(from)
-                    .is_some_and(|side| !side.runs.contains(*run))
-            })
-            .copied()
-            .collect();
-        if !unknown.is_empty() {
-            self.send(from, Frame::Stop(unknown));
-        }
-    }
-
-    fn end(&mut self, now: Duration, from: Key, end: End) {
-        let known = self
-            .fleet
-            .get_mut(from)
-            .is_some_and(|side| side.runs.remove(&end.run));
-        if !known {
-            return;
-        }
-        let task = end.run.task;
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            if let Some(side) = self.fleet.get_mut(from) {
-                side.probe_void();
-            }
-            return;
-        };
-        // The job may have come again since, with runs of the same numbers.
-        if !job.placed().contains(&(from, end.run)) {
-            if let Some(slot) = job.slot(task) {
-                slot.resume = slot.resume.min(now);
-            }
-            return;
-        }
-        let estimate = job.step(task).estimate;
-        job.ran |= !matches!(end.ending, Ending::NotRun(_));
-        let Some(slot) = job.slot(task) else { return };
-        match end.ending {
-            Ending::Done => slot.state = State::Done,
-            Ending::Failed => slot.failures += 1,
-            Ending::Stopped | Ending::Lapsed => {}
-            Ending::NotRun(_) => slot.resume = now + REFUSED_PAUSE,
-        }
-        if end.ending != Ending::Done {
-            slot.state = State::Waiting;
-            slot.avoid = Some(from);
-        }
-        self.events.push(Event::Ended {
-            run: end.run,
-            side: from,
-            ending: end.ending,
-            spent: Duration::from_millis(end.spent.into()),
-        });
-        self.judge(now, from, end, estimate);
-        self.advance(now, task, end.ending);
-    }
-
-    /// Learns about the upstream from a run's end.
-    fn judge(&mut self, now: Duration, from: Key, end: End, estimate: Duration) {
-        let aside = match end.ending {
-            Ending::Done => {
-                let ratio = f64::from(end.spent.max(1)) / estimate.as_secs_f64().max(1e-3) / 1e3;
-                let learnt = self.fleet.learn(now, from, ratio, end.spent);
-                if learnt.back {
-                    self.events.push(Event::Back { side: from });
-                }
-                learnt.aside
-            }
-            Ending::Failed => {
-                let may = self.fleet.may_put_aside(now, from);
-                self.fleet
-                    .get_mut(from)
-                    .is_some_and(|side| side.failed(now, may))
-            }
-            Ending::NotRun(Refusal::Upstream | Refusal::Unanswered) => {
-                let may = self.fleet.may_put_aside(now, from);
-                self.stats.rejected += 1;
-                self.fleet
-                    .get_mut(from)
-                    .is_some_and(|side| side.failed(now, may))
-            }
-            Ending::NotRun(_) | Ending::Stopped | Ending::Lapsed => {
-                self.stats.rejected += u64::from(matches!(end.ending, Ending::NotRun(_)));
-                if let Some(side) = self.fleet.get_mut(from) {
-                    side.probe_void();
-                }
-                false
-            }
-        };
-        if aside {
-            self.tell_aside(from, end.run);
-        }
-    }
-
-    /// Moves a run away from an upstream where it makes too little progress.
-    fn progress(&mut self, now: Duration, from: Key, progress: Progress) {
-        if !self.is_better_elsewhere(now, progress) {
-            return;
-        }
-        self.stats.moved += 1;
-        self.events.push(Event::Moved {
-            run: progress.run,
-            side: from,
-            elapsed: Duration::from_millis(progress.elapsed.into()),
-            percent: progress.percent,
-            still: Duration::from_millis(progress.still.into()),
-        });
-        let may = self.fleet.may_put_aside(now, from);
-        let aside = self
-            .fleet
-            .get_mut(from)
-            .is_some_and(|side| side.put_aside(now, may));
-        if aside {
-            self.tell_aside(from, progress.run);
-        }
-        self.send(from, Frame::Stop(vec![progress.run]));
-    }
-
-    fn tell_aside(&mut self, side: Key, run: Run) {
-        let slowness = self.fleet.get(side).map_or(1.0, |side| side.slowness);
-        let share = slowness / self.fleet.mean.max(1e-3) * 100.0;
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "clamped to the range"
-        )]
-        let slowness = share.clamp(0.0, 1e6) as u32;
-        self.events.push(Event::Aside {
-            side,
-            run,
-            slowness,
-        });
-    }
-
     /// Forgets sides that have been silent until all that ran there is over.
     fn forget_sides(&mut self, now: Duration) {
         let over = if is_seeded(Mutant::EarlyOver) {
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -6,7 +6,7 @@
     collections::{BTreeMap, VecDeque},
     time::Duration,
 };
-use wire::lease::{Ending, Frame, Run, Step, Task};
+use wire::lease::{Ending, Frame, Queue, Run, Step, Task};
 
 /// Time for which ended jobs are remembered.
 const REMEMBER: Duration = Duration::from_mins(2);
@@ -88,23 +88,12 @@
             self.answer(customer, Answer::NoQueue);
             return;
         };
-        let objective =
-            submission.chain().mul_f64(queue.slack) + Duration::from_millis(queue.target.into());
-        let job = Job {
-            queue: queue.name.clone(),
-            service: queue.service.clone(),
-            priority: queue.priority,
-            attempts: queue.attempts.max(1),
-            accepted: now,
-            due: now + objective,
-            useful: now + submission.patience.min(objective * USEFUL_FACTOR),
-            deadline: now + submission.patience,
-            tasks: submission.slots(),
-            ran: false,
-            reserved: Vec::new(),
-            customers: vec![customer],
-            submission,
-        };
+        let job = Job::new(now, customer, queue, submission);
+        self.admit(now, customer, job);
+    }
+
+    /// Takes a job, unless it cannot be served.
+    fn admit(&mut self, now: Duration, customer: u64, job: Job) {
         let wait = self.outlook(now, &job.service, job.priority);
         let reason = if self.outlives(now + wait, &job) {
             Some(Reason::Leaving)
@@ -399,6 +388,27 @@
 }
 
 impl Job {
+    /// Makes a job of what a customer handed in.
+    fn new(now: Duration, customer: u64, queue: &Queue, submission: Submission) -> Self {
+        let target = Duration::from_millis(queue.target.into());
+        let objective = submission.chain().mul_f64(queue.slack) + target;
+        Self {
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            priority: queue.priority,
+            attempts: queue.attempts.max(1),
+            accepted: now,
+            due: now + objective,
+            useful: now + submission.patience.min(objective * USEFUL_FACTOR),
+            deadline: now + submission.patience,
+            tasks: submission.slots(),
+            ran: false,
+            reserved: Vec::new(),
+            customers: vec![customer],
+            submission,
+        }
+    }
+
     /// Returns whether a run of the task is under way.
     pub fn is_placed(&self, task: Task) -> bool {
         let slot = &self.tasks[usize::from(task.step)][usize::from(task.index)];
--- /dev/null
+++ b/crates/kernel/src/event/text.rs
@@ -0,0 +1,230 @@
+//! Events as lines of key=value pairs.
+
+use super::Event;
+use crate::{
+    dispatch::{Progressed, Reason},
+    millis,
+};
+use std::fmt;
+
+impl Event {
+    fn write_job(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted {
+                job,
+                queue,
+                tasks,
+                wait,
+                objective,
+            } => write!(
+                to,
+                "event=accepted job={job:016x} queue={queue} tasks={tasks} wait_ms={} objective_ms={}",
+                millis(*wait),
+                millis(*objective)
+            ),
+            Self::Refused {
+                job,
+                reason,
+                wait,
+                useful,
+                held,
+            } => write!(
+                to,
+                "event=refused job={job:016x} reason={reason} wait_ms={} useful_ms={} held_ms={} ran=no",
+                millis(*wait),
+                millis(*useful),
+                millis(*held)
+            ),
+            Self::Answered {
+                job,
+                queue,
+                state,
+                took,
+                objective,
+                reruns,
+            } => write!(
+                to,
+                "event=answered job={job:016x} queue={queue} state={state} took_ms={} objective_ms={} reruns={reruns}",
+                millis(*took),
+                millis(*objective)
+            ),
+            Self::GivenUp { job, held, left } => write!(
+                to,
+                "event=given_up job={job:016x} held_ms={} tasks_left={left} ran=maybe",
+                millis(*held)
+            ),
+            Self::Abandoned { job, held, started } => write!(
+                to,
+                "event=abandoned job={job:016x} held_ms={} started={started}",
+                millis(*held)
+            ),
+            _ => self.write_run(to),
+        }
+    }
+
+    fn write_run(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Placed {
+                run,
+                side,
+                way,
+                room,
+                age,
+                waited,
+            } => write!(
+                to,
+                "event=placed run={run} side={side} way={way:?} room_mcpu={room} age_ms={} waited_ms={}",
+                millis(*age),
+                millis(*waited)
+            ),
+            Self::Ended {
+                run,
+                side,
+                ending,
+                spent,
+            } => write!(
+                to,
+                "event=ended run={run} side={side} ending={ending} spent_ms={}",
+                millis(*spent)
+            ),
+            Self::Moved {
+                run,
+                side,
+                elapsed,
+                percent,
+                still,
+            } => write!(
+                to,
+                "event=moved run={run} side={side} elapsed_ms={} percent={percent} still_ms={}",
+                millis(*elapsed),
+                millis(*still)
+            ),
+            Self::Aside {
+                side,
+                run,
+                slowness,
+            } => write!(
+                to,
+                "event=aside side={side} run={run} slowness_pct={slowness}"
+            ),
+            _ => self.write_order(to),
+        }
+    }
+
+    fn write_order(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::RunRefused {
+                run,
+                entry,
+                refusal,
+                free,
+                age,
+            } => write!(
+                to,
+                "event=run_refused run={run} entry={entry} refusal={refusal:?} free_mcpu={free} age_ms={}",
+                millis(*age)
+            ),
+            Self::RunOrdered {
+                run,
+                entry,
+                lease,
+                free,
+            } => write!(
+                to,
+                "event=run_ordered run={run} entry={entry} lease_until={lease} free_mcpu={free}"
+            ),
+            Self::RunUnanswered { run } => write!(to, "event=run_unanswered run={run}"),
+            Self::RunOrphaned { run, entry, silent } => write!(
+                to,
+                "event=run_orphaned run={run} entry={entry} silent_ms={}",
+                millis(*silent)
+            ),
+            Self::RunOver { run, ending, spent } => write!(
+                to,
+                "event=run_over run={run} ending={ending} spent_ms={}",
+                millis(*spent)
+            ),
+            Self::RunForeign { run } => write!(to, "event=run_foreign run={run}"),
+            _ => self.write_belief(to),
+        }
+    }
+
+    fn write_belief(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Back { side } => write!(to, "event=back side={side}"),
+            Self::SideUp { name, side } => write!(to, "event=side_up name={name} side={side}"),
+            Self::SideGone {
+                name,
+                side,
+                silent,
+                runs,
+            } => write!(
+                to,
+                "event=side_gone name={name} side={side} silent_ms={} runs={runs}",
+                millis(*silent)
+            ),
+            Self::Rules {
+                revision,
+                version,
+                queues,
+                out,
+                from,
+            } => {
+                let from = from.map_or_else(|| "store".to_owned(), |from| from.to_string());
+                write!(
+                    to,
+                    "event=rules revision={revision} version={version} queues={queues} out=\"{out}\" from={from}"
+                )
+            }
+            Self::Life { born, before, runs } => write!(
+                to,
+                "event=upstream_life born={born} before={before} runs={runs}"
+            ),
+            Self::Lapsed { runs, silent } => write!(
+                to,
+                "event=leases_lapsed runs={runs} silent_ms={}",
+                millis(*silent)
+            ),
+            Self::Accepting {
+                accepting,
+                leaving,
+                clean,
+                silent,
+            } => write!(
+                to,
+                "event=accepting value={accepting} leaving={leaving} clean={clean} silent_ms={}",
+                millis(*silent)
+            ),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.write_job(to)
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(match self {
+            Self::NoRules => "no_rules",
+            Self::Leaving => "leaving",
+            Self::Overload => "overload",
+            Self::NoUpstream => "no_upstream",
+        })
+    }
+}
+
+impl fmt::Display for Progressed {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        })
+    }
+}
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -7,11 +7,13 @@
 //! of an entry that it has not heard for [`Pace::contact`], so that a job sent
 //! again through another entry never meets its own earlier runs.
 
+mod action;
 mod hold;
 mod order;
 mod pace;
 mod queue;
 
+pub use action::{Action, Announcement, Hold, Order};
 pub use hold::{Held, Listed};
 pub use order::Started;
 pub use pace::Pace;
@@ -28,9 +30,7 @@
 };
 use wire::{
     id::Incarnation,
-    lease::{
-        Addressed, Echo, End, Ending, Ends, Frame, Need, Refusal, Run, Status, Task, Upstream,
-    },
+    lease::{Echo, End, Ending, Ends, Frame, Need, Refusal, Run, Status, Task},
 };
 
 /// Longest time without a [`Status`] to a connected entry.
@@ -43,69 +43,6 @@
 /// Time for which ends wait for an entry that does not come back.
 const KEEP_ENDS: Duration = Duration::from_secs(10);
 
-/// What the runtime must do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Send a frame to an entry.
-    Send(Addressed),
-    /// Order the upstream to start a run.
-    Start(Order),
-    /// Order the upstream to stop a run.
-    Stop {
-        /// The run.
-        run: Run,
-        /// Fencing token.
-        token: u64,
-    },
-    /// Renew the leases at the upstream and wait for an end.
-    Hold(Hold),
-    /// The entries known have changed.
-    Entries(Vec<wire::frame::Known>),
-}
-
-/// An order to start a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Order {
-    /// The run.
-    pub run: Run,
-    /// Input.
-    pub input: String,
-    /// End of the lease, on the upstream's clock in milliseconds.
-    pub deadline: u64,
-    /// Fencing token.
-    pub token: u64,
-    /// The upstream that the order is meant for.
-    pub upstream: String,
-}
-
-/// A call that renews the leases and lists runs and ends.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Hold {
-    /// Fencing token.
-    pub token: u64,
-    /// Ends up to this number have been taken.
-    pub ended: u64,
-    /// End of all leases, on the upstream's clock in milliseconds; `None`
-    /// leaves them as they are.
-    pub deadline: Option<u64>,
-    /// Longest time to wait for an end.
-    pub wait: Duration,
-}
-
-/// What an upstream says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Announcement {
-    /// What entries need to know.
-    pub upstream: Upstream,
-    /// Time of its start, in milliseconds since the Unix epoch; rises from one
-    /// life to the next.
-    pub born: u64,
-    /// Whether it leaves and takes no new tasks.
-    pub leaving: bool,
-    /// Its clock, in milliseconds.
-    pub clock: u64,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// Ordered; no answer yet.
