--- a/crates/hyssoppost/src/leased/record.rs
+++ b/crates/hyssoppost/src/leased/record.rs
@@ -2,7 +2,7 @@
 
 use crate::{link::Local, logging, meter};
 use kernel::{
-    dispatch::{Dispatcher, Progressed},
+    dispatch::{Dispatcher, Phase},
     event::{Event, Weight},
     guard::Guard,
     millis,
@@ -97,9 +97,9 @@
             ..
         } => {
             let outcome = match state {
-                Progressed::Completed if took <= objective => "in_time",
-                Progressed::Completed => "late",
-                Progressed::Failed => "failed",
+                Phase::Completed if took <= objective => "in_time",
+                Phase::Completed => "late",
+                Phase::Failed => "failed",
                 _ => "cancelled",
             };
             counter!("hyssoppost_jobs_total", "queue" => queue.clone(), "outcome" => outcome)
--- a/crates/kernel/src/dispatch/answer.rs
+++ b/crates/kernel/src/dispatch/answer.rs
@@ -5,7 +5,7 @@
 
 /// State of a job, as customers see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Progressed {
+pub enum Phase {
     /// No task has started.
     Queued,
     /// A task has started.
@@ -22,7 +22,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
     /// The job's state; final if the customer handed the job in.
-    State(Progressed),
+    State(Phase),
     /// The job was not run and will not be.
     Refused {
         /// Why.
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -15,7 +15,7 @@
 mod rules;
 mod serve;
 
-pub use answer::{Answer, Progressed, Reason, Stats, View};
+pub use answer::{Answer, Phase, Reason, Stats, View};
 pub use fleet::{Fleet, Key};
 pub use job::{Job, Step, Submission};
 pub use rules::route;
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -1,6 +1,6 @@
 //! Other entries: the rules that they have, and their jobs.
 
-use super::{Answer, Dispatcher, Event, Progressed, rules::is_newer};
+use super::{Answer, Dispatcher, Event, Phase, rules::is_newer};
 use crate::millis;
 use std::{collections::BTreeMap, time::Duration};
 use wire::{
@@ -196,7 +196,7 @@
     /// Cancels a job, wherever it is.
     pub fn cancel(&mut self, now: Duration, customer: u64, job: u64) {
         if self.cancel_here(now, job) {
-            self.answer(customer, Answer::State(Progressed::Cancelled));
+            self.answer(customer, Answer::State(Phase::Cancelled));
             return;
         }
         if self.peers.is_empty() {
@@ -225,7 +225,7 @@
         let customer = call.customer;
         if reply.known {
             self.calls.remove(&reply.call);
-            self.answer(customer, Answer::State(Progressed::Cancelled));
+            self.answer(customer, Answer::State(Phase::Cancelled));
         } else if call.open == 0 {
             self.calls.remove(&reply.call);
             self.answer(customer, Answer::NoJob);
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -1,6 +1,6 @@
 //! Customers' requests: jobs handed in, asked for, cancelled, given up.
 
-use super::{Answer, Dispatcher, Event, Job, Progressed, Reason, Submission, job::State, route};
+use super::{Answer, Dispatcher, Event, Job, Phase, Reason, Submission, job::State, route};
 use crate::mutation::{Mutant, is_seeded};
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -32,17 +32,17 @@
 /// Jobs that have ended, for customers that ask again.
 #[derive(Debug, Default)]
 pub(super) struct Memory {
-    states: BTreeMap<u64, Progressed>,
+    states: BTreeMap<u64, Phase>,
     order: VecDeque<(Duration, u64)>,
 }
 
 impl Memory {
-    pub(super) fn insert(&mut self, now: Duration, job: u64, state: Progressed) {
+    pub(super) fn insert(&mut self, now: Duration, job: u64, state: Phase) {
         self.states.insert(job, state);
         self.order.push_back((now + REMEMBER, job));
     }
 
-    pub(super) fn get(&self, job: u64) -> Option<Progressed> {
+    pub(super) fn get(&self, job: u64) -> Option<Phase> {
         self.states.get(&job).copied()
     }
 
@@ -180,9 +180,9 @@
         } else {
             self.jobs.get(&job).map_or(Answer::NoJob, |job| {
                 let state = if job.may_have_run() {
-                    Progressed::Running
+                    Phase::Running
                 } else {
-                    Progressed::Queued
+                    Phase::Queued
                 };
                 Answer::State(state)
             })
@@ -237,7 +237,7 @@
     /// Stops a job at its customer's request; false if it is not known here.
     pub(super) fn cancel_here(&mut self, now: Duration, job: u64) -> bool {
         if self.jobs.contains_key(&job) {
-            self.finish(now, job, Progressed::Cancelled);
+            self.finish(now, job, Phase::Cancelled);
             return true;
         }
         self.ended.get(job).is_some()
@@ -250,7 +250,7 @@
         };
         if ending == Ending::Done {
             if job.is_done() {
-                self.finish(now, task.job, Progressed::Completed);
+                self.finish(now, task.job, Phase::Completed);
                 return;
             }
             for freed in job.unblock() {
@@ -261,7 +261,7 @@
         let attempts = job.attempts;
         let Some(slot) = job.slot(task) else { return };
         if slot.failures >= attempts {
-            self.finish(now, task.job, Progressed::Failed);
+            self.finish(now, task.job, Phase::Failed);
             return;
         }
         if ending == Ending::Failed {
@@ -271,14 +271,14 @@
     }
 
     /// Ends a job and answers its customers.
-    pub(super) fn finish(&mut self, now: Duration, job: u64, state: Progressed) {
+    pub(super) fn finish(&mut self, now: Duration, job: u64, state: Phase) {
         let Some(work) = self.drop_job(job) else {
             return;
         };
         match state {
-            Progressed::Completed => self.stats.completed += 1,
-            Progressed::Failed => self.stats.failed += 1,
-            Progressed::Queued | Progressed::Running | Progressed::Cancelled => {}
+            Phase::Completed => self.stats.completed += 1,
+            Phase::Failed => self.stats.failed += 1,
+            Phase::Queued | Phase::Running | Phase::Cancelled => {}
         }
         self.events.push(Event::Answered {
             job,
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -7,7 +7,7 @@
 
 mod text;
 
-use crate::dispatch::{Progressed, Reason};
+use crate::dispatch::{Phase, Reason};
 use std::time::Duration;
 use wire::{
     id::Incarnation,
@@ -107,7 +107,7 @@
         /// Its queue.
         queue: String,
         /// How it ended.
-        state: Progressed,
+        state: Phase,
         /// Time since it was taken.
         took: Duration,
         /// Its objective.
@@ -309,7 +309,7 @@
                 objective,
                 ..
             } => {
-                if *state == Progressed::Completed && took <= objective {
+                if *state == Phase::Completed && took <= objective {
                     Weight::Ordinary
                 } else {
                     Weight::Notable
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -2,7 +2,7 @@
 
 use super::Event;
 use crate::{
-    dispatch::{Progressed, Reason},
+    dispatch::{Phase, Reason},
     millis,
 };
 use std::fmt;
@@ -217,7 +217,7 @@
     }
 }
 
-impl fmt::Display for Progressed {
+impl fmt::Display for Phase {
     fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
         to.write_str(match self {
             Self::Queued => "queued",
--- a/crates/kernel/tests/lease_faults.rs
+++ b/crates/kernel/tests/lease_faults.rs
@@ -2,7 +2,7 @@
 
 mod site;
 
-use kernel::dispatch::Progressed;
+use kernel::dispatch::Phase;
 use site::{Site, job, rules, upstream::Fault};
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
         assert_eq!(running, 0, "its runs are over before the job comes again");
         let again = site.submit(1, job(1, 6, 1_000, Duration::from_secs(3)));
         site.run(Duration::from_secs(4));
-        assert_eq!(site.state(again), Some(Progressed::Completed));
+        assert_eq!(site.state(again), Some(Phase::Completed));
     }
 }
 
@@ -52,16 +52,12 @@
     site.run(Duration::from_millis(20));
     site.cut(0, 0, true);
     site.run(Duration::from_secs(3));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
     site.cut(0, 0, false);
     site.run(Duration::from_secs(1));
     let next = site.submit(0, job(2, 8, 1_000, RUN));
     site.run(Duration::from_millis(200));
-    assert_eq!(
-        site.state(next),
-        Some(Progressed::Completed),
-        "and it is back"
-    );
+    assert_eq!(site.state(next), Some(Phase::Completed), "and it is back");
 }
 
 #[test]
@@ -71,12 +67,12 @@
     site.run(Duration::from_millis(20));
     site.frozen_sides[0] = true;
     site.run(Duration::from_secs(4));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
     site.frozen_sides[0] = false;
     site.run(Duration::from_secs(1));
     let next = site.submit(0, job(2, 8, 1_000, RUN));
     site.run(Duration::from_millis(200));
-    assert_eq!(site.state(next), Some(Progressed::Completed));
+    assert_eq!(site.state(next), Some(Phase::Completed));
 }
 
 #[test]
@@ -91,7 +87,7 @@
     site.run(Duration::from_millis(100));
     site.start_side(0);
     site.run(Duration::from_secs(3));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
 }
 
 #[test]
@@ -105,14 +101,10 @@
     let now = site.now;
     site.ups[0].set_alive(now, true);
     site.run(Duration::from_secs(1));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
     let next = site.submit(0, job(2, 8, 1_000, RUN));
     site.run(Duration::from_millis(200));
-    assert_eq!(
-        site.state(next),
-        Some(Progressed::Completed),
-        "it serves again"
-    );
+    assert_eq!(site.state(next), Some(Phase::Completed), "it serves again");
 }
 
 #[test]
@@ -123,7 +115,7 @@
     site.run(Duration::from_millis(150));
     site.ups[0].late = None;
     site.run(Duration::from_secs(4));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
     let late = site.ups[0]
         .starts
         .iter()
@@ -141,7 +133,7 @@
     for id in 0..30 {
         let customer = site.submit(0, job(id, 2, 1_000, RUN));
         site.run(Duration::from_millis(250));
-        done += u32::from(site.state(customer) == Some(Progressed::Completed));
+        done += u32::from(site.state(customer) == Some(Phase::Completed));
     }
     assert_eq!(done, 30, "its failures cost no job");
     let tried = site.ups[0].starts.len();
@@ -161,7 +153,7 @@
     site.ups[0].fault = Fault::Hanging;
     let customer = site.submit(0, job(1, 6, 1_000, RUN));
     site.run(Duration::from_secs(2));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
 }
 
 #[test]
@@ -172,7 +164,7 @@
     }
     let customer = site.submit(0, job(1, 1, 1_000, RUN));
     site.run(Duration::from_secs(2));
-    assert_eq!(site.state(customer), Some(Progressed::Failed));
+    assert_eq!(site.state(customer), Some(Phase::Failed));
     let starts: usize = site.ups.iter().map(|up| up.starts.len()).sum();
     assert_eq!(starts, 3, "as often as its queue allows");
 }
@@ -210,7 +202,7 @@
     site.run(Duration::from_secs(1));
     let customer = site.submit(0, job(1, 4, 1_000, RUN));
     site.run(Duration::from_millis(250));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
     assert!(site.ups[0].starts.is_empty());
 }
 
--- a/crates/kernel/tests/lease_histories.rs
+++ b/crates/kernel/tests/lease_histories.rs
@@ -6,7 +6,7 @@
 mod site;
 
 use kernel::{
-    dispatch::Progressed,
+    dispatch::Phase,
     mutation::{self, Mutant},
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -186,11 +186,7 @@
         .submit(0, job(1_000_000, places, 1_000, longest));
     history.site.run(longest + Duration::from_millis(300));
     let state = history.site.state(last);
-    assert_eq!(
-        state,
-        Some(Progressed::Completed),
-        "seed {seed}: room is lost"
-    );
+    assert_eq!(state, Some(Phase::Completed), "seed {seed}: room is lost");
 }
 
 #[test]
@@ -218,7 +214,7 @@
     site.run(Duration::from_secs(2));
     site.frozen_sides[0] = false;
     site.run(Duration::from_secs(5));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
 }
 
 /// An order that was under way when the upstream started anew runs there; it
@@ -235,7 +231,7 @@
     site.ups[0].set_alive(now, false);
     site.ups[0].set_alive(now, true);
     site.run(Duration::from_secs(5));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
 }
 
 /// Ends of a job's earlier runs, with the same numbers, do not count when the
@@ -258,7 +254,7 @@
     let begun = site.now;
     let again = site.submit(0, job(1, 2, 1_000, long));
     site.run(Duration::from_secs(6));
-    assert_eq!(site.state(again), Some(Progressed::Completed));
+    assert_eq!(site.state(again), Some(Phase::Completed));
     let starts = site.ups.iter().flat_map(|up| &up.starts);
     let count = starts.filter(|(at, _)| *at > begun).count();
     assert_eq!(count, 2, "the runs that go on are not started anew");
--- a/crates/kernel/tests/leased_jobs.rs
+++ b/crates/kernel/tests/leased_jobs.rs
@@ -2,7 +2,7 @@
 
 mod site;
 
-use kernel::dispatch::{Answer, Progressed, Reason};
+use kernel::dispatch::{Answer, Phase, Reason};
 use site::{Site, job};
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
     let customer = site.submit(0, job(1, 8, 1_000, RUN));
     let begun = site.now;
     site.run(Duration::from_millis(400));
-    assert_eq!(site.state(customer), Some(Progressed::Completed));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
     let (at, _) = site.answers[&customer];
     assert!(
         at.saturating_sub(begun) < Duration::from_millis(130),
@@ -33,7 +33,7 @@
         .collect();
     site.run(Duration::from_secs(2));
     for customer in customers {
-        assert_eq!(site.state(customer), Some(Progressed::Completed));
+        assert_eq!(site.state(customer), Some(Phase::Completed));
     }
     let last = site
         .ups
@@ -64,7 +64,7 @@
     let urgent = site.submit(1, job(100, 4, 1_000, RUN));
     let begun = site.now;
     site.run(Duration::from_secs(2));
-    assert_eq!(site.state(urgent), Some(Progressed::Completed));
+    assert_eq!(site.state(urgent), Some(Phase::Completed));
     let (at, _) = site.answers[&urgent];
     assert!(
         at.saturating_sub(begun) < RUN * 2 + RUN / 2,
@@ -105,7 +105,7 @@
     site.run(Duration::from_millis(150));
     assert_eq!(
         site.state(next),
-        Some(Progressed::Completed),
+        Some(Phase::Completed),
         "and its room is free"
     );
 }
@@ -119,7 +119,7 @@
     site.run(Duration::from_millis(200));
     let third = site.submit(0, job(1, 4, 1_000, RUN));
     for customer in [first, second, third] {
-        assert_eq!(site.state(customer), Some(Progressed::Completed));
+        assert_eq!(site.state(customer), Some(Phase::Completed));
     }
     let starts: usize = site.ups.iter().map(|up| up.starts.len()).sum();
     assert_eq!(starts, 4, "it remains one job");
@@ -132,11 +132,7 @@
     for id in 0..20 {
         let customer = site.submit(0, job(id, 4, 1_000, RUN));
         site.run(Duration::from_millis(200));
-        assert_eq!(
-            site.state(customer),
-            Some(Progressed::Completed),
-            "job {id}"
-        );
+        assert_eq!(site.state(customer), Some(Phase::Completed), "job {id}");
     }
 }
 
@@ -161,11 +157,7 @@
         "it might outlive the entry"
     );
     site.run(Duration::from_millis(200));
-    assert_eq!(
-        site.state(short),
-        Some(Progressed::Completed),
-        "it ends before"
-    );
+    assert_eq!(site.state(short), Some(Phase::Completed), "it ends before");
 }
 
 #[test]
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -6,18 +6,22 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod make;
 pub mod upstream;
 
+use make::announcement;
+pub use make::{job, pace, rules};
+
 use kernel::{
-    dispatch::{Action as Entry, Answer, Dispatcher, Progressed, Step, Submission},
-    guard::{Action as Side, Announcement, Guard, Pace},
+    dispatch::{Action as Entry, Answer, Dispatcher, Phase, Submission},
+    guard::{Action as Side, Guard, Pace},
 };
 use std::{collections::BTreeMap, time::Duration};
 use upstream::{Call, Outcome, Up};
 use wire::{
     frame::{Hello, Role, VERSION},
     id::Incarnation,
-    lease::{Frame, Need, Queue, Rules, Upstream},
+    lease::Frame,
 };
 
 pub const HOST: &str = "desk.example";
@@ -69,55 +73,6 @@
     pub frozen_entries: Vec<bool>,
 }
 
-pub fn pace() -> Pace {
-    Pace::new(
-        Duration::from_secs(1),
-        Duration::from_millis(1_300),
-        Duration::from_millis(50),
-    )
-}
-
-pub fn rules(revision: u64, out: &[&str]) -> Rules {
-    Rules {
-        revision,
-        version: revision,
-        queues: vec![queue("quick", PATH, 0), queue("slow", "/slow/", 2)],
-        out: out.iter().map(|name| (*name).to_owned()).collect(),
-    }
-}
-
-fn queue(name: &str, prefix: &str, priority: u8) -> Queue {
-    Queue {
-        name: name.to_owned(),
-        host: HOST.to_owned(),
-        prefix: prefix.to_owned(),
-        service: SERVICE.to_owned(),
-        priority,
-        attempts: 3,
-        slack: 1.6,
-        target: 60,
-    }
-}
-
-/// A job of one step.
-pub fn job(id: u64, tasks: u16, cpu: u32, run: Duration) -> Submission {
-    Submission {
-        job: id,
-        input: "input".to_owned(),
-        steps: vec![Step {
-            count: tasks,
-            need: Need {
-                cpu,
-                memory: 64,
-                accelerators: 0,
-            },
-            estimate: run,
-            ..Step::default()
-        }],
-        patience: Duration::from_secs(10),
-    }
-}
-
 impl Site {
     /// Makes entries and sides; side `n` is in domain `n % 3`, each host has
     /// four cores. All are connected, and rules are in force.
@@ -287,7 +242,7 @@
     }
 
     /// Returns the state that a customer was answered.
-    pub fn state(&self, customer: u64) -> Option<Progressed> {
+    pub fn state(&self, customer: u64) -> Option<Phase> {
         match self.answers.get(&customer)? {
             (_, Answer::State(state)) => Some(*state),
             _ => None,
@@ -534,17 +489,3 @@
         }
     }
 }
-
-fn announcement(up: &Up, now: Duration) -> Announcement {
-    Announcement {
-        upstream: Upstream {
-            id: format!("u{}-{}", up.index, up.born),
-            service: SERVICE.to_owned(),
-            labels: vec![format!("r{}", up.index / 3)],
-            capacity: up.capacity,
-        },
-        born: up.born,
-        leaving: up.leaving,
-        clock: up.clock(now),
-    }
-}
