--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -4,7 +4,7 @@
 use crate::millis;
 use rand::{RngExt, seq::SliceRandom};
 use std::{collections::BTreeMap, time::Duration};
-use wire::lease::{Frame, Need, Progress, Reserve, Run, Start, Step, Task};
+use wire::lease::{Frame, Progress, Reserve, Run, Start, Step, Task};
 
 /// Order among waiting tasks: by priority, then by when their objectives are
 /// missed.
@@ -416,19 +416,11 @@
         least.mul_f64(self.random.random_range(1.0..2.0))
     }
 
-    /// Returns all room that upstreams of a service have in use and free.
-    pub(super) fn capacity(&self, now: Duration, service: &str) -> (Need, Need) {
-        let mut all = Need::default();
-        let mut free = Need::default();
-        for (_, side) in self.fleet.iter() {
-            if self.may_run(now, side, service, None)
-                && let Some(upstream) = &side.upstream
-            {
-                all = all.plus(upstream.capacity);
-                free = free.plus(side.room());
-            }
-        }
-        (all, free)
+    /// Returns whether any upstream of a service is in use.
+    pub(super) fn is_served(&self, now: Duration, service: &str) -> bool {
+        self.fleet
+            .iter()
+            .any(|(_, side)| self.may_run(now, side, service, None))
     }
 }
 
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -149,8 +149,7 @@
 
     /// Returns why a job cannot be served, if so.
     fn hopeless(&self, now: Duration, job: &Job, wait: Duration) -> Option<Reason> {
-        let (all, _) = self.capacity(now, &job.service);
-        if all.cpu == 0 {
+        if !self.is_served(now, &job.service) {
             let known = self
                 .fleet
                 .iter()
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -127,8 +127,6 @@
     Unanswered,
     /// The connection was lost before the order arrived.
     Lost,
-    /// The entry has taken the order back, or is silent.
-    Withdrawn,
 }
 
 /// Side to entry: what the upstream beside it is; sent on every change.
