--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -181,6 +181,7 @@
     /// stops once it has none, within the bound of the settings.
     pub async fn drain(mut self, hurry: impl Future<Output = ()>) -> Result<(), Error> {
         let bound = self.drain.saturating_sub(EXIT_MARGIN);
+        let end = tokio::time::Instant::now() + bound;
         let stay = self.drain * STAY_SHARE / 100;
         let events = self.events.clone();
         let status = &mut self.status;
@@ -200,14 +201,14 @@
             }
         };
         let whole = tokio::select! {
-            whole = tokio::time::timeout(bound, steps) => whole.unwrap_or(false),
+            whole = tokio::time::timeout_at(end, steps) => whole.unwrap_or(false),
             () = hurry => false,
         };
-        self.services.abort_all();
-        // Answers that have just been given still go out.
-        tokio::time::sleep(TICK).await;
+        // A request that came in the meantime has the rest of the time.
         let closing = async { tokio::join!(self.customers.close(), self.readiness.close()) };
-        let closed = tokio::time::timeout(EXIT_MARGIN / 2, closing).await.is_ok();
+        let last = end + EXIT_MARGIN / 2;
+        let closed = tokio::time::timeout_at(last, closing).await.is_ok();
+        self.services.abort_all();
         self.process.abort();
         if whole && closed {
             Ok(())
