A leaving entry answers what it has to give up

The soak no longer calls that planned; the entry now answers 504 where a task may have run and 503 where none has (test abandoned_jobs).

--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -59,6 +59,8 @@
     /// The balancer is to send no more connections, and the entry ends after
     /// this time.
     Leave(Duration),
+    /// That time is over.
+    Abandon,
 }
 
 impl From<Seeds> for Event {
@@ -204,6 +206,10 @@
             whole = tokio::time::timeout_at(end, steps) => whole.unwrap_or(false),
             () = hurry => false,
         };
+        if !whole {
+            // As above.
+            let _ = self.events.send(Event::Abandon).await;
+        }
         // A request that came in the meantime has the rest of the time.
         let closing = async { tokio::join!(self.customers.close(), self.readiness.close()) };
         let last = end + EXIT_MARGIN / 2;
@@ -320,6 +326,7 @@
             }
             Event::Registry(_) => {}
             Event::Leave(bound) => self.kernel.leave(now + bound),
+            Event::Abandon => self.kernel.abandon(now),
         }
     }
 
--- a/crates/hyssoppost/tests/fault_soak.rs
+++ b/crates/hyssoppost/tests/fault_soak.rs
@@ -16,7 +16,9 @@
 ///
 /// 28, 34: the soak itself sent a second SIGTERM, which hurries a stop, and
 /// still asked that nothing be cut.
-const FAILED: [u64; 2] = [28, 34];
+/// 103: likewise for an entry that it had cut off while that left; the entry now
+/// answers what it has to give up, instead of closing connections.
+const FAILED: [u64; 3] = [28, 34, 103];
 
 /// Sites at a time.
 const AT_ONCE: usize = 5;
--- a/crates/hyssoppost/tests/soak/mod.rs
+++ b/crates/hyssoppost/tests/soak/mod.rs
@@ -221,8 +221,14 @@
                 }
             }
             4 | 5 => self.freeze(entry, side, random).await,
-            6 => self.entries[entry].links.silence(),
-            7 => self.entries[entry].links.partition(true),
+            6 => {
+                self.book.lock().planned[entry] = false;
+                self.entries[entry].links.silence();
+            }
+            7 => {
+                self.book.lock().planned[entry] = false;
+                self.entries[entry].links.partition(true);
+            }
             8 => self.entries[entry].links.partition(false),
             9..=12 => {
                 let faults = [
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -326,7 +326,18 @@
             .filter(|(_, job)| now >= job.deadline || self.has_no_hope(now, job))
             .map(|(id, _)| *id)
             .collect();
-        for id in over {
+        self.give_up(now, &over);
+    }
+
+    /// Gives up all jobs, since the entry's time is over.
+    pub fn abandon(&mut self, now: Duration) {
+        let all: Vec<u64> = self.jobs.keys().copied().collect();
+        self.give_up(now, &all);
+    }
+
+    /// Answers jobs that will not end here.
+    fn give_up(&mut self, now: Duration, jobs: &[u64]) {
+        for id in jobs.iter().copied() {
             let Some(job) = self.drop_job(id) else {
                 continue;
             };
--- a/crates/kernel/tests/leased_jobs.rs
+++ b/crates/kernel/tests/leased_jobs.rs
@@ -181,3 +181,18 @@
         "it has a line in the log"
     );
 }
+
+#[test]
+fn abandoned_jobs() {
+    let mut site = Site::new(1, 1);
+    let running = site.submit(0, job(1, 4, 1_000, RUN));
+    site.run(Duration::from_millis(30));
+    let waiting = site.submit(0, job(2, 4, 1_000, RUN));
+    let now = site.now;
+    site.entries[0].as_mut().unwrap().abandon(now);
+    site.run(Duration::from_millis(60));
+    assert_eq!(site.answers[&running].1, Answer::Expired, "it may have run");
+    let refused = matches!(site.answers[&waiting].1, Answer::Refused { .. });
+    assert!(refused, "it has not, and will not");
+    assert_eq!(site.ups[0].running().count(), 0);
+}
