--- a/crates/hyssopctl/src/cmd/domain.rs
+++ b/crates/hyssopctl/src/cmd/domain.rs
@@ -51,10 +51,7 @@
     };
     let text = set_state(&base.record.text, &arguments.domain, arguments.state)
         .ok_or_else(|| Error::Broken(format!("domain {} is not declared", arguments.domain)))?;
-    Document::parse(&text).map_err(|faults| Error::Faults {
-        file: "the document in force".into(),
-        faults,
-    })?;
+    Document::parse(&text).map_err(|faults| Error::faults("the document in force", faults))?;
     let record = target.publish(&store, Some(&base), &text).await?;
     println!(
         "domain {} {}: revision {} accepted, change {}",
--- a/crates/hyssopctl/src/cmd/explain.rs
+++ b/crates/hyssopctl/src/cmd/explain.rs
@@ -55,7 +55,7 @@
         collect(BufReader::new(opened), &arguments.job, &name, &mut lines)?;
     }
     if lines.is_empty() {
-        return Err(Error::Job(format!("no line about {}", arguments.job)));
+        return Err(Error::NoLine(arguments.job));
     }
     lines.sort_by(|left, right| left.time.cmp(&right.time));
     match print(&lines, stdout().lock()) {
--- a/crates/hyssopctl/src/cmd/mod.rs
+++ b/crates/hyssopctl/src/cmd/mod.rs
@@ -9,5 +9,6 @@
 pub mod progress;
 pub mod publish;
 pub mod slopes;
+pub mod status;
 pub mod store;
 pub mod submit;
--- a/crates/hyssopctl/src/cmd/publish.rs
+++ b/crates/hyssopctl/src/cmd/publish.rs
@@ -53,10 +53,7 @@
 
 async fn publish(arguments: &Arguments) -> Result<(), Error> {
     let text = util::read_input(&arguments.file)?;
-    Document::parse(&text).map_err(|faults| Error::Faults {
-        file: arguments.file.clone(),
-        faults,
-    })?;
+    Document::parse(&text).map_err(|faults| Error::faults(&arguments.file, faults))?;
     let target = &arguments.target;
     let store = target.open()?;
     let base = publication::read(&store, &target.environment).await?;
--- a/crates/hyssopctl/src/error.rs
+++ b/crates/hyssopctl/src/error.rs
@@ -17,14 +17,12 @@
         /// Why.
         source: io::Error,
     },
-    /// A document or settings file has faults.
-    #[error("{}", describe(file, faults))]
-    Faults {
-        /// The file.
-        file: PathBuf,
-        /// All its faults.
-        faults: Faults,
-    },
+    /// Documents or settings files have faults: all of them, by file.
+    #[error("{}", describe(.0))]
+    Faults(Vec<(PathBuf, Faults)>),
+    /// A process did not answer.
+    #[error("unreachable: {0}")]
+    Unreachable(String),
     /// An input or output operation failed.
     #[error("{0}")]
     Io(#[from] io::Error),
@@ -43,6 +41,9 @@
     /// A change could not be published.
     #[error("{0}")]
     Publication(#[from] store::publication::Error<store::Error>),
+    /// The logs have no line about a job.
+    #[error("no line about {0}")]
+    NoLine(String),
     /// A job failed.
     #[error("job failed: {0}")]
     Job(String),
@@ -52,28 +53,34 @@
 }
 
 impl Error {
+    /// Makes an error of one file's faults.
+    pub fn faults(file: impl Into<PathBuf>, faults: Faults) -> Self {
+        Self::Faults(vec![(file.into(), faults)])
+    }
+
     /// Returns the exit code.
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Arguments(_) => 2,
-            Self::File { .. } | Self::Faults { .. } | Self::Json(_) => 3,
+            Self::File { .. } | Self::Faults(_) | Self::Json(_) => 3,
             Self::Io(_)
             | Self::Process(_)
             | Self::Http(_)
+            | Self::Unreachable(_)
             | Self::Store(_)
             | Self::Publication(store::publication::Error::Store(_)) => 4,
             Self::Publication(_) => 5,
-            Self::Job(_) => 6,
+            Self::Job(_) | Self::NoLine(_) => 6,
             Self::Broken(_) => 7,
         }
     }
 }
 
-fn describe(file: &std::path::Path, faults: &Faults) -> String {
-    let lines: Vec<String> = faults
-        .0
+fn describe(files: &[(PathBuf, Faults)]) -> String {
+    let lines: Vec<String> = files
         .iter()
-        .map(|fault| format!("file=\"{}\" {fault}", file.display()))
+        .flat_map(|(file, faults)| faults.0.iter().map(move |fault| (file, fault)))
+        .map(|(file, fault)| format!("file=\"{}\" {fault}", file.display()))
         .collect();
     lines.join("\n")
 }
--- a/crates/hyssopctl/src/lab/scenario.rs
+++ b/crates/hyssopctl/src/lab/scenario.rs
@@ -58,10 +58,7 @@
     pub fn open(path: &Path, seed: u64) -> Result<Self, Error> {
         let text = crate::util::read_input(path)?;
         let name = path.file_stem().unwrap_or_default().to_string_lossy();
-        Self::parse(&name, &text, seed).map_err(|faults| Error::Faults {
-            file: path.to_owned(),
-            faults,
-        })
+        Self::parse(&name, &text, seed).map_err(|faults| Error::faults(path, faults))
     }
 
     /// Checks a scenario in INI.
--- a/crates/hyssopctl/src/lab/site.rs
+++ b/crates/hyssopctl/src/lab/site.rs
@@ -353,10 +353,7 @@
             self.policy.name,
             self.seed + index as u64,
         );
-        settings::Entry::parse(&text).map_err(|faults| Error::Faults {
-            file: "lab".into(),
-            faults,
-        })
+        settings::Entry::parse(&text).map_err(|faults| Error::faults("lab", faults))
     }
 
     fn side_settings(&self, index: usize) -> Result<settings::Side, Error> {
@@ -375,10 +372,7 @@
             self.plan.rack_of(index),
             seeds.join(", "),
         );
-        settings::Side::parse(&text).map_err(|faults| Error::Faults {
-            file: "lab".into(),
-            faults,
-        })
+        settings::Side::parse(&text).map_err(|faults| Error::faults("lab", faults))
     }
 }
 
--- a/crates/hyssopctl/src/main.rs
+++ b/crates/hyssopctl/src/main.rs
@@ -14,17 +14,18 @@
 
 Commands:
     bench    Measure placement policies on a whole site.
-    check    Check an environment's document offline.
+    check    Check documents and settings offline.
     demo     Run a whole site in one process and submit jobs to it.
     domain   Take a failure domain out of service or bring it back.
     dump     Print a process's whole state.
     explain  Tell a job's story from logs.
     publish  Put an environment's document in force.
     slopes   Measure what entries and sides cost.
+    status   Show several processes at a glance.
     submit   Submit jobs and print their answers.
 
 Exit codes: 0 done, 2 arguments, 3 a file's content, 4 system or network,
-5 a conflicting change, 6 a job failed, 7 a promise broken.
+5 a conflicting change, 6 a job failed or is unknown, 7 a promise broken.
 ";
 
 fn main() -> ExitCode {
@@ -61,6 +62,7 @@
         "explain" => cmd::explain::run(parser),
         "publish" => cmd::publish::run(parser),
         "slopes" => cmd::slopes::run(parser),
+        "status" => cmd::status::run(parser),
         "submit" => cmd::submit::run(parser),
         other => Err(lexopt::Error::from(format!("unknown command {other:?}; see --help")).into()),
     }
--- /dev/null
+++ b/crates/hyssopctl/src/status.rs
@@ -0,0 +1,181 @@
+//! Several processes at a glance, from their dumps.
+
+use serde::Serialize;
+use serde_json::Value;
+use std::fmt::Write;
+
+/// One process.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Row {
+    /// Admin address.
+    pub address: String,
+    /// `entry` or `side`; empty if it was not reached.
+    pub role: String,
+    /// Name.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// `ready`, `waiting`, `leaving` or `unreachable`.
+    pub state: String,
+    /// Revision of the configuration in force.
+    pub configuration: Option<u64>,
+    /// Jobs open at an entry, tasks running at a side.
+    pub work: Option<u64>,
+    /// Tasks that wait for room.
+    pub waiting: Option<u64>,
+    /// Sides known to an entry.
+    pub sides: Option<usize>,
+    /// Sides that an entry sends tasks to.
+    pub usable: Option<usize>,
+    /// Names of the sides that an entry has put aside.
+    pub aside: Vec<String>,
+    /// Why the process was not reached.
+    pub error: Option<String>,
+}
+
+impl Row {
+    /// Describes a process that was not reached.
+    pub fn unreachable(address: &str, error: &str) -> Self {
+        Self {
+            address: address.to_owned(),
+            state: "unreachable".to_owned(),
+            error: Some(error.to_owned()),
+            ..Self::default()
+        }
+    }
+
+    /// Reads a process's dump.
+    pub fn read(address: &str, dump: &Value) -> Self {
+        let text = |key: &str| dump[key].as_str().unwrap_or_default().to_owned();
+        let role = text("role");
+        let sides = dump["sides"].as_array();
+        let work = if role == "side" {
+            "running"
+        } else {
+            "open_jobs"
+        };
+        Self {
+            address: address.to_owned(),
+            name: text("name"),
+            domain: text("domain"),
+            state: state(dump).to_owned(),
+            configuration: dump["configuration"]["revision"].as_u64(),
+            work: dump[work].as_u64(),
+            waiting: dump["queued_tasks"].as_u64().or(dump["queued"].as_u64()),
+            sides: sides.map(Vec::len),
+            usable: sides.map(|sides| sides.iter().filter(|side| is_usable(side)).count()),
+            aside: sides
+                .into_iter()
+                .flatten()
+                .filter(|side| is_aside(side))
+                .filter_map(|side| side["name"].as_str().map(str::to_owned))
+                .collect(),
+            error: None,
+            role,
+        }
+    }
+
+    fn cells(&self) -> [String; 9] {
+        let number = |value: Option<u64>| value.map_or_else(|| "-".to_owned(), |n| n.to_string());
+        let sides = match (self.usable, self.sides) {
+            (Some(usable), Some(all)) => format!("{usable}/{all}"),
+            _ => "-".to_owned(),
+        };
+        let aside = if self.aside.is_empty() {
+            "-".to_owned()
+        } else {
+            self.aside.join(",")
+        };
+        let or_dash = |text: &str| if text.is_empty() { "-" } else { text }.to_owned();
+        [
+            or_dash(&self.name),
+            or_dash(&self.role),
+            or_dash(&self.domain),
+            self.state.clone(),
+            number(self.configuration),
+            number(self.work),
+            number(self.waiting),
+            sides,
+            aside,
+        ]
+    }
+}
+
+/// Returns a process's state in a word.
+fn state(dump: &Value) -> &'static str {
+    if dump["leaving"] == true {
+        return "leaving";
+    }
+    let configured = !dump["configuration"].is_null();
+    let ready = dump["ready"]
+        .as_bool()
+        .or(dump["may_start"].as_bool())
+        .unwrap_or(configured);
+    if ready { "ready" } else { "waiting" }
+}
+
+/// Sides of called upstreams show until when they are put aside, those of
+/// leased tasks whether they are.
+fn is_aside(side: &Value) -> bool {
+    side["aside"] == true || side["aside_ms"].as_u64().is_some_and(|left| left > 0)
+}
+
+fn is_usable(side: &Value) -> bool {
+    let open = side["open"].as_bool().unwrap_or(side["link"] == "up");
+    open && !is_aside(side)
+}
+
+/// Lays the processes out in columns, and ends with what they agree on.
+pub fn table(rows: &[Row]) -> String {
+    let header = [
+        "NAME", "ROLE", "DOMAIN", "STATE", "CONFIG", "WORK", "WAITING", "SIDES", "ASIDE",
+    ];
+    let mut lines = vec![header.map(str::to_owned)];
+    lines.extend(rows.iter().map(Row::cells));
+    let widths: Vec<usize> = (0..header.len())
+        .map(|column| {
+            lines
+                .iter()
+                .map(|line| line[column].len())
+                .max()
+                .unwrap_or(0)
+        })
+        .collect();
+    let mut text = String::new();
+    for (number, line) in lines.iter().enumerate() {
+        let mut padded = String::new();
+        for (cell, width) in line.iter().zip(&widths) {
+            let _ = write!(padded, "{cell:width$}  ");
+        }
+        let _ = write!(text, "{}", padded.trim_end());
+        if let Some(row) = number.checked_sub(1).map(|index| &rows[index])
+            && let Some(error) = &row.error
+        {
+            let _ = write!(text, "  {}: {error}", row.address);
+        }
+        text.push('\n');
+    }
+    let _ = writeln!(text, "{}", summary(rows));
+    text
+}
+
+/// Says whether the entries act on one configuration.
+fn summary(rows: &[Row]) -> String {
+    let entries: Vec<&Row> = rows.iter().filter(|row| row.role == "entry").collect();
+    let mut revisions: Vec<u64> = entries.iter().filter_map(|row| row.configuration).collect();
+    revisions.sort_unstable();
+    revisions.dedup();
+    let lacking = entries.iter().filter(|row| row.configuration.is_none());
+    let lost = rows.iter().filter(|row| row.error.is_some()).count();
+    let agreed = match revisions.as_slice() {
+        [] => "no configuration known".to_owned(),
+        [one] => format!("configuration {one}"),
+        [least, .., most] => format!("configurations differ: {least} to {most}"),
+    };
+    format!(
+        "{} entries ({} without a configuration), {} sides, {lost} unreachable; {agreed}",
+        entries.len(),
+        lacking.count(),
+        rows.iter().filter(|row| row.role == "side").count(),
+    )
+}
--- a/crates/hyssoppost/src/entry/dump.rs
+++ b/crates/hyssoppost/src/entry/dump.rs
@@ -1,6 +1,6 @@
 //! The entry's whole state as JSON.
 
-use crate::{link::Local, usage};
+use crate::{link::Local, logging, usage};
 use kernel::{
     entry::Entry,
     fleet::{Link, Member},
@@ -74,6 +74,7 @@
         "bytes_sent": traffic.bytes_sent.load(Ordering::Relaxed),
         "control_bytes_sent": traffic.control_bytes_sent.load(Ordering::Relaxed),
         "connections_refused": traffic.refused.load(Ordering::Relaxed),
+        "log_lines_dropped": logging::dropped(),
     })
 }
 
--- a/crates/hyssoppost/src/leased/dump.rs
+++ b/crates/hyssoppost/src/leased/dump.rs
@@ -1,69 +1,95 @@
-//! The state of a process for leased tasks, on request.
+//! The state of a process for leased tasks, on request, in the shape of the
+//! other processes' dumps.
 
-use super::record::age;
-use kernel::{dispatch::Dispatcher, guard::Guard};
+use crate::{entry::process, link::Local};
+use kernel::{
+    dispatch::{Dispatcher, View},
+    guard::Guard,
+    millis,
+};
 use serde_json::{Value, json};
 use std::time::Duration;
 
 /// Describes an entry.
-pub(super) fn dispatcher(kernel: &Dispatcher, now: Duration) -> Value {
+pub(super) fn entry(kernel: &Dispatcher, local: &Local, now: Duration) -> Value {
     let sides: Vec<Value> = kernel
         .side_views(now)
-        .map(|side| {
-            json!({
-                "name": side.name,
-                "domain": side.domain,
-                "open": side.open,
-                "aside": side.aside,
-                "silent_ms": age(side.silent),
-                "room_mcpu": side.room.cpu,
-                "runs": side.runs,
-                "slowness": side.slowness,
-            })
-        })
+        .map(|view| side_view(&view))
         .collect();
-    let rules = kernel.rules().map(|rules| {
+    let configuration = kernel.rules().map(|rules| {
         json!({
             "revision": rules.revision,
-            "version": rules.version,
+            "change": rules.version,
             "queues": rules.queues.len(),
-            "out": rules.out,
+            "domains_out": rules.out,
         })
     });
     let stats = kernel.stats();
     json!({
+        "role": "entry",
+        "name": local.hello.name,
+        "domain": local.hello.domain,
+        "incarnation": local.hello.incarnation.to_string(),
+        "ready": kernel.is_ready(),
         "leaving": kernel.is_leaving(),
-        "jobs_open": kernel.open(),
-        "tasks_waiting": kernel.backlog(),
-        "rules": rules,
+        "configuration": configuration,
+        "queued_tasks": kernel.backlog(),
+        "open_jobs": kernel.open(),
         "sides": sides,
-        "accepted": stats.accepted,
-        "completed": stats.completed,
-        "failed": stats.failed,
-        "refused": stats.refused,
-        "abandoned": stats.abandoned,
-        "expired": stats.expired,
-        "runs": stats.runs,
-        "rejected": stats.rejected,
-        "moved": stats.moved,
-        "lost": stats.lost,
+        "counts": {
+            "accepted": stats.accepted,
+            "completed": stats.completed,
+            "failed": stats.failed,
+            "refused": stats.refused,
+            "abandoned": stats.abandoned,
+            "expired": stats.expired,
+            "runs": stats.runs,
+            "rejected": stats.rejected,
+            "moved": stats.moved,
+            "lost": stats.lost,
+        },
+        "process": process(local),
+    })
+}
+
+fn side_view(side: &View<'_>) -> Value {
+    json!({
+        "name": side.name,
+        "domain": side.domain,
+        "open": side.open,
+        "aside": side.aside,
+        "heard_ms": millis(side.silent),
+        "room_mcpu": side.room.cpu,
+        "runs": side.runs,
+        "slowness": side.slowness,
     })
 }
 
 /// Describes a side.
-pub(super) fn guard(kernel: &Guard, now: Duration) -> Value {
+pub(super) fn side(kernel: &Guard, local: &Local, now: Duration) -> Value {
+    let known = kernel.announced();
     let stats = kernel.stats();
     json!({
-        "upstream": kernel.announced().map(|known| known.upstream.id.clone()),
-        "service": kernel.announced().map(|known| known.upstream.service.clone()),
-        "accepting": kernel.is_accepting(now),
-        "runs": kernel.runs(),
-        "room_mcpu": kernel.free().cpu,
-        "started": stats.started,
-        "refused": stats.refused,
-        "unanswered": stats.unanswered,
-        "orphaned": stats.orphaned,
-        "foreign": stats.foreign,
-        "lives": stats.lives,
+        "role": "side",
+        "name": local.hello.name,
+        "domain": local.hello.domain,
+        "incarnation": local.hello.incarnation.to_string(),
+        "leaving": kernel.is_leaving(),
+        "may_start": kernel.is_accepting(now),
+        "upstream": {
+            "id": known.map(|known| &known.upstream.id),
+            "service": known.map(|known| &known.upstream.service),
+            "room_mcpu": kernel.free().cpu,
+        },
+        "running": kernel.runs(),
+        "counts": {
+            "started": stats.started,
+            "refused": stats.refused,
+            "unanswered": stats.unanswered,
+            "orphaned": stats.orphaned,
+            "foreign": stats.foreign,
+            "lives": stats.lives,
+        },
+        "process": process(local),
     })
 }
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -1,7 +1,7 @@
 //! The entry process for leased tasks.
 
 use super::{
-    BATCH, EXIT_MARGIN, Entries, INBOX, Seeds, TICK, dump, front, hello, pace,
+    EXIT_MARGIN, Entries, INBOX, Seeds, drive, dump, front, hello, pace,
     record::{self, Recorder},
     rules,
 };
@@ -10,7 +10,7 @@
     clock::Clock,
     entry::registry,
     http,
-    link::{self, Joined, Local},
+    link::{self, Local},
     mesh::Mesh,
     meter, settings,
 };
@@ -26,7 +26,7 @@
     Frame,
     frame::{Hello, Role},
     id::Incarnation,
-    lease::Rules,
+    lease::{self, Rules},
 };
 
 /// Share of a planned stop before which the entry does not end, in hundredths:
@@ -149,7 +149,7 @@
         status,
         customers: HashMap::new(),
     };
-    let process = tokio::spawn(process.run(inbox, dumps));
+    let process = tokio::spawn(drive::run(process, Clock::default(), inbox, dumps));
     log::info!(
         "event=entry_started name={} incarnation={incarnation} customers={} links={links} readiness={}",
         settings.common.name,
@@ -238,64 +238,29 @@
     customers: HashMap<u64, oneshot::Sender<Answer>>,
 }
 
-impl Process {
-    async fn run(
-        mut self,
-        mut inbox: mpsc::Receiver<Event>,
-        mut dumps: mpsc::Receiver<admin::Dump>,
-    ) {
-        let clock = Clock::default();
-        let mut tick = tokio::time::interval(TICK);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut batch = Vec::with_capacity(BATCH);
-        self.mesh.dial_known();
-        loop {
-            tokio::select! {
-                count = inbox.recv_many(&mut batch, BATCH) => {
-                    if count == 0 {
-                        return;
-                    }
-                    let now = clock.now();
-                    for event in batch.drain(..) {
-                        self.handle(now, event);
-                    }
-                    self.kernel.settle(now);
-                }
-                Some(reply) = dumps.recv() => {
-                    // The asker may have gone away.
-                    let _ = reply.send(self.dump(clock.now()));
-                }
-                _ = tick.tick() => self.tick(clock.now()),
-            }
-            self.act();
-            self.report();
-        }
+impl drive::Process for Process {
+    type Event = Event;
+
+    fn mesh(&mut self) -> &mut Mesh<Event> {
+        &mut self.mesh
+    }
+
+    fn settle(&mut self, now: Duration) {
+        self.kernel.settle(now);
+    }
+
+    fn due(&self) -> Option<Duration> {
+        None
     }
 
-    /// Describes the process's state.
     fn dump(&self, now: Duration) -> serde_json::Value {
-        let mut state = record::describe(self.mesh.local());
-        state.insert("kernel".to_owned(), dump::dispatcher(&self.kernel, now));
-        state.into()
+        dump::entry(&self.kernel, self.mesh.local(), now)
     }
 
     fn handle(&mut self, now: Duration, event: Event) {
         match event {
             Event::Seeds(Seeds(addresses)) => self.mesh.seed(addresses),
-            Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
-            Event::Link(link::Event::Frame(number, Frame::Lease(frame))) => {
-                if let Some(from) = self.mesh.peer(number) {
-                    self.kernel.frame(now, from, frame);
-                }
-            }
-            Event::Link(link::Event::Frame(number, _)) => {
-                log::warn!("event=frame_unexpected connection={number}");
-            }
-            Event::Link(link::Event::Lost(number)) => {
-                if let Some(peer) = self.mesh.lost(number) {
-                    self.lose(&peer);
-                }
-            }
+            Event::Link(event) => self.link(now, event),
             Event::Ask {
                 customer,
                 host,
@@ -330,20 +295,14 @@
         }
     }
 
-    fn joined(&mut self, now: Duration, joined: Joined) {
-        let Some(admitted) = self.mesh.admit(joined) else {
-            return;
-        };
-        if admitted.replaces {
-            self.lose(&admitted.peer);
-        }
-        match admitted.peer.role {
+    fn join(&mut self, now: Duration, peer: &Hello) {
+        match peer.role {
             Role::Side => {
-                self.kernel.join_side(now, &admitted.peer);
-                self.kernel.tell_entries(admitted.peer.incarnation);
+                self.kernel.join_side(now, peer);
+                self.kernel.tell_entries(peer.incarnation);
             }
             Role::Entry => {
-                self.kernel.join_entry(now, &admitted.peer);
+                self.kernel.join_entry(now, peer);
                 self.kernel.know_entries(&self.mesh.known());
             }
         }
@@ -356,18 +315,17 @@
         }
     }
 
+    fn frame(&mut self, now: Duration, from: Incarnation, frame: lease::Frame) {
+        self.kernel.frame(now, from, frame);
+    }
+
+    fn silent(&self, now: Duration) -> Vec<Incarnation> {
+        let sides = self.kernel.silent_sides(now).into_iter();
+        sides.chain(self.kernel.silent_entries(now)).collect()
+    }
+
     fn tick(&mut self, now: Duration) {
-        let silent: Vec<Incarnation> = self
-            .kernel
-            .silent_sides(now)
-            .into_iter()
-            .chain(self.kernel.silent_entries(now))
-            .collect();
-        for incarnation in silent {
-            if let Some(peer) = self.mesh.close(incarnation, "silent") {
-                self.lose(&peer);
-            }
-        }
+        self.close_silent(now);
         self.kernel.tick(now);
         if now.saturating_sub(self.published) >= meter::INTERVAL {
             self.published = now;
@@ -390,8 +348,11 @@
                 }
             }
         }
+        self.report();
     }
+}
 
+impl Process {
     fn report(&self) {
         let status = Status {
             ready: self.kernel.is_ready(),
--- a/crates/hyssoppost/src/leased/mod.rs
+++ b/crates/hyssoppost/src/leased/mod.rs
@@ -1,6 +1,7 @@
 //! The two processes for leased tasks, around [`kernel::dispatch`] and
 //! [`kernel::guard`].
 
+mod drive;
 mod dump;
 pub mod entry;
 mod front;
--- a/crates/hyssoppost/src/leased/record.rs
+++ b/crates/hyssoppost/src/leased/record.rs
@@ -5,13 +5,9 @@
     dispatch::{Dispatcher, Phase},
     event::{Event, Weight},
     guard::Guard,
-    millis,
 };
 use metrics::{counter, gauge, histogram};
-use std::{
-    sync::atomic::Ordering,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 use wire::lease::Ending;
 
 /// Notable events logged a second, and at once after a quiet time. Beyond that
@@ -156,31 +152,3 @@
 fn publish_logging() {
     counter!("hyssoppost_log_lines_dropped_total").absolute(logging::dropped());
 }
-
-/// Describes a process for a dump on request.
-pub(super) fn describe(local: &Local) -> serde_json::Map<String, serde_json::Value> {
-    let traffic = &local.traffic;
-    let number = |value: &std::sync::atomic::AtomicU64| value.load(Ordering::Relaxed);
-    let mut state = serde_json::Map::new();
-    state.insert("name".to_owned(), local.hello.name.clone().into());
-    state.insert("domain".to_owned(), local.hello.domain.clone().into());
-    state.insert(
-        "incarnation".to_owned(),
-        local.hello.incarnation.to_string().into(),
-    );
-    state.insert(
-        "frames_sent".to_owned(),
-        number(&traffic.frames_sent).into(),
-    );
-    state.insert(
-        "frames_received".to_owned(),
-        number(&traffic.frames_received).into(),
-    );
-    state.insert("log_lines_dropped".to_owned(), logging::dropped().into());
-    state
-}
-
-/// Returns a duration in milliseconds for a dump.
-pub(super) fn age(duration: Duration) -> serde_json::Value {
-    millis(duration).into()
-}
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -1,14 +1,14 @@
 //! The side process for leased tasks.
 
 use super::{
-    BATCH, EXIT_MARGIN, Entries, INBOX, Seeds, TICK, dump, hello, pace,
+    EXIT_MARGIN, Entries, INBOX, Seeds, TICK, drive, dump, hello, pace,
     record::{self, Recorder},
 };
 use crate::{
     Error, admin,
     clock::Clock,
     http,
-    link::{self, Joined, Local},
+    link::{self, Local},
     mesh::Mesh,
     meter, settings,
 };
@@ -20,7 +20,12 @@
     sync::{mpsc, watch},
     task::JoinHandle,
 };
-use wire::{Frame, frame::Role, id::Incarnation, lease::Run};
+use wire::{
+    Frame,
+    frame::{Hello, Role},
+    id::Incarnation,
+    lease::{self, Run},
+};
 
 /// Largest report that an upstream may send, in bytes.
 const REPORT_BYTES: usize = 64 << 10;
@@ -88,7 +93,7 @@
         events: events.clone(),
         idle,
     };
-    let process = tokio::spawn(process.run(clock, inbox, dumps));
+    let process = tokio::spawn(drive::run(process, clock, inbox, dumps));
     log::info!(
         "event=side_started name={} incarnation={incarnation} reports={} upstream={}",
         settings.common.name,
@@ -190,73 +195,29 @@
     idle: watch::Sender<bool>,
 }
 
-impl Process {
-    async fn run(
-        mut self,
-        clock: Clock,
-        mut inbox: mpsc::Receiver<Event>,
-        mut dumps: mpsc::Receiver<admin::Dump>,
-    ) {
-        let mut tick = tokio::time::interval(TICK);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut batch = Vec::with_capacity(BATCH);
-        let mut leaving = false;
-        self.mesh.dial_known();
-        loop {
-            tokio::select! {
-                count = inbox.recv_many(&mut batch, BATCH) => {
-                    if count == 0 {
-                        return;
-                    }
-                    let now = clock.now();
-                    for event in batch.drain(..) {
-                        leaving |= matches!(event, Event::Leave);
-                        self.handle(now, event);
-                    }
-                    self.kernel.flush(now);
-                }
-                Some(reply) = dumps.recv() => {
-                    // The asker may have gone away.
-                    let _ = reply.send(self.dump(clock.now()));
-                }
-                () = tokio::time::sleep(GATHER), if self.kernel.is_dirty() => {
-                    self.kernel.flush(clock.now());
-                }
-                _ = tick.tick() => self.tick(clock.now()),
-            }
-            self.act();
-            if leaving {
-                let idle = self.kernel.is_idle();
-                self.idle
-                    .send_if_modified(|known| std::mem::replace(known, idle) != idle);
-            }
-        }
+impl drive::Process for Process {
+    type Event = Event;
+
+    fn mesh(&mut self) -> &mut Mesh<Event> {
+        &mut self.mesh
+    }
+
+    fn settle(&mut self, now: Duration) {
+        self.kernel.flush(now);
+    }
+
+    fn due(&self) -> Option<Duration> {
+        self.kernel.is_dirty().then_some(GATHER)
     }
 
-    /// Describes the process's state.
     fn dump(&self, now: Duration) -> serde_json::Value {
-        let mut state = record::describe(self.mesh.local());
-        state.insert("kernel".to_owned(), dump::guard(&self.kernel, now));
-        state.into()
+        dump::side(&self.kernel, self.mesh.local(), now)
     }
 
     fn handle(&mut self, now: Duration, event: Event) {
         match event {
             Event::Seeds(Seeds(addresses)) => self.mesh.seed(addresses),
-            Event::Link(link::Event::Joined(joined)) => self.joined(now, joined),
-            Event::Link(link::Event::Frame(number, Frame::Lease(frame))) => {
-                if let Some(from) = self.mesh.peer(number) {
-                    self.kernel.frame(now, from, frame);
-                }
-            }
-            Event::Link(link::Event::Frame(number, _)) => {
-                log::warn!("event=frame_unexpected connection={number}");
-            }
-            Event::Link(link::Event::Lost(number)) => {
-                if let Some(peer) = self.mesh.lost(number) {
-                    self.kernel.lose(peer.incarnation);
-                }
-            }
+            Event::Link(event) => self.link(now, event),
             Event::Report(Report::Alive(announcement)) => self.kernel.announce(now, announcement),
             Event::Report(Report::Ends { id }) => {
                 log::info!("event=upstream_ends id={id}");
@@ -272,23 +233,24 @@
         }
     }
 
-    fn joined(&mut self, now: Duration, joined: Joined) {
-        let Some(admitted) = self.mesh.admit(joined) else {
-            return;
-        };
-        if admitted.replaces {
-            self.kernel.lose(admitted.peer.incarnation);
-        }
-        self.kernel.join(now, admitted.peer.incarnation);
+    fn join(&mut self, now: Duration, peer: &Hello) {
+        self.kernel.join(now, peer.incarnation);
+    }
+
+    fn lose(&mut self, peer: &Hello) {
+        self.kernel.lose(peer.incarnation);
+    }
+
+    fn frame(&mut self, now: Duration, from: Incarnation, frame: lease::Frame) {
+        self.kernel.frame(now, from, frame);
+    }
+
+    fn silent(&self, now: Duration) -> Vec<Incarnation> {
+        self.kernel.silent(now)
     }
 
     fn tick(&mut self, now: Duration) {
-        let silent: Vec<Incarnation> = self.kernel.silent(now);
-        for entry in silent {
-            if self.mesh.close(entry, "silent").is_some() {
-                self.kernel.lose(entry);
-            }
-        }
+        self.close_silent(now);
         self.kernel.tick(now);
         if now.saturating_sub(self.published) >= meter::INTERVAL {
             self.published = now;
@@ -331,5 +293,10 @@
                 Action::Entries(entries) => self.mesh.register(entries),
             }
         }
+        if self.kernel.is_leaving() {
+            let idle = self.kernel.is_idle();
+            self.idle
+                .send_if_modified(|known| std::mem::replace(known, idle) != idle);
+        }
     }
 }
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -206,6 +206,11 @@
         self.queue.clear();
     }
 
+    /// Returns whether the side leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Returns whether a task may start now.
     pub fn is_accepting(&self, now: Duration) -> bool {
         let leaving = self.announced.as_ref().is_none_or(|known| known.leaving);
