--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -151,10 +151,11 @@
     };
     let process = tokio::spawn(drive::run(process, Clock::default(), inbox, dumps));
     log::info!(
-        "event=entry_started name={} incarnation={incarnation} customers={} links={links} readiness={}",
+        "event=entry_started name={} incarnation={incarnation} customers={} links={links} readiness={} admin={}",
         settings.common.name,
         customers.address(),
         readiness.address(),
+        admin.address(),
     );
     Ok(Handle {
         _admin: (admin, metrics),
--- a/crates/hyssoppost/tests/soak/customers.rs
+++ b/crates/hyssoppost/tests/soak/customers.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Default)]
 pub struct Book(Arc<Mutex<Told>>);
 
+/// What the customers were told, and about which requests.
 #[derive(Default)]
 pub struct Told {
     pub entries: Vec<Option<SocketAddr>>,
--- a/crates/hyssoppost/tests/soak/mod.rs
+++ b/crates/hyssoppost/tests/soak/mod.rs
@@ -53,6 +53,7 @@
     why: &'static str,
 }
 
+/// Real processes among stand-ins, and what injects faults between them.
 pub struct Site {
     folder: PathBuf,
     entries: Vec<Entry>,
@@ -230,31 +231,38 @@
                 self.entries[entry].links.partition(true);
             }
             8 => self.entries[entry].links.partition(false),
-            9..=12 => {
-                let faults = [
-                    StoreFault::Busy,
-                    StoreFault::Silent,
-                    StoreFault::Lost,
-                    StoreFault::Forgetful,
-                ];
-                self.excuse();
-                self.store.inject(faults[kind - 9]);
-                self.store_works = false;
-            }
-            13 => {
-                self.store.inject(StoreFault::None);
-                self.store_works = true;
-            }
-            14 => self.sides[side].upstream.crash(),
-            15 => self.sides[side].upstream.inject(Fault::Failing),
-            16 => self.sides[side].upstream.inject(Fault::Hanging),
+            9..=13 => self.disturb_store(kind - 9),
+            14..=17 | 19 => self.disturb_upstream(side, kind, random).await,
+            _ => self.evacuate(side, random.random_bool(0.5)),
+        }
+    }
+
+    fn disturb_store(&mut self, kind: usize) {
+        let faults = [
+            StoreFault::Busy,
+            StoreFault::Silent,
+            StoreFault::Lost,
+            StoreFault::Forgetful,
+            StoreFault::None,
+        ];
+        self.store_works = kind + 1 == faults.len();
+        if !self.store_works {
+            self.excuse();
+        }
+        self.store.inject(faults[kind]);
+    }
+
+    async fn disturb_upstream(&mut self, side: usize, kind: usize, random: &mut SmallRng) {
+        let upstream = &mut self.sides[side].upstream;
+        match kind {
+            14 => upstream.crash(),
+            15 => upstream.inject(Fault::Failing),
+            16 => upstream.inject(Fault::Hanging),
             17 => {
                 let delay = Duration::from_millis(random.random_range(500..4_000));
-                self.sides[side].upstream.inject(Fault::Late(delay));
+                upstream.inject(Fault::Late(delay));
             }
-            18 => self.evacuate(side, random.random_bool(0.5)),
             _ => {
-                let upstream = &mut self.sides[side].upstream;
                 upstream.inject(Fault::None);
                 if !upstream.is_up() {
                     upstream.restart().await;
--- /dev/null
+++ b/crates/hyssoppost/tests/soak/pair.rs
@@ -0,0 +1,86 @@
+//! One entry and one side as processes of their own, among stand-ins.
+
+use super::{
+    platform_standin::{
+        store::Store,
+        upstream::{Audit, Upstream},
+    },
+    process::{Output, Process, until, write},
+};
+use serde_json::json;
+use std::{
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+const LEASE: &str = "[lease]\nlongest_ms = 1000\nresend_ms = 1300\nstop_ms = 50\n\
+     [security]\nkey = pair-pair-pair-pair\nadmin_token = test\n";
+
+/// The processes and what they need.
+pub struct Pair {
+    pub entry: Process,
+    _side: Process,
+    _upstream: Upstream,
+    _store: Store,
+    folder: PathBuf,
+}
+
+impl Pair {
+    /// Starts the processes and waits until the side accepts tasks that take
+    /// `work`; what they print is read as `output` says.
+    pub async fn start(name: &str, places: usize, work: Duration, output: Output) -> Self {
+        let folder = std::env::temp_dir().join(format!("hyssop-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let store = Store::bind().await;
+        store.set(
+            "op/config",
+            &json!({
+                "version": 1, "services": [], "limits": {},
+                "routes": [{ "name": "r", "host": "a.example", "prefix": "/jobs/",
+                    "service": "desk", "priority": 0, "max_attempts": 3, "slack_factor": 1.6,
+                    "target_latency_ms": 60 }],
+            }),
+        );
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let settings = format!(
+            "[entry]\nname = e\nenvironment = t\ndomain = d\ndrain_s = 6\n\
+             [listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\nlinks = 127.0.0.1:0\n\
+             admin = 127.0.0.1:0\n[store]\naddress = {}\n{LEASE}",
+            store.served.address
+        );
+        let entry = Process::launch("entry", &write(&folder, "e", &settings), &log, output);
+        let audit = Audit::default();
+        let mut upstream = Upstream::bind(0, places, work, None, &audit).await;
+        let settings = format!(
+            "[side]\nname = s\nenvironment = t\ndomain = d\nrack = r\n\
+             [listen]\nupstream = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
+             [upstream]\naddress = {}\n[entries]\nseeds = {}\n{LEASE}",
+            upstream.address,
+            entry.address("links")
+        );
+        let side = Process::launch("side", &write(&folder, "s", &settings), &log, Output::Read);
+        upstream.report_to(side.address("reports"));
+        let accepts = || {
+            let lines = log.lock().unwrap();
+            lines
+                .iter()
+                .any(|line| line.contains("event=accepting value=true"))
+        };
+        until("the side accepts", accepts).await;
+        Self {
+            entry,
+            _side: side,
+            _upstream: upstream,
+            _store: store,
+            folder,
+        }
+    }
+}
+
+impl Drop for Pair {
+    fn drop(&mut self) {
+        // A folder that stays behind harms no other run.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- a/crates/hyssoppost/tests/soak/process.rs
+++ b/crates/hyssoppost/tests/soak/process.rs
@@ -14,6 +14,15 @@
 
 const START: Duration = Duration::from_secs(20);
 
+/// What becomes of what a program prints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    /// It is read.
+    Read,
+    /// It is not read after the program has started; the pipe stays open.
+    Unread,
+}
+
 /// A running program; it is killed when dropped.
 pub struct Process {
     child: Child,
@@ -25,24 +34,40 @@
 impl Process {
     /// Starts a role and waits until it has bound its listeners.
     pub fn start(role: &str, settings: &Path, log: &Arc<Mutex<Vec<String>>>) -> Self {
+        Self::launch(role, settings, log, Output::Read)
+    }
+
+    /// Starts a role as [`Process::start`] does.
+    pub fn launch(
+        role: &str,
+        settings: &Path,
+        log: &Arc<Mutex<Vec<String>>>,
+        output: Output,
+    ) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_hyssoppost"))
             .args([role, "--settings"])
             .arg(settings)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program");
-        let output = child.stdout.take().expect("piped above");
+        let mut lines = BufReader::new(child.stdout.take().expect("piped above")).lines();
         let (first, started) = mpsc::channel();
-        let lines = log.clone();
+        let kept = log.clone();
         let name = settings.file_stem().unwrap_or_default().to_owned();
         std::thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
-                if line.contains("_started ") {
+            for line in lines.by_ref().map_while(Result::ok) {
+                let has_started = line.contains("_started ");
+                let named = format!("{} {line}", name.display());
+                kept.lock().expect("no reader panics").push(named);
+                if has_started {
                     // Nobody waits for a later one.
-                    let _ = first.send(line.clone());
+                    let _ = first.send(line);
+                    if output == Output::Unread {
+                        // Keeps the pipe open without reading.
+                        std::mem::forget(lines);
+                        return;
+                    }
                 }
-                let line = format!("{} {line}", name.display());
-                lines.lock().expect("no reader panics").push(line);
             }
         });
         let started = started.recv_timeout(START).expect("the program starts");
--- /dev/null
+++ b/crates/hyssoppost/tests/unread_output.rs
@@ -0,0 +1,53 @@
+//! An entry whose standard output nobody reads.
+
+#[path = "soak/pair.rs"]
+mod pair;
+#[path = "../../../platform/tests/standin/mod.rs"]
+mod platform_standin;
+#[path = "soak/process.rs"]
+mod process;
+
+use futures::{StreamExt, stream};
+use pair::Pair;
+use process::Output;
+use std::time::Duration;
+
+/// Jobs whose lines fill the pipe and the queue before it several times.
+const JOBS: u64 = 2_400;
+const AT_ONCE: usize = 24;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_request_lost() {
+    let work = Duration::from_millis(1);
+    let pair = Pair::start("unread", 64, work, Output::Unread).await;
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    let address = pair.entry.address("customers");
+    let served = stream::iter(0..JOBS)
+        .map(|job| {
+            let request = http
+                .post(format!("http://{address}/jobs/{job:016x}"))
+                .header("host", "a.example")
+                .body(
+                    r#"{"spec":"x","best_effort":true,
+                        "phases":[{"count":1,"cpu":10,"estimate_ms":20}]}"#,
+                );
+            async move { request.send().await.unwrap().status().as_u16() }
+        })
+        .buffer_unordered(AT_ONCE)
+        .filter(|status| std::future::ready(*status == 200))
+        .count()
+        .await;
+    assert_eq!(served as u64, JOBS);
+    let admin = pair.entry.address("admin");
+    let state: serde_json::Value = http
+        .get(format!("http://{admin}/state"))
+        .bearer_auth("test")
+        .send()
+        .await
+        .unwrap()
+        .json()
+        .await
+        .unwrap();
+    let dropped = state["process"]["log_lines_dropped"].as_u64().unwrap();
+    assert!(dropped > 0, "the queue never filled: {state}");
+}
--- a/crates/kernel/tests/site/make.rs
+++ b/crates/kernel/tests/site/make.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use wire::lease::{Need, Queue, Rules, Upstream};
 
+/// Makes the times that all tests of leases use.
 pub fn pace() -> Pace {
     Pace::new(
         Duration::from_secs(1),
@@ -16,6 +17,7 @@
     )
 }
 
+/// Makes rules with the one queue of the tests.
 pub fn rules(revision: u64, out: &[&str]) -> Rules {
     Rules {
         revision,
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -24,8 +24,11 @@
     lease::Frame,
 };
 
+/// Host name of the queue.
 pub const HOST: &str = "desk.example";
+/// Path of the queue.
 pub const PATH: &str = "/jobs/";
+/// Service that runs the queue's jobs.
 pub const SERVICE: &str = "desk";
 
 /// One way between two processes, and between a side and its upstream.
@@ -55,6 +58,7 @@
     since: Duration,
 }
 
+/// Kernels of entries and sides over a network with delays and faults.
 pub struct Site {
     pub now: Duration,
     pub pace: Pace,
--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -17,12 +17,14 @@
 const ANSWER: Duration = Duration::from_millis(1);
 const LONGEST_LEASE_MS: u64 = 1_000;
 
+/// A call that a side makes to its upstream.
 pub enum Call {
     Start(Incarnation, Order),
     Stop(Incarnation, Run, u64),
     Hold(Incarnation, Hold),
 }
 
+/// An upstream's answer.
 pub enum Outcome {
     Started(Incarnation, Run, Started),
     Stopped(Incarnation, Run, u64),
@@ -71,6 +73,7 @@
     Hanging,
 }
 
+/// An upstream that runs what it is told, and records what it ran.
 pub struct Up {
     pub index: usize,
     pub born: u64,
