dispatch: the backlog is kept in order instead of sorted at each change

Cause: an entry copied and sorted every waiting task at each batch of frames, looked each up in its job, summed the whole backlog for each new job, and once more for each late job at each tick: quadratic in the jobs that wait, on hosts with 0.12 of a core, just when many wait.

Backlog keeps the tasks by rank, with the work of each level summed as tasks come and go; a job's rank changes when it begins or becomes late, and its tasks move then. What no side knows of is remembered instead of searched for. Room is looked for when a report shows more of it, not at each frame. Late work counts as a level of its own, for peers too: it is behind what can still be on time, so it no longer makes new jobs look hopeless.

State::Placed.since, never read, is gone. Ruled out: a sort of a bounded prefix, which still looks up every task.

--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -9,7 +9,10 @@
         let Some(side) = self.fleet.get_mut(from) else {
             return;
         };
+        let before = (side.is_open(now), side.room());
         side.report(now, status);
+        let after = (side.is_open(now), side.room());
+        self.changed |= after.0 && (!before.0 || !after.1.fits(before.1));
         let (accepting, name) = (status.accepting, side.name.clone());
         if accepting {
             self.supersede(now, from, &name);
@@ -52,6 +55,7 @@
             return;
         };
         side.link = Link::Up;
+        self.changed = true;
         self.events.push(Event::SideUp {
             name: side.name.clone(),
             side: from,
@@ -126,6 +130,7 @@
             spent: Duration::from_millis(end.spent.into()),
         });
         self.judge(now, from, end, estimate);
+        self.rerank(now, task.job);
         self.advance(now, task, end.ending);
     }
 
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -1,9 +1,14 @@
 //! One job at the entry that took it.
 
-use super::fleet::Key;
+use super::{backlog::Rank, fleet::Key};
 use std::time::Duration;
 use wire::lease::{Need, Run, Task};
 
+/// Run time against the estimate that is reckoned with for whether a task can
+/// still meet its objective: estimates are rough, and the slowest task of a
+/// step counts.
+pub(super) const CAUTION: f64 = 1.3;
+
 /// A step of a job: tasks that are alike.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Step {
@@ -44,11 +49,7 @@
     /// No run of it is under way.
     Waiting,
     /// A run is under way at a side.
-    Placed {
-        side: Key,
-        attempt: u32,
-        since: Duration,
-    },
+    Placed { side: Key, attempt: u32 },
     /// It succeeded.
     Done,
 }
@@ -77,6 +78,10 @@
     pub(super) accepted: Duration,
     /// When the objective is missed.
     pub(super) due: Duration,
+    /// Latest start that is likely to meet the objective.
+    pub(super) start_by: Duration,
+    /// Place of its waiting tasks.
+    pub(super) rank: Rank,
     /// When an answer is of no use any more.
     pub(super) useful: Duration,
     /// When the customer has gone.
@@ -115,7 +120,7 @@
     pub(super) fn placed(&self) -> Vec<(Key, Run)> {
         let mut runs = Vec::new();
         self.each(|task, slot| {
-            if let State::Placed { side, attempt, .. } = slot.state {
+            if let State::Placed { side, attempt } = slot.state {
                 runs.push((side, Run { task, attempt }));
             }
         });
@@ -124,7 +129,26 @@
 
     /// Returns whether a task may have started.
     pub(super) fn may_have_run(&self) -> bool {
-        self.ran || !self.placed().is_empty()
+        let mut slots = self.tasks.iter().flatten();
+        self.ran || slots.any(|slot| matches!(slot.state, State::Placed { .. }))
+    }
+
+    /// Returns the place of its waiting tasks.
+    pub(super) fn rank_at(&self, now: Duration) -> Rank {
+        let fresh = !self.may_have_run();
+        Rank {
+            late: fresh && now > self.start_by,
+            priority: self.priority,
+            fresh,
+            due: self.due,
+        }
+    }
+
+    /// Returns whether no waiting task of a step may run yet.
+    pub(super) fn is_paused(&self, now: Duration, step: u16) -> bool {
+        let slots = self.tasks.get(usize::from(step)).into_iter().flatten();
+        let mut waiting = slots.filter(|slot| slot.state == State::Waiting);
+        waiting.all(|slot| slot.resume > now)
     }
 
     /// Returns the first task of a step that waits and may run at a side.
@@ -205,19 +229,6 @@
         freed.into_iter().map(id).collect()
     }
 
-    /// Returns the processor time that the tasks without a run take, in
-    /// core-milliseconds.
-    pub(super) fn work_left(&self) -> u64 {
-        let mut work = 0;
-        for (step, slots) in self.submission.steps.iter().zip(&self.tasks) {
-            let left = slots
-                .iter()
-                .filter(|slot| matches!(slot.state, State::Blocked | State::Waiting));
-            work += left.count() as u64 * step.work();
-        }
-        work
-    }
-
     fn each(&self, mut visit: impl FnMut(Task, &Slot)) {
         for (step, slots) in self.tasks.iter().enumerate() {
             for (index, slot) in slots.iter().enumerate() {
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 //! its side has refused it, or all leases that it could hold have run out.
 
 mod answer;
+mod backlog;
 mod fleet;
 mod follow;
 mod job;
@@ -25,6 +26,7 @@
     guard::Pace,
     mutation::{Mutant, is_seeded},
 };
+use backlog::Backlog;
 use fleet::{Link, Side, echo_interval};
 use peers::Peer;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -35,7 +37,7 @@
 use wire::{
     frame::{Hello, Known},
     id::Incarnation,
-    lease::{Addressed, Echo, End, Ending, Frame, Rules, Run, Task},
+    lease::{Addressed, Echo, End, Ending, Frame, Rules, Run},
 };
 
 /// Pause before a task that was refused is placed anew.
@@ -63,8 +65,9 @@
     peers: BTreeMap<Incarnation, Peer>,
     entries: Vec<Known>,
     jobs: BTreeMap<u64, Job>,
-    /// Tasks that wait, by rank.
-    waiting: BTreeSet<(place::Rank, Task)>,
+    waiting: Backlog,
+    /// Steps with waiting tasks that no side has been told of.
+    untold: BTreeSet<(u64, u16)>,
     ended: serve::Memory,
     calls: BTreeMap<u64, peers::Call>,
     next_call: u64,
@@ -89,7 +92,8 @@
             peers: BTreeMap::new(),
             entries: Vec::new(),
             jobs: BTreeMap::new(),
-            waiting: BTreeSet::new(),
+            waiting: Backlog::default(),
+            untold: BTreeSet::new(),
             ended: serve::Memory::default(),
             calls: BTreeMap::new(),
             next_call: 0,
@@ -187,8 +191,10 @@
         if let Some(side) = self.fleet.get_mut(key) {
             side.link = Link::Lost;
         }
-        for job in self.jobs.values_mut() {
-            job.reserved.retain(|(_, side)| *side != key);
+        for (id, job) in &mut self.jobs {
+            for (step, _) in job.reserved.extract_if(.., |(_, side)| *side == key) {
+                self.untold.insert((*id, step));
+            }
         }
     }
 
@@ -208,6 +214,7 @@
             Frame::Upstream(upstream) => {
                 if let Some(side) = self.fleet.get_mut(from) {
                     side.upstream = upstream;
+                    self.changed = true;
                 }
             }
             Frame::Status(status) => self.status(now, from, status),
@@ -217,13 +224,13 @@
             Frame::Claim(step) => self.claim(now, from, step),
             other => self.peer_frame(now, from, other),
         }
-        self.changed = true;
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: Duration) {
         self.forget_sides(now);
         self.expire(now);
+        self.age(now);
         self.place(now);
         self.echo(now);
         self.beat(now);
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -25,7 +25,7 @@
     sent: Duration,
     clock: u64,
     pub(super) pending: BTreeMap<String, u32>,
-    /// Work that waits there, in core-milliseconds, by priority.
+    /// Work that waits there, in core-milliseconds, by level.
     pub(super) waiting: Vec<(u8, u64)>,
 }
 
@@ -174,12 +174,10 @@
 
     fn make_beat(&self, now: Duration) -> Beat {
         let mut pending: BTreeMap<&str, u32> = BTreeMap::new();
-        let mut waiting: BTreeMap<u8, u64> = BTreeMap::new();
         for job in self.jobs.values() {
             if !job.may_have_run() {
                 *pending.entry(&job.queue).or_default() += 1;
             }
-            *waiting.entry(job.priority).or_default() += job.work_left();
         }
         Beat {
             clock: millis(now),
@@ -189,7 +187,7 @@
                 .into_iter()
                 .map(|(queue, count)| (queue.to_owned(), count))
                 .collect(),
-            waiting: waiting.into_iter().collect(),
+            waiting: self.waiting.levels().collect(),
         }
     }
 
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -1,23 +1,14 @@
 //! Which task is placed next, and where.
 
-use super::{Dispatcher, Event, Job, Key, Way, fleet::Side, job::State};
+use super::{Dispatcher, Event, Job, Key, Way, backlog::work_ahead, fleet::Side, job::State};
 use crate::millis;
 use rand::{RngExt, seq::SliceRandom};
 use std::{collections::BTreeMap, time::Duration};
 use wire::lease::{Frame, Progress, Reserve, Run, Start, Step, Task};
 
-/// Order among waiting tasks: by priority, then by when their objectives are
-/// missed.
-pub(super) type Rank = (u8, Duration);
-
 /// Waiting tasks that may find no room before the rest are not tried.
 const MISSES: u32 = 12;
 
-/// Run time against the estimate that is reckoned with for whether a task can
-/// still meet its objective: estimates are rough, and the slowest task of a
-/// step counts.
-const CAUTION: f64 = 1.3;
-
 /// Sides that are told of a step whose tasks wait, at least and for each task.
 const RESERVE_LEAST: usize = 16;
 const RESERVE_EACH: usize = 2;
@@ -49,21 +40,14 @@
         let mut misses = 0;
         let mut orders: BTreeMap<(Key, u64, u16), Vec<Run>> = BTreeMap::new();
         let mut sequence: Vec<(Key, u64, u16)> = Vec::new();
-        let mut waiting: Vec<(Rank, Task)> = self.waiting.iter().copied().collect();
-        // What can no longer meet its objective does not delay what can.
-        waiting.sort_by_cached_key(|(rank, task)| {
-            let begun = self.has_begun(*task);
-            let late = !begun && self.is_late(now, *task);
-            (late, rank.0, !begun, rank.1, *task)
-        });
-        for (rank, task) in waiting {
-            if misses >= MISSES {
-                self.reserve(now, task);
-                continue;
-            }
+        let mut last = None;
+        while misses < MISSES {
+            let Some((rank, task)) = self.waiting.next(last) else {
+                break;
+            };
+            last = Some((rank, task));
             match self.place_task(now, task) {
                 Placing::Placed(side, run) => {
-                    self.waiting.remove(&(rank, task));
                     let key = (side, task.job, task.step);
                     let runs = orders.entry(key).or_insert_with(|| {
                         sequence.push(key);
@@ -71,33 +55,68 @@
                     });
                     runs.push(run);
                 }
-                Placing::NoRoom => {
-                    misses += 1;
-                    self.reserve(now, task);
-                }
+                Placing::NoRoom => misses += 1,
                 Placing::Later => {}
-                Placing::Void => {
-                    self.waiting.remove(&(rank, task));
-                }
             }
         }
         for key in sequence {
             let runs = orders.remove(&key).unwrap_or_default();
             self.order(key, runs);
             self.unreserve(key.1, key.2);
+            self.rerank(now, key.1);
+        }
+        if misses > 0 {
+            for (job, step) in std::mem::take(&mut self.untold) {
+                self.reserve(now, job, step);
+            }
+        }
+    }
+
+    /// Lets jobs sink that can no longer meet their objectives.
+    pub(super) fn age(&mut self, now: Duration) {
+        let late: Vec<u64> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.rank.fresh && !job.rank.late && now > job.start_by)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.rerank(now, id);
+        }
+    }
+
+    /// Moves a job's waiting tasks to the place that the job has now.
+    pub(super) fn rerank(&mut self, now: Duration, id: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let rank = job.rank_at(now);
+        let old = std::mem::replace(&mut job.rank, rank);
+        if old == rank {
+            return;
+        }
+        for task in job.waiting() {
+            let work = job.step(task).work();
+            if self.waiting.remove(old, task, work) {
+                self.waiting.insert(rank, task, work);
+            }
         }
     }
 
     /// Tells sides of a step whose tasks wait, unless they know.
-    fn reserve(&mut self, now: Duration, task: Task) {
-        let Some(job) = self.jobs.get(&task.job) else {
+    fn reserve(&mut self, now: Duration, id: u64, number: u16) {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        if job.reserved.iter().any(|(step, _)| *step == task.step) {
+        let count = job.count_waiting(number);
+        if count == 0 || job.reserved.iter().any(|(known, _)| *known == number) {
             return;
         }
-        let step = job.step(task);
-        let count = job.count_waiting(task.step);
+        if job.is_paused(now, number) {
+            self.untold.insert((id, number));
+            return;
+        }
+        let step = &job.submission.steps[usize::from(number)];
         let mut sides: Vec<(Key, u64)> = self
             .fleet
             .iter()
@@ -109,23 +128,22 @@
         sides.truncate(RESERVE_LEAST.max(usize::from(count) * RESERVE_EACH));
         let reserve = |clock| Reserve {
             clock,
-            step: Step {
-                job: task.job,
-                number: task.step,
-            },
+            step: Step { job: id, number },
             count,
             need: step.need,
             priority: job.priority,
-            slack: u32::try_from(millis(job.start_by(task).saturating_sub(now)))
-                .unwrap_or(u32::MAX),
+            slack: u32::try_from(millis(job.start_by.saturating_sub(now))).unwrap_or(u32::MAX),
             begun: job.may_have_run(),
         };
         let frames: Vec<(Key, Frame)> = sides
             .iter()
             .map(|(key, clock)| (*key, Frame::Reserve(reserve(*clock))))
             .collect();
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            let known = sides.iter().map(|(key, _)| (task.step, *key));
+        if frames.is_empty() {
+            self.untold.insert((id, number));
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            let known = sides.iter().map(|(key, _)| (number, *key));
             job.reserved.extend(known);
         }
         for (key, frame) in frames {
@@ -157,32 +175,33 @@
         let Some(task) = task else {
             if let Some(job) = self.jobs.get_mut(&step.job) {
                 job.reserved.retain(|known| *known != (step.number, from));
+                self.untold.insert((step.job, step.number));
             }
             self.send(from, Frame::Unreserve(step));
             return;
         };
-        let mut first = false;
-        if let Some(job) = self.jobs.get(&task.job) {
-            self.waiting.remove(&((job.priority, job.due), task));
-            first = !job.may_have_run();
-        }
+        let first = self
+            .jobs
+            .get(&task.job)
+            .is_some_and(|job| !job.may_have_run());
         if let Some(run) = self.assign(now, task, from, true) {
             self.order((from, step.job, step.number), vec![run]);
         }
         self.unreserve(step.job, step.number);
         if first {
-            self.raise(now, task);
+            self.rerank(now, step.job);
+            self.raise(now, step);
         }
     }
 
     /// Tells sides that a job has begun, which raises the rank of its rest.
-    fn raise(&mut self, now: Duration, task: Task) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+    fn raise(&mut self, now: Duration, step: Step) {
+        let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
-        if job.count_waiting(task.step) > 0 {
-            job.reserved.retain(|(step, _)| *step != task.step);
-            self.reserve(now, task);
+        if job.count_waiting(step.number) > 0 {
+            job.reserved.retain(|(known, _)| *known != step.number);
+            self.reserve(now, step.job, step.number);
         }
     }
 
@@ -196,28 +215,9 @@
         allowed.then_some(task)
     }
 
-    /// Returns whether other tasks of the job have started.
-    fn has_begun(&self, task: Task) -> bool {
-        self.jobs.get(&task.job).is_some_and(Job::may_have_run)
-    }
-
-    fn is_late(&self, now: Duration, task: Task) -> bool {
-        self.jobs
-            .get(&task.job)
-            .is_some_and(|job| now > job.start_by(task))
-    }
-
     fn place_task(&mut self, now: Duration, task: Task) -> Placing {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return Placing::Void;
-        };
-        let Some(slot) = job.slot(task) else {
-            return Placing::Void;
-        };
-        if slot.state != State::Waiting {
-            return Placing::Void;
-        }
-        if slot.resume > now {
+        let slot = self.jobs.get_mut(&task.job).and_then(|job| job.slot(task));
+        if slot.is_some_and(|slot| slot.resume > now) {
             return Placing::Later;
         }
         let Some(key) = self.choose(now, task) else {
@@ -225,7 +225,7 @@
         };
         match self.assign(now, task, key, false) {
             Some(run) => Placing::Placed(key, run),
-            None => Placing::Void,
+            None => Placing::NoRoom,
         }
     }
 
@@ -233,6 +233,7 @@
     fn assign(&mut self, now: Duration, task: Task, key: Key, claimed: bool) -> Option<Run> {
         let job = self.jobs.get_mut(&task.job)?;
         let need = job.step(task).need;
+        self.waiting.remove(job.rank, task, job.step(task).work());
         let slot = job.slot(task)?;
         slot.attempt += 1;
         let run = Run {
@@ -242,7 +243,6 @@
         slot.state = State::Placed {
             side: key,
             attempt: slot.attempt,
-            since: now,
         };
         let waited = now.saturating_sub(job.accepted);
         let side = self.fleet.get_mut(key)?;
@@ -315,9 +315,10 @@
         !out && labelled && upstream.service == service && side.is_open(now) && !side.is_aside(now)
     }
 
-    /// Returns the expected wait of a new job, over all sides and entries.
+    /// Returns the expected wait of a job of a level, over all sides and
+    /// entries.
     #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
-    pub(super) fn outlook(&self, now: Duration, service: &str, priority: u8) -> Duration {
+    pub(super) fn outlook(&self, now: Duration, service: &str, level: u8) -> Duration {
         let (mut processor, mut free) = (0.0, 0);
         for (_, side) in self.fleet.iter() {
             if self.may_run(now, side, service, None) {
@@ -325,27 +326,12 @@
                 free += side.room().cpu;
             }
         }
-        let own = self.backlog_work(priority) as f64;
-        let others = self
-            .peers
-            .values()
-            .flat_map(|peer| &peer.waiting)
-            .filter(|(other, _)| *other <= priority)
-            .map(|(_, work)| *work as f64);
-        let work = own + others.sum::<f64>() - f64::from(free) * self.fleet.run_ms / 1e3;
+        let others = self.peers.values().flat_map(|peer| &peer.waiting).copied();
+        let ahead = work_ahead(self.waiting.levels().chain(others), level) as f64;
+        let work = ahead - f64::from(free) * self.fleet.run_ms / 1e3;
         Duration::from_secs_f64((work / f64::max(processor, 1.0)).clamp(0.0, 3_600.0))
     }
 
-    /// Returns the work of up to a priority that waits at this entry, in
-    /// core-milliseconds.
-    fn backlog_work(&self, most: u8) -> u64 {
-        let tasks = self.waiting.iter();
-        tasks
-            .filter(|((priority, _), _)| *priority <= most)
-            .filter_map(|(_, task)| Some(self.jobs.get(&task.job)?.step(*task).work()))
-            .sum()
-    }
-
     fn cost(&self, side: &Side, rack: Option<&str>) -> f64 {
         let capacity = side.capacity().cpu;
         let used = 1.0 - f64::from(side.room().cpu) / f64::from(capacity.max(1));
@@ -375,7 +361,8 @@
     /// Puts a task in the queue.
     pub(super) fn enqueue(&mut self, task: Task) {
         if let Some(job) = self.jobs.get(&task.job) {
-            self.waiting.insert(((job.priority, job.due), task));
+            self.waiting.insert(job.rank, task, job.step(task).work());
+            self.untold.insert((task.job, task.step));
             self.changed = true;
         }
     }
@@ -438,7 +425,6 @@
     Placed(Key, Run),
     NoRoom,
     Later,
-    Void,
 }
 
 /// Returns whether a side has as many tasks of the step as may run at one host.
@@ -449,11 +435,3 @@
         .filter(|slot| matches!(slot.state, State::Placed { side, .. } if side == key));
     there.count() >= usize::from(most)
 }
-
-impl Job {
-    /// Returns the latest start of a task that is likely to meet the objective.
-    fn start_by(&self, task: Task) -> Duration {
-        let run = self.step(task).estimate.mul_f64(CAUTION);
-        self.due.saturating_sub(run)
-    }
-}
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -1,6 +1,11 @@
 //! Customers' requests: jobs handed in, asked for, cancelled, given up.
 
-use super::{Answer, Dispatcher, Event, Job, Phase, Reason, Submission, job::State, route};
+use super::{
+    Answer, Dispatcher, Event, Job, Phase, Reason, Submission,
+    backlog::{LATE, Rank},
+    job::{CAUTION, State},
+    route,
+};
 use crate::mutation::{Mutant, is_seeded};
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -94,7 +99,7 @@
 
     /// Takes a job, unless it cannot be served.
     fn admit(&mut self, now: Duration, customer: u64, job: Job) {
-        let wait = self.outlook(now, &job.service, job.priority);
+        let wait = self.outlook(now, &job.service, job.rank.level());
         let reason = if self.outlives(now + wait, &job) {
             Some(Reason::Leaving)
         } else {
@@ -117,6 +122,7 @@
             tasks: job.left(),
             wait,
             objective: job.due.saturating_sub(job.accepted),
+            patience: job.submission.patience,
         });
         self.await_earlier_runs(&mut job);
         let tasks = job.unblock();
@@ -296,9 +302,9 @@
     /// Forgets a job and stops what runs of it.
     fn drop_job(&mut self, job: u64) -> Option<Job> {
         let work = self.jobs.remove(&job)?;
-        let rank = (work.priority, work.due);
         for task in work.waiting() {
-            self.waiting.remove(&(rank, task));
+            let size = work.step(task).work();
+            self.waiting.remove(work.rank, task, size);
         }
         let mut stops: BTreeMap<super::Key, Vec<Run>> = BTreeMap::new();
         for (side, run) in work.placed() {
@@ -320,12 +326,20 @@
     /// Gives up jobs whose customers have gone, and those that cannot end
     /// before.
     pub(super) fn expire(&mut self, now: Duration) {
-        let over: Vec<u64> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| now >= job.deadline || self.has_no_hope(now, job))
-            .map(|(id, _)| *id)
-            .collect();
+        // All jobs that are late wait behind the same work.
+        let mut waits: BTreeMap<&str, Duration> = BTreeMap::new();
+        let mut over = Vec::new();
+        for (id, job) in &self.jobs {
+            let hopeless = now >= job.due && !job.may_have_run() && {
+                let wait = *waits
+                    .entry(&job.service)
+                    .or_insert_with(|| self.outlook(now, &job.service, LATE));
+                !self.is_useful(now + wait, job)
+            };
+            if hopeless || now >= job.deadline {
+                over.push(*id);
+            }
+        }
         self.give_up(now, &over);
     }
 
@@ -350,7 +364,7 @@
                     left: job.left(),
                 });
             } else {
-                let wait = self.outlook(now, &job.service, u8::MAX);
+                let wait = self.outlook(now, &job.service, LATE);
                 self.tell_refused(now, &job, Reason::Overload, wait);
             }
             for customer in &job.customers {
@@ -363,16 +377,6 @@
         }
     }
 
-    /// Returns whether a job that has not started cannot end in time. One that
-    /// misses its objective waits behind all others.
-    fn has_no_hope(&self, now: Duration, job: &Job) -> bool {
-        if now < job.due || job.may_have_run() {
-            return false;
-        }
-        let wait = self.outlook(now, &job.service, u8::MAX);
-        !self.is_useful(now + wait, job)
-    }
-
     /// Returns the least time that a job takes once it has room.
     fn expected(&self, submission: &Submission) -> Duration {
         submission
@@ -402,13 +406,16 @@
     fn new(now: Duration, customer: u64, queue: &Queue, submission: Submission) -> Self {
         let target = Duration::from_millis(queue.target.into());
         let objective = submission.chain().mul_f64(queue.slack) + target;
-        Self {
+        let due = now + objective;
+        let mut job = Self {
             queue: queue.name.clone(),
             service: queue.service.clone(),
             priority: queue.priority,
             attempts: queue.attempts.max(1),
             accepted: now,
-            due: now + objective,
+            due,
+            start_by: due.saturating_sub(submission.chain().mul_f64(CAUTION)),
+            rank: Rank::default(),
             useful: now + submission.patience.min(objective * USEFUL_FACTOR),
             deadline: now + submission.patience,
             tasks: submission.slots(),
@@ -416,7 +423,9 @@
             reserved: Vec::new(),
             customers: vec![customer],
             submission,
-        }
+        };
+        job.rank = job.rank_at(now);
+        job
     }
 
     /// Returns whether a run of the task is under way.
--- /dev/null
+++ b/crates/kernel/src/dispatch/usual.rs
@@ -0,0 +1,99 @@
+//! How long customers usually wait, by queue.
+//!
+//! A customer that comes again after a broken connection states the time that
+//! it has left. Where that is less than nearly all customers of its queue
+//! state, it has waited before, and its objective counts from then. After an
+//! outage such customers come together with new ones; without the difference
+//! the new ones would wait behind those that are late already.
+
+use std::{collections::BTreeMap, time::Duration};
+
+/// Customers of a queue that are listened to before any is judged.
+const FIRST: usize = 64;
+
+/// Share of customers that may state less than the mark, as one in so many.
+const BELOW: f64 = 50.0;
+
+/// Share of the mark by which it falls when a customer states less; it rises by
+/// a share [`BELOW`] times smaller, so that one in [`BELOW`] states less.
+const STEP: f64 = 0.05;
+
+/// Customers in a row that state much less after which the mark is learnt
+/// anew: customers of the queue have changed.
+const ANEW: u32 = 100;
+
+/// What one queue's customers state.
+#[derive(Debug, Default)]
+struct Queue {
+    /// In milliseconds; what is less is rare.
+    mark: Option<f64>,
+    first: Vec<f64>,
+    /// Customers in a row that stated much less.
+    less: u32,
+}
+
+/// What is known of all queues.
+#[derive(Debug, Default)]
+pub(super) struct Usual(BTreeMap<String, Queue>);
+
+impl Usual {
+    /// Learns how long a customer waits, and returns whether it has likely come
+    /// again; customers do so after `resend`.
+    pub(super) fn learn(&mut self, queue: &str, patience: Duration, resend: Duration) -> bool {
+        let stated = patience.as_secs_f64() * 1e3;
+        if !self.0.contains_key(queue) {
+            self.0.insert(queue.to_owned(), Queue::default());
+        }
+        self.0
+            .get_mut(queue)
+            .is_some_and(|known| known.learn(stated, resend.as_secs_f64() * 1e3))
+    }
+
+    /// Takes marks that were learnt before, or by others, in milliseconds.
+    pub(super) fn recall(&mut self, marks: &[(String, u32)]) {
+        for (queue, mark) in marks {
+            let known = self.0.entry(queue.clone()).or_default();
+            known.mark.get_or_insert(f64::from(*mark));
+        }
+    }
+
+    /// Returns the marks, in milliseconds.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to the range"
+    )]
+    pub(super) fn marks(&self) -> Vec<(String, u32)> {
+        self.0
+            .iter()
+            .filter_map(|(queue, known)| Some((queue.clone(), known.mark?)))
+            .map(|(queue, mark)| (queue, mark.clamp(0.0, f64::from(u32::MAX)) as u32))
+            .collect()
+    }
+}
+
+impl Queue {
+    fn learn(&mut self, stated: f64, resend: f64) -> bool {
+        let Some(mark) = &mut self.mark else {
+            self.first.push(stated);
+            if self.first.len() >= FIRST {
+                self.first.sort_by(f64::total_cmp);
+                self.mark = Some(self.first[1]);
+                self.first = Vec::new();
+            }
+            return false;
+        };
+        let again = stated < *mark;
+        // One that has come again says little about how long others wait.
+        let much = stated < *mark - resend / 2.0;
+        self.less = if much { self.less + 1 } else { 0 };
+        if self.less >= ANEW {
+            *self = Self::default();
+            return false;
+        }
+        if !much {
+            *mark *= if again { 1.0 - STEP } else { 1.0 + STEP / BELOW };
+        }
+        again
+    }
+}
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -47,6 +47,8 @@
         wait: Duration,
         /// Time to the objective.
         objective: Duration,
+        /// Time that the customer waits.
+        patience: Duration,
     },
     /// A job was refused; it has not run and will not.
     Refused {
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -16,11 +16,14 @@
                 tasks,
                 wait,
                 objective,
+                patience,
             } => write!(
                 to,
-                "event=accepted job={job:016x} queue={queue} tasks={tasks} wait_ms={} objective_ms={}",
+                "event=accepted job={job:016x} queue={queue} tasks={tasks} wait_ms={} \
+                 objective_ms={} patience_ms={}",
                 millis(*wait),
-                millis(*objective)
+                millis(*objective),
+                millis(*patience)
             ),
             Self::Refused {
                 job,
