--- a/crates/hyssoppost/src/entry/process.rs
+++ b/crates/hyssoppost/src/entry/process.rs
@@ -184,7 +184,7 @@
                 let adoption = self.kernel.store_read(now, &config);
                 log_adoption(&adoption, config.revision, "store");
             }
-            registry::Event::Absent => {}
+            registry::Event::Absent | registry::Event::Marks(_) => {}
             registry::Event::Failed => self.kernel.store_failed(),
             registry::Event::Entries(entries) => {
                 self.mesh.register(entries);
--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -5,13 +5,13 @@
 //! entries' list, a tenth of a watch, and a third of a renewal.
 
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 use store::{
     Store,
     publication::{self, Current},
     store::Lease,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use wire::frame::{Config, Known};
 
 /// Interval at which the document is confirmed.
@@ -26,6 +26,17 @@
 /// Pause after a failed watch.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause before a side without entries looks for some again.
+const SEARCH: Duration = Duration::from_secs(1);
+
+/// Change of a mark from which it is written anew, as a share of what the store
+/// holds.
+const MARK_CHANGE: f64 = 0.2;
+
+/// What entries have learnt of how long customers wait: queues with
+/// milliseconds.
+pub(crate) type Marks = Vec<(String, u32)>;
+
 /// What the store told.
 #[derive(Debug)]
 pub(crate) enum Event {
@@ -37,6 +48,9 @@
     Failed,
     /// The entries registered.
     Entries(Vec<Known>),
+    /// What the entries registered at the start have learnt, this one's earlier
+    /// life included.
+    Marks(Marks),
 }
 
 /// The entry's own registration.
@@ -52,6 +66,14 @@
 struct Registration {
     name: String,
     address: String,
+    #[serde(default)]
+    marks: Marks,
+}
+
+/// A registration in the store.
+struct Registered {
+    lease: Lease,
+    marks: Marks,
 }
 
 /// Follows the store until the task is aborted.
@@ -61,10 +83,12 @@
     events: mpsc::Sender<E>,
 ) {
     let (changed, change) = mpsc::channel(1);
+    // Only entries for leased tasks learn.
+    let (_, none) = watch::channel(Marks::new());
     tokio::join!(
         follow_document(&store, &own, &events, change),
         watch_document(&store, &own, changed),
-        follow_entries(&store, &own, &events),
+        follow_entries(&store, &own, none, &events),
     );
 }
 
@@ -131,57 +155,137 @@
     }
 }
 
+/// Follows the entries registered, and keeps this one among them.
 pub(crate) async fn follow_entries<S: Store, E: From<Event>>(
     store: &S,
     own: &Own,
+    marks: watch::Receiver<Marks>,
     events: &mpsc::Sender<E>,
 ) {
-    let mut lease = None;
+    let mut registered: Option<Registered> = None;
+    let mut recalled = false;
     let prefix = publication::entries_prefix(&own.environment, &own.region);
     loop {
-        lease = keep_registered(store, own, &prefix, lease).await;
-        if let Ok(listing) = store.list(&prefix).await {
-            let entries: Vec<Known> = listing
-                .items
-                .iter()
-                .filter_map(|item| serde_json::from_slice::<Registration>(&item.value.bytes).ok())
-                .map(|registration| Known {
-                    name: registration.name,
-                    address: registration.address,
-                })
-                .collect();
-            if entries.iter().all(|entry| entry.name != own.name) {
-                // The store has dropped the key without ending the lease.
-                lease = None;
+        if let Ok(registrations) = list(store, &prefix).await {
+            if registrations.iter().all(|other| other.name != own.name) {
+                // The store may drop the key without ending the lease.
+                registered = None;
+            }
+            let mut told = Vec::new();
+            // What is registered below replaces what this entry knew before.
+            if !std::mem::replace(&mut recalled, true) {
+                told.push(Event::Marks(largest(&registrations)));
             }
-            if events.send(Event::Entries(entries).into()).await.is_err() {
-                return;
+            told.push(Event::Entries(known(registrations)));
+            for event in told {
+                if events.send(event.into()).await.is_err() {
+                    return;
+                }
             }
         }
+        let learnt = marks.borrow().clone();
+        registered = keep_registered(store, own, &prefix, registered, learnt).await;
         tokio::time::sleep(LIST).await;
     }
 }
 
+/// Tells a side of the entries registered whenever it has been `alone`.
+pub(crate) async fn find_entries<S: Store, E: From<Event>>(
+    store: S,
+    environment: &str,
+    region: &str,
+    mut alone: watch::Receiver<bool>,
+    events: &mpsc::Sender<E>,
+) {
+    let prefix = publication::entries_prefix(environment, region);
+    while alone.wait_for(|alone| *alone).await.is_ok() {
+        match list(&store, &prefix).await {
+            Ok(registrations) => {
+                let event = Event::Entries(known(registrations));
+                if events.send(event.into()).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::warn!("event=entries_not_found reason=\"{error}\""),
+        }
+        tokio::time::sleep(SEARCH).await;
+    }
+}
+
+async fn list<S: Store>(store: &S, prefix: &str) -> Result<Vec<Registration>, S::Error> {
+    let listing = store.list(prefix).await?;
+    let registrations = listing
+        .items
+        .iter()
+        .filter_map(|item| serde_json::from_slice(&item.value.bytes).ok());
+    Ok(registrations.collect())
+}
+
+fn known(registrations: Vec<Registration>) -> Vec<Known> {
+    let known = registrations.into_iter().map(|registration| Known {
+        name: registration.name,
+        address: registration.address,
+    });
+    known.collect()
+}
+
+/// Returns the largest mark of each queue: one learnt amid an outage is low.
+fn largest(registrations: &[Registration]) -> Marks {
+    let mut marks: BTreeMap<&str, u32> = BTreeMap::new();
+    for (queue, mark) in registrations.iter().flat_map(|entry| &entry.marks) {
+        let largest = marks.entry(queue).or_default();
+        *largest = (*largest).max(*mark);
+    }
+    marks
+        .into_iter()
+        .map(|(queue, mark)| (queue.to_owned(), mark))
+        .collect()
+}
+
 async fn keep_registered<S: Store>(
     store: &S,
     own: &Own,
     prefix: &str,
-    lease: Option<Lease>,
-) -> Option<Lease> {
-    if let Some(lease) = lease {
-        match store.renew(lease).await {
+    registered: Option<Registered>,
+    marks: Marks,
+) -> Option<Registered> {
+    if let Some(registered) = registered {
+        match store.renew(registered.lease).await {
             // An outage says nothing about the lease.
-            Ok(true) | Err(_) => return Some(lease),
-            Ok(false) => {}
+            Ok(true) | Err(_) if !differs(&marks, &registered.marks) => return Some(registered),
+            Ok(true) => return write(store, own, prefix, registered.lease, marks).await,
+            Ok(false) | Err(_) => {}
         }
     }
     let lease = store.grant(LEASE_SECONDS).await.ok()?;
+    write(store, own, prefix, lease, marks).await
+}
+
+async fn write<S: Store>(
+    store: &S,
+    own: &Own,
+    prefix: &str,
+    lease: Lease,
+    marks: Marks,
+) -> Option<Registered> {
     let registration = Registration {
         name: own.name.clone(),
         address: own.address.clone(),
+        marks,
     };
     let bytes = serde_json::to_vec(&registration).ok()?;
     let key = format!("{prefix}{}", own.name);
     store.attach(&key, &bytes, lease).await.ok()?;
-    Some(lease)
+    let marks = registration.marks;
+    Some(Registered { lease, marks })
+}
+
+/// Returns whether marks have changed so much that they are written anew.
+fn differs(learnt: &Marks, written: &Marks) -> bool {
+    learnt.iter().any(|(queue, mark)| {
+        let before = written.iter().find(|(other, _)| other == queue);
+        before.is_none_or(|(_, before)| {
+            f64::from(mark.abs_diff(*before)) > f64::from(*before) * MARK_CHANGE
+        })
+    })
 }
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -138,18 +138,24 @@
         address: advertised.to_string(),
     };
     let registered = events.clone();
-    services.spawn(async move { registry::follow_entries(&store, &own, &registered).await });
+    let (marks, learnt) = watch::channel(registry::Marks::new());
+    services.spawn(async move {
+        registry::follow_entries(&store, &own, learnt, &registered).await;
+    });
     let seed = settings.seed.unwrap_or_else(rand::random);
-    let kernel = Dispatcher::new(&settings.common.domain, pace(lease), seed);
+    let clock = Clock::default();
+    let domain = &settings.common.domain;
+    let kernel = Dispatcher::new(clock.now(), domain, pace(lease), seed);
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
         published: Duration::ZERO,
         kernel,
         mesh: Mesh::new(local, events.clone(), settings.peers.clone()),
+        marks,
         status,
         customers: HashMap::new(),
     };
-    let process = tokio::spawn(drive::run(process, Clock::default(), inbox, dumps));
+    let process = tokio::spawn(drive::run(process, clock, inbox, dumps));
     log::info!(
         "event=entry_started name={} incarnation={incarnation} customers={} links={links} readiness={} admin={}",
         settings.common.name,
@@ -235,6 +241,8 @@
     published: Duration,
     kernel: Dispatcher,
     mesh: Mesh<Event>,
+    /// What is kept in the store of how long customers wait.
+    marks: watch::Sender<registry::Marks>,
     status: watch::Sender<Status>,
     customers: HashMap<u64, oneshot::Sender<Answer>>,
 }
@@ -284,12 +292,13 @@
                 self.kernel.forget(now, job, customer);
             }
             Event::Rules(rules) => {
-                self.kernel.adopt(&rules, None);
+                self.kernel.adopt(now, &rules, None);
             }
             Event::Registry(registry::Event::Entries(entries)) => {
                 self.mesh.register(entries);
                 self.kernel.know_entries(&self.mesh.known());
             }
+            Event::Registry(registry::Event::Marks(marks)) => self.kernel.recall(&marks),
             Event::Registry(_) => {}
             Event::Leave(bound) => self.kernel.leave(now + bound),
             Event::Abandon => self.kernel.abandon(now),
@@ -331,6 +340,7 @@
         if now.saturating_sub(self.published) >= meter::INTERVAL {
             self.published = now;
             record::publish_entry(&self.kernel, self.mesh.local(), now);
+            self.marks.send_replace(self.kernel.marks());
         }
     }
 
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -7,6 +7,7 @@
 use crate::{
     Error, admin,
     clock::Clock,
+    entry::registry,
     http,
     link::{self, Local},
     mesh::Mesh,
@@ -18,7 +19,7 @@
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     sync::{mpsc, watch},
-    task::JoinHandle,
+    task::{JoinHandle, JoinSet},
 };
 use wire::{
     Frame,
@@ -40,6 +41,7 @@
     Started(Run, Started),
     Stopped(Run, u64),
     Held(Result<Held, Failure>),
+    Registry(registry::Event),
     Leave,
 }
 
@@ -49,6 +51,12 @@
     }
 }
 
+impl From<registry::Event> for Event {
+    fn from(event: registry::Event) -> Self {
+        Self::Registry(event)
+    }
+}
+
 impl From<link::Event> for Event {
     fn from(event: link::Event) -> Self {
         Self::Link(event)
@@ -64,6 +72,7 @@
     events: mpsc::Sender<Event>,
     idle: watch::Receiver<bool>,
     process: JoinHandle<()>,
+    _services: JoinSet<()>,
     drain: Duration,
 }
 
@@ -84,6 +93,16 @@
     let client = Client::open(lease.address, pace.answer()).map_err(store::Error::from)?;
     let clock = Clock::default();
     let (idle, watched) = watch::channel(false);
+    let (alone, lonely) = watch::channel(true);
+    let mut services = JoinSet::new();
+    if let Some(address) = lease.store {
+        let store = platform::store::Client::open(address)?;
+        let (environment, region) = (settings.common.environment.clone(), lease.region.clone());
+        let events = events.clone();
+        services.spawn(async move {
+            registry::find_entries(store, &environment, &region, lonely, &events).await;
+        });
+    }
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
         published: Duration::ZERO,
@@ -91,6 +110,7 @@
         mesh: Mesh::new(local, events.clone(), settings.entries.clone()),
         client,
         events: events.clone(),
+        alone,
         idle,
     };
     let process = tokio::spawn(drive::run(process, clock, inbox, dumps));
@@ -106,6 +126,7 @@
         events,
         idle: watched,
         process,
+        _services: services,
         drain: settings.common.drain,
     })
 }
@@ -192,6 +213,8 @@
     mesh: Mesh<Event>,
     client: Client,
     events: mpsc::Sender<Event>,
+    /// Whether no entry is connected.
+    alone: watch::Sender<bool>,
     idle: watch::Sender<bool>,
 }
 
@@ -229,6 +252,8 @@
             Event::Held(Err(Failure::Gone)) => self.kernel.gone(now),
             Event::Held(Err(Failure::Fenced)) => self.kernel.hold_fenced(now),
             Event::Held(Err(Failure::Unanswered)) => self.kernel.hold_failed(now),
+            Event::Registry(registry::Event::Entries(entries)) => self.mesh.register(entries),
+            Event::Registry(_) => {}
             Event::Leave => self.kernel.leave(),
         }
     }
@@ -293,6 +318,9 @@
                 Action::Entries(entries) => self.mesh.register(entries),
             }
         }
+        let alone = !self.mesh.is_joined();
+        self.alone
+            .send_if_modified(|known| std::mem::replace(known, alone) != alone);
         if self.kernel.is_leaving() {
             let idle = self.kernel.is_idle();
             self.idle
--- a/crates/hyssoppost/src/mesh.rs
+++ b/crates/hyssoppost/src/mesh.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Returns whether any peer is connected.
+    pub(crate) fn is_joined(&self) -> bool {
+        !self.connections.is_empty()
+    }
+
     /// Returns the peer of a connection that counts.
     pub(crate) fn peer(&self, number: u64) -> Option<Incarnation> {
         self.connections
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -14,6 +14,7 @@
 const KEY_CHARACTERS: usize = 16;
 
 const ADDRESS: &str = "an address as IP:port";
+const REGION: &str = "the region's name";
 
 /// Settings that entries and sides share.
 #[derive(Debug, Clone)]
@@ -91,6 +92,11 @@
     pub address: SocketAddr,
     /// Service that it belongs to; empty for any.
     pub service: String,
+    /// Address of the platform's store, in which entries are looked for while
+    /// none is connected.
+    pub store: Option<SocketAddr>,
+    /// Region whose entries are looked for.
+    pub region: String,
 }
 
 /// Settings of a side.
@@ -156,7 +162,7 @@
             ],
         );
         let common = read_common(&mut reader, "entry");
-        let region = reader.optional("entry", "region", "the region's name");
+        let region = reader.optional("entry", "region", REGION);
         let customers = reader.required("listen", "callers", ADDRESS);
         let links = reader.required("listen", "links", ADDRESS);
         let advertise = reader.optional("listen", "advertise", ADDRESS);
@@ -198,7 +204,7 @@
         check_sections(
             &mut reader,
             &[
-                "side", "listen", "upstream", "security", "entries", "lease", "log",
+                "side", "listen", "upstream", "store", "security", "entries", "lease", "log",
             ],
         );
         let common = read_common(&mut reader, "side");
@@ -292,10 +298,14 @@
     let lease = read_lease(reader, false)?;
     let address = reader.required("upstream", "address", ADDRESS)?;
     let service = reader.optional("upstream", "service", "the service's name");
+    let store = reader.optional("store", "address", ADDRESS);
+    let region = reader.optional("side", "region", REGION);
     Some(Beside {
         lease,
         address,
         service: service.unwrap_or_default(),
+        store,
+        region: region.unwrap_or_else(|| DEFAULT_REGION.to_owned()),
     })
 }
 
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -76,6 +76,8 @@
     pub(super) priority: u8,
     pub(super) attempts: u32,
     pub(super) accepted: Duration,
+    /// Whether the customer has likely handed it in before, elsewhere.
+    pub(super) again: bool,
     /// When the objective is missed.
     pub(super) due: Duration,
     /// Latest start that is likely to meet the objective.
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 mod place;
 mod rules;
 mod serve;
+mod usual;
 
 pub use answer::{Answer, Phase, Reason, Stats, View};
 pub use fleet::{Fleet, Key};
@@ -34,6 +35,7 @@
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
+use usual::Usual;
 use wire::{
     frame::{Hello, Known},
     id::Incarnation,
@@ -43,6 +45,11 @@
 /// Pause before a task that was refused is placed anew.
 const REFUSED_PAUSE: Duration = Duration::from_millis(5);
 
+/// Time from an entry's start in which its rules and sides are expected: sides
+/// that have lost an entry dial it again at least that often. Jobs that come
+/// before wait; none is refused for what the entry cannot know yet.
+const JOINING: Duration = Duration::from_millis(800);
+
 /// What the runtime must do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -68,6 +75,11 @@
     waiting: Backlog,
     /// Steps with waiting tasks that no side has been told of.
     untold: BTreeSet<(u64, u16)>,
+    /// When rules and sides are no longer expected.
+    joined: Duration,
+    /// Jobs that came before the rules.
+    parked: Vec<serve::Parked>,
+    usual: Usual,
     ended: serve::Memory,
     calls: BTreeMap<u64, peers::Call>,
     next_call: u64,
@@ -81,7 +93,7 @@
 
 impl Dispatcher {
     /// Makes a dispatcher without rules, sides or jobs.
-    pub fn new(domain: &str, pace: Pace, seed: u64) -> Self {
+    pub fn new(now: Duration, domain: &str, pace: Pace, seed: u64) -> Self {
         Self {
             pace,
             domain: domain.to_owned(),
@@ -94,6 +106,9 @@
             jobs: BTreeMap::new(),
             waiting: Backlog::default(),
             untold: BTreeSet::new(),
+            joined: now + JOINING,
+            parked: Vec::new(),
+            usual: Usual::default(),
             ended: serve::Memory::default(),
             calls: BTreeMap::new(),
             next_call: 0,
@@ -166,6 +181,17 @@
         self.rules.is_some() && connected && self.leaving.is_none()
     }
 
+    /// Takes what was learnt before, or by others, of how long customers wait:
+    /// queues with milliseconds.
+    pub fn recall(&mut self, marks: &[(String, u32)]) {
+        self.usual.recall(marks);
+    }
+
+    /// Returns what was learnt of how long customers wait.
+    pub fn marks(&self) -> Vec<(String, u32)> {
+        self.usual.marks()
+    }
+
     /// Takes only jobs that are likely to end before `end`.
     pub fn leave(&mut self, end: Duration) {
         self.leaving = Some(end);
@@ -229,6 +255,7 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Duration) {
         self.forget_sides(now);
+        self.unpark(now);
         self.expire(now);
         self.age(now);
         self.place(now);
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -83,7 +83,7 @@
 
     /// Puts rules in force, unless they are older than those in force. Returns
     /// whether they were taken.
-    pub fn adopt(&mut self, rules: &Rules, from: Option<Incarnation>) -> bool {
+    pub fn adopt(&mut self, now: Duration, rules: &Rules, from: Option<Incarnation>) -> bool {
         if !is_newer(self.rules.as_ref(), rules) {
             return false;
         }
@@ -100,6 +100,7 @@
         for peer in peers {
             self.send(peer, Frame::Rules(rules.clone()));
         }
+        self.unpark(now);
         true
     }
 
@@ -112,7 +113,7 @@
                 }
             }
             Frame::Rules(rules) => {
-                self.adopt(&rules, Some(from));
+                self.adopt(now, &rules, Some(from));
             }
             Frame::Cancel(cancel) => {
                 let known = self.cancel_here(now, cancel.job);
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -315,10 +315,19 @@
         !out && labelled && upstream.service == service && side.is_open(now) && !side.is_aside(now)
     }
 
+    /// Returns the expected wait of a job of a level, or the time in which
+    /// sides are still expected.
+    pub(super) fn await_room(&self, now: Duration, service: &str, level: u8) -> Duration {
+        if now < self.joined && !self.is_served(now, service) {
+            return self.joined.saturating_sub(now);
+        }
+        self.outlook(now, service, level)
+    }
+
     /// Returns the expected wait of a job of a level, over all sides and
     /// entries.
     #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
-    pub(super) fn outlook(&self, now: Duration, service: &str, level: u8) -> Duration {
+    fn outlook(&self, now: Duration, service: &str, level: u8) -> Duration {
         let (mut processor, mut free) = (0.0, 0);
         for (_, side) in self.fleet.iter() {
             if self.may_run(now, side, service, None) {
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -60,6 +60,15 @@
     }
 }
 
+/// A job that came before the rules.
+#[derive(Debug)]
+pub(super) struct Parked {
+    customer: u64,
+    host: String,
+    path: String,
+    submission: Submission,
+}
+
 impl Dispatcher {
     /// Takes a job for the queue at this address.
     pub fn submit(
@@ -79,27 +88,66 @@
             return;
         }
         let Some(rules) = &self.rules else {
-            self.events.push(Event::Refused {
-                job: submission.job,
-                reason: Reason::NoRules,
-                wait: Duration::ZERO,
-                useful: submission.patience,
-                held: Duration::ZERO,
-            });
-            self.refuse(customer, Reason::NoRules);
+            let parked = Parked {
+                customer,
+                host: host.to_owned(),
+                path: path.to_owned(),
+                submission,
+            };
+            if now < self.joined && self.leaving.is_none() {
+                self.parked.push(parked);
+            } else {
+                self.refuse_parked(&parked);
+            }
             return;
         };
         let Some((queue, _)) = route(rules, host, path) else {
             self.answer(customer, Answer::NoQueue);
             return;
         };
-        let job = Job::new(now, customer, queue, submission);
+        let resend = self.pace.resend;
+        let again = self.usual.learn(&queue.name, submission.patience, resend);
+        let waited = if again { resend } else { Duration::ZERO };
+        let job = Job::new(now, waited, customer, queue, submission);
         self.admit(now, customer, job);
     }
 
+    /// Takes or refuses the jobs that came before the rules, once these are
+    /// known or no longer expected.
+    pub(super) fn unpark(&mut self, now: Duration) {
+        let expected = now < self.joined && self.leaving.is_none();
+        if self.parked.is_empty() || (self.rules.is_none() && expected) {
+            return;
+        }
+        for parked in std::mem::take(&mut self.parked) {
+            if self.rules.is_none() {
+                self.refuse_parked(&parked);
+                continue;
+            }
+            let Parked {
+                customer,
+                host,
+                path,
+                submission,
+            } = parked;
+            self.submit(now, customer, &host, &path, submission);
+        }
+    }
+
+    fn refuse_parked(&mut self, parked: &Parked) {
+        self.events.push(Event::Refused {
+            job: parked.submission.job,
+            reason: Reason::NoRules,
+            wait: Duration::ZERO,
+            useful: parked.submission.patience,
+            held: Duration::ZERO,
+        });
+        self.refuse(parked.customer, Reason::NoRules);
+    }
+
     /// Takes a job, unless it cannot be served.
     fn admit(&mut self, now: Duration, customer: u64, job: Job) {
-        let wait = self.outlook(now, &job.service, job.rank.level());
+        let wait = self.await_room(now, &job.service, job.rank.level());
         let reason = if self.outlives(now + wait, &job) {
             Some(Reason::Leaving)
         } else {
@@ -123,6 +171,7 @@
             wait,
             objective: job.due.saturating_sub(job.accepted),
             patience: job.submission.patience,
+            again: job.again,
         });
         self.await_earlier_runs(&mut job);
         let tasks = job.unblock();
@@ -156,15 +205,19 @@
     /// Returns why a job cannot be served, if so.
     fn hopeless(&self, now: Duration, job: &Job, wait: Duration) -> Option<Reason> {
         if !self.is_served(now, &job.service) {
-            let known = self
-                .fleet
-                .iter()
-                .any(|(key, _)| self.fleet.service(key) == Some(&job.service));
-            return (!known).then_some(Reason::NoUpstream);
+            return self
+                .has_none(now, &job.service)
+                .then_some(Reason::NoUpstream);
         }
         (!self.is_useful(now + wait, job)).then_some(Reason::Overload)
     }
 
+    /// Returns whether no upstream of a service is known, and none is expected.
+    fn has_none(&self, now: Duration, service: &str) -> bool {
+        let mut sides = self.fleet.iter();
+        now >= self.joined && !sides.any(|(key, _)| self.fleet.service(key) == Some(service))
+    }
+
     /// Returns whether a job that starts then may still run when the entry has
     /// left.
     fn outlives(&self, start: Duration, job: &Job) -> bool {
@@ -224,6 +277,7 @@
     /// Records that a customer has gone; a job that nobody waits for is
     /// stopped.
     pub fn forget(&mut self, now: Duration, job: u64, customer: u64) {
+        self.parked.retain(|parked| parked.customer != customer);
         let Some(work) = self.jobs.get_mut(&job) else {
             return;
         };
@@ -333,7 +387,7 @@
             let hopeless = now >= job.due && !job.may_have_run() && {
                 let wait = *waits
                     .entry(&job.service)
-                    .or_insert_with(|| self.outlook(now, &job.service, LATE));
+                    .or_insert_with(|| self.await_room(now, &job.service, LATE));
                 !self.is_useful(now + wait, job)
             };
             if hopeless || now >= job.deadline {
@@ -357,6 +411,11 @@
             };
             self.stats.expired += 1;
             let started = job.may_have_run();
+            let reason = if self.is_served(now, &job.service) {
+                Reason::Overload
+            } else {
+                Reason::NoUpstream
+            };
             if started {
                 self.events.push(Event::GivenUp {
                     job: id,
@@ -364,14 +423,14 @@
                     left: job.left(),
                 });
             } else {
-                let wait = self.outlook(now, &job.service, LATE);
-                self.tell_refused(now, &job, Reason::Overload, wait);
+                let wait = self.await_room(now, &job.service, LATE);
+                self.tell_refused(now, &job, reason, wait);
             }
             for customer in &job.customers {
                 if started {
                     self.answer(*customer, Answer::Expired);
                 } else {
-                    self.refuse(*customer, Reason::Overload);
+                    self.refuse(*customer, reason);
                 }
             }
         }
@@ -403,16 +462,24 @@
 
 impl Job {
     /// Makes a job of what a customer handed in.
-    fn new(now: Duration, customer: u64, queue: &Queue, submission: Submission) -> Self {
+    /// The customer has waited elsewhere before, for about `waited`.
+    fn new(
+        now: Duration,
+        waited: Duration,
+        customer: u64,
+        queue: &Queue,
+        submission: Submission,
+    ) -> Self {
         let target = Duration::from_millis(queue.target.into());
         let objective = submission.chain().mul_f64(queue.slack) + target;
-        let due = now + objective;
+        let due = (now + objective).saturating_sub(waited);
         let mut job = Self {
             queue: queue.name.clone(),
             service: queue.service.clone(),
             priority: queue.priority,
             attempts: queue.attempts.max(1),
             accepted: now,
+            again: !waited.is_zero(),
             due,
             start_by: due.saturating_sub(submission.chain().mul_f64(CAUTION)),
             rank: Rank::default(),
--- a/crates/kernel/src/dispatch/usual.rs
+++ b/crates/kernel/src/dispatch/usual.rs
@@ -92,7 +92,11 @@
             return false;
         }
         if !much {
-            *mark *= if again { 1.0 - STEP } else { 1.0 + STEP / BELOW };
+            *mark *= if again {
+                1.0 - STEP
+            } else {
+                1.0 + STEP / BELOW
+            };
         }
         again
     }
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -49,6 +49,8 @@
         objective: Duration,
         /// Time that the customer waits.
         patience: Duration,
+        /// Whether the customer has likely handed it in before, elsewhere.
+        again: bool,
     },
     /// A job was refused; it has not run and will not.
     Refused {
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -17,13 +17,15 @@
                 wait,
                 objective,
                 patience,
+                again,
             } => write!(
                 to,
                 "event=accepted job={job:016x} queue={queue} tasks={tasks} wait_ms={} \
-                 objective_ms={} patience_ms={}",
+                 objective_ms={} patience_ms={} again={}",
                 millis(*wait),
                 millis(*objective),
-                millis(*patience)
+                millis(*patience),
+                if *again { "yes" } else { "no" }
             ),
             Self::Refused {
                 job,
--- a/crates/kernel/src/guard/pace.rs
+++ b/crates/kernel/src/guard/pace.rs
@@ -34,6 +34,8 @@
     pub stop: Duration,
     /// Longest lease that upstreams grant.
     pub longest: Duration,
+    /// Least time after which a customer sends a job again.
+    pub resend: Duration,
 }
 
 impl Pace {
@@ -45,6 +47,7 @@
             contact: resend * CONTACT_SHARE / 100,
             stop,
             longest,
+            resend,
         }
     }
 
--- /dev/null
+++ b/crates/kernel/tests/joining_entry.rs
@@ -0,0 +1,83 @@
+//! Jobs that reach an entry before its rules or its sides do (folia-cluj-grown
+//! trouble-1: 291 refused in the half second after a loss of power).
+
+mod site;
+
+use kernel::dispatch::{Answer, Dispatcher, Phase, Reason};
+use site::{Site, job, pace, rules};
+use std::time::Duration;
+
+const RUN: Duration = Duration::from_millis(100);
+const SOON: Duration = Duration::from_millis(80);
+
+fn reason(site: &Site, customer: u64) -> Option<Reason> {
+    match site.answers.get(&customer)? {
+        (_, Answer::Refused { reason, .. }) => Some(*reason),
+        _ => None,
+    }
+}
+
+/// An entry that has just started, with no rules, beside a side that runs.
+fn fresh() -> Site {
+    let mut site = Site::new(1, 1);
+    site.entries[0] = Some(Dispatcher::new(site.now, "d0", pace(), 1));
+    site
+}
+
+#[test]
+fn rules_come_late() {
+    let mut site = fresh();
+    let customer = site.submit(0, job(7, 1, 1_000, RUN));
+    site.run(SOON);
+    assert!(site.answers.is_empty(), "it waits for the rules");
+    let now = site.now;
+    let entry = site.entries[0].as_mut().unwrap();
+    entry.adopt(now, &rules(1, &[]), None);
+    site.run(Duration::from_secs(1));
+    // Its objective counts from when the rules were known; it is served.
+    assert!(site.answers.contains_key(&customer));
+    assert_ne!(reason(&site, customer), Some(Reason::NoRules));
+}
+
+#[test]
+fn no_rules_come() {
+    let mut site = fresh();
+    let customer = site.submit(0, job(7, 1, 1_000, RUN));
+    let gone = site.submit(0, job(8, 1, 1_000, RUN));
+    let now = site.now;
+    site.entries[0].as_mut().unwrap().forget(now, 8, gone);
+    site.run(Duration::from_millis(900));
+    assert_eq!(reason(&site, customer), Some(Reason::NoRules));
+    assert!(!site.answers.contains_key(&gone), "its customer had left");
+    let late = site.submit(0, job(9, 1, 1_000, RUN));
+    assert_eq!(reason(&site, late), Some(Reason::NoRules), "at once");
+    let events = site.entries[0].as_mut().unwrap().take_events();
+    for id in [7, 9] {
+        let logged = events.iter().any(|event| event.job() == Some(id));
+        assert!(logged, "job {id} has a line in the log");
+    }
+}
+
+#[test]
+fn side_comes_late() {
+    let mut site = Site::new(1, 1);
+    site.start_entry(0);
+    let customer = site.submit(0, job(7, 1, 1_000, RUN));
+    site.run(Duration::from_secs(1));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+}
+
+#[test]
+fn no_side_comes() {
+    let mut site = Site::new(1, 1);
+    site.kill_side(0);
+    site.run(Duration::from_secs(8));
+    site.start_entry(0);
+    let early = site.submit(0, job(7, 1, 1_000, RUN));
+    assert!(reason(&site, early).is_none(), "a side may come");
+    site.run(Duration::from_millis(300));
+    assert_eq!(reason(&site, early), Some(Reason::NoUpstream));
+    site.run(Duration::from_millis(600));
+    let late = site.submit(0, job(8, 1, 1_000, RUN));
+    assert_eq!(reason(&site, late), Some(Reason::NoUpstream), "at once");
+}
