Losses by queue and cause; a job's lateness is told by the run time that it had

The objective is that of the run time the job had, within twice its estimate, so that slow hosts excuse nothing.

--- a/crates/hyssopctl/src/cmd/explain.rs
+++ b/crates/hyssopctl/src/cmd/explain.rs
@@ -3,12 +3,12 @@
 use crate::{
     Error,
     story::{self, Line},
+    util,
 };
 use lexopt::{Arg, Parser, ValueExt};
 use std::{
-    fs::File,
-    io::{self, BufRead, BufReader, ErrorKind, Write, stdin, stdout},
-    path::{Path, PathBuf},
+    io::{self, BufRead, ErrorKind, Write, stdout},
+    path::PathBuf,
 };
 
 /// Usage of the command.
@@ -43,16 +43,10 @@
     };
     let mut lines = Vec::new();
     for file in &arguments.files {
-        if file == Path::new("-") {
-            collect(stdin().lock(), &arguments.job, "-", &mut lines)?;
-            continue;
-        }
-        let opened = File::open(file).map_err(|source| Error::File {
-            file: file.clone(),
-            source,
-        })?;
         let name = file.display().to_string();
-        collect(BufReader::new(opened), &arguments.job, &name, &mut lines)?;
+        for text in util::open_input(file)?.lines() {
+            lines.extend(story::read(&text?, &arguments.job, &name));
+        }
     }
     if lines.is_empty() {
         return Err(Error::NoLine(arguments.job));
@@ -72,13 +66,6 @@
     writeln!(output, "cause: {}", story::cause(lines))
 }
 
-fn collect(input: impl BufRead, job: &str, file: &str, lines: &mut Vec<Line>) -> Result<(), Error> {
-    for text in input.lines() {
-        lines.extend(story::read(&text?, job, file));
-    }
-    Ok(())
-}
-
 fn print_line(line: &Line, output: &mut impl Write) -> io::Result<()> {
     let pairs: Vec<String> = line
         .pairs
--- a/crates/hyssopctl/src/cmd/mod.rs
+++ b/crates/hyssopctl/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod domain;
 pub mod dump;
 pub mod explain;
+pub mod losses;
 pub mod progress;
 pub mod publish;
 pub mod slopes;
--- a/crates/hyssopctl/src/lib.rs
+++ b/crates/hyssopctl/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cmd;
 pub mod error;
 pub mod lab;
+pub mod losses;
 pub mod status;
 pub mod story;
 pub mod util;
--- a/crates/hyssopctl/src/main.rs
+++ b/crates/hyssopctl/src/main.rs
@@ -19,6 +19,7 @@
     domain   Take a failure domain out of service or bring it back.
     dump     Print a process's whole state.
     explain  Tell a job's story from logs.
+    losses   Count what was lost, by queue and cause, from logs.
     publish  Put an environment's document in force.
     slopes   Measure what entries and sides cost.
     status   Show several processes at a glance.
@@ -60,6 +61,7 @@
         "domain" => cmd::domain::run(parser),
         "dump" => cmd::dump::run(parser),
         "explain" => cmd::explain::run(parser),
+        "losses" => cmd::losses::run(parser),
         "publish" => cmd::publish::run(parser),
         "slopes" => cmd::slopes::run(parser),
         "status" => cmd::status::run(parser),
--- a/crates/hyssopctl/src/util.rs
+++ b/crates/hyssopctl/src/util.rs
@@ -2,8 +2,8 @@
 
 use crate::Error;
 use std::{
-    fs,
-    io::Read,
+    fs::{self, File},
+    io::{self, BufRead, BufReader, Read},
     path::Path,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -12,7 +12,7 @@
 pub fn read_input(path: &Path) -> Result<String, Error> {
     if path == Path::new("-") {
         let mut text = String::new();
-        std::io::stdin().read_to_string(&mut text)?;
+        io::stdin().read_to_string(&mut text)?;
         return Ok(text);
     }
     fs::read_to_string(path).map_err(|source| Error::File {
@@ -21,6 +21,18 @@
     })
 }
 
+/// Opens a file, or standard input for `-`, to read it line by line.
+pub fn open_input(path: &Path) -> Result<Box<dyn BufRead>, Error> {
+    if path == Path::new("-") {
+        return Ok(Box::new(BufReader::new(io::stdin())));
+    }
+    let file = File::open(path).map_err(|source| Error::File {
+        file: path.to_owned(),
+        source,
+    })?;
+    Ok(Box::new(BufReader::new(file)))
+}
+
 /// Writes a file.
 pub fn write_output(path: &Path, bytes: &[u8]) -> Result<(), Error> {
     fs::write(path, bytes).map_err(|source| Error::File {
--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -4,6 +4,7 @@
 //! Calls a second of one entry: one read of the document and a half of the
 //! entries' list, a tenth of a watch, and a third of a renewal.
 
+use crate::meter;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
 use store::{
@@ -213,7 +214,9 @@
 }
 
 async fn list<S: Store>(store: &S, prefix: &str) -> Result<Vec<Registration>, S::Error> {
-    let listing = store.list(prefix).await?;
+    let listing = store.list(prefix).await;
+    meter::count_call("entries", &listing);
+    let listing = listing?;
     let registrations = listing
         .items
         .iter()
@@ -250,7 +253,9 @@
     marks: Marks,
 ) -> Option<Registered> {
     if let Some(registered) = registered {
-        match store.renew(registered.lease).await {
+        let renewed = store.renew(registered.lease).await;
+        meter::count_call("renew", &renewed);
+        match renewed {
             // An outage says nothing about the lease.
             Ok(true) | Err(_) if !differs(&marks, &registered.marks) => return Some(registered),
             Ok(true) => return write(store, own, prefix, registered.lease, marks).await,
@@ -275,7 +280,9 @@
     };
     let bytes = serde_json::to_vec(&registration).ok()?;
     let key = format!("{prefix}{}", own.name);
-    store.attach(&key, &bytes, lease).await.ok()?;
+    let written = store.attach(&key, &bytes, lease).await;
+    meter::count_call("register", &written);
+    written.ok()?;
     let marks = registration.marks;
     Some(Registered { lease, marks })
 }
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -149,6 +149,7 @@
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
         published: Duration::ZERO,
+        confirmed: None,
         kernel,
         mesh: Mesh::new(local, events.clone(), settings.peers.clone()),
         marks,
@@ -239,6 +240,8 @@
 struct Process {
     recorder: Recorder,
     published: Duration,
+    /// When the store last told the rules.
+    confirmed: Option<Duration>,
     kernel: Dispatcher,
     mesh: Mesh<Event>,
     /// What is kept in the store of how long customers wait.
@@ -292,6 +295,7 @@
                 self.kernel.forget(now, job, customer);
             }
             Event::Rules(rules) => {
+                self.confirmed = Some(now);
                 self.kernel.adopt(now, &rules, None);
             }
             Event::Registry(registry::Event::Entries(entries)) => {
@@ -339,7 +343,7 @@
         self.kernel.tick(now);
         if now.saturating_sub(self.published) >= meter::INTERVAL {
             self.published = now;
-            record::publish_entry(&self.kernel, self.mesh.local(), now);
+            record::publish_entry(&self.kernel, self.mesh.local(), now, self.confirmed);
             self.marks.send_replace(self.kernel.marks());
         }
     }
--- a/crates/hyssoppost/src/leased/record.rs
+++ b/crates/hyssoppost/src/leased/record.rs
@@ -5,6 +5,7 @@
     dispatch::{Dispatcher, Phase},
     event::{Event, Weight},
     guard::Guard,
+    millis,
 };
 use metrics::{counter, gauge, histogram};
 use std::time::{Duration, Instant};
@@ -79,11 +80,20 @@
         Event::Accepted { queue, .. } => {
             counter!("hyssoppost_jobs_accepted_total", "queue" => queue.clone()).increment(1);
         }
-        Event::Refused { reason, held, .. } => {
+        Event::Refused {
+            queue,
+            reason,
+            held,
+            ..
+        } => {
             let when = if held.is_zero() { "at_once" } else { "later" };
-            let reason = reason.to_string();
-            counter!("hyssoppost_jobs_refused_total", "reason" => reason, "when" => when)
-                .increment(1);
+            let labels = [
+                ("queue", queue.clone()),
+                ("reason", reason.to_string()),
+                ("when", when.to_owned()),
+            ];
+            counter!("hyssoppost_jobs_refused_total", &labels).increment(1);
+            histogram!("hyssoppost_refusal_seconds").record(held.as_secs_f64());
         }
         Event::Answered {
             queue,
@@ -105,19 +115,22 @@
             let share = took.as_secs_f64() / objective.as_secs_f64().max(1e-3);
             histogram!("hyssoppost_job_objective_ratio", "queue" => queue.clone()).record(share);
         }
-        Event::GivenUp { .. } => counter!("hyssoppost_jobs_given_up_total").increment(1),
+        Event::GivenUp { queue, .. } => {
+            counter!("hyssoppost_jobs_given_up_total", "queue" => queue.clone()).increment(1);
+        }
         Event::Abandoned { .. } => counter!("hyssoppost_jobs_abandoned_total").increment(1),
         Event::Placed { waited, .. } => {
             histogram!("hyssoppost_run_wait_seconds").record(waited.as_secs_f64());
         }
-        Event::Ended { ending, spent, .. } | Event::RunOver { ending, spent, .. } => {
-            let how = match ending {
-                Ending::NotRun(refusal) => format!("not_run_{refusal:?}").to_lowercase(),
-                other => other.to_string(),
-            };
-            counter!("hyssoppost_runs_total", "ending" => how.clone()).increment(1);
-            histogram!("hyssoppost_run_seconds", "ending" => how).record(spent.as_secs_f64());
+        Event::Ended {
+            ending, spent, cpu, ..
+        } => {
+            measure_end(*ending, *spent);
+            let work = millis(*spent) * u64::from(*cpu) / 1_000;
+            counter!("hyssoppost_work_core_milliseconds_total", "ending" => how(*ending))
+                .increment(work);
         }
+        Event::RunOver { ending, spent, .. } => measure_end(*ending, *spent),
         Event::Moved { .. } => counter!("hyssoppost_runs_moved_total").increment(1),
         Event::Aside { .. } => counter!("hyssoppost_upstreams_aside_total").increment(1),
         Event::RunUnanswered { .. } => counter!("hyssoppost_orders_unanswered_total").increment(1),
@@ -126,8 +139,25 @@
     }
 }
 
-/// Publishes an entry's gauges.
-pub(super) fn publish_entry(kernel: &Dispatcher, local: &Local, now: Duration) {
+fn measure_end(ending: Ending, spent: Duration) {
+    counter!("hyssoppost_runs_total", "ending" => how(ending)).increment(1);
+    histogram!("hyssoppost_run_seconds", "ending" => how(ending)).record(spent.as_secs_f64());
+}
+
+fn how(ending: Ending) -> String {
+    match ending {
+        Ending::NotRun(refusal) => format!("not_run_{refusal:?}").to_lowercase(),
+        other => other.to_string(),
+    }
+}
+
+/// Publishes an entry's gauges; its rules were confirmed at `confirmed`.
+pub(super) fn publish_entry(
+    kernel: &Dispatcher,
+    local: &Local,
+    now: Duration,
+    confirmed: Option<Duration>,
+) {
     meter::publish(&local.hello.name, local);
     publish_logging();
     gauge!("hyssoppost_jobs_open").set(meter::count(kernel.open()));
@@ -137,6 +167,10 @@
     gauge!("hyssoppost_sides_aside").set(meter::count(aside));
     let version = kernel.rules().map_or(0, |rules| rules.version);
     counter!("hyssoppost_rules_version").absolute(version);
+    if let Some(confirmed) = confirmed {
+        let age = now.saturating_sub(confirmed).as_secs_f64();
+        gauge!("hyssoppost_rules_age_seconds").set(age);
+    }
 }
 
 /// Publishes a side's gauges.
--- a/crates/hyssoppost/src/leased/rules.rs
+++ b/crates/hyssoppost/src/leased/rules.rs
@@ -1,5 +1,6 @@
 //! Follows the operators' rules in the store.
 
+use crate::meter;
 use kernel::millis;
 use std::time::{Duration, Instant};
 use store::Store;
@@ -38,6 +39,7 @@
         let begun = Instant::now();
         let read = tokio::time::timeout(patience, read(store)).await;
         let read = read.unwrap_or_else(|_| Err(format!("no answer in {patience:?}")));
+        meter::count_call("rules", &read);
         patience = match read {
             Ok(_) => LONGEST,
             Err(_) if failing => (patience * 2).min(LONGEST),
@@ -89,7 +91,9 @@
             let _ = changed.try_send(());
             continue;
         };
-        match store.wait(platform::operator::PREFIX, revision).await {
+        let waited = store.wait(platform::operator::PREFIX, revision).await;
+        meter::count_call("watch", &waited);
+        match waited {
             Ok(true) => {
                 // A full channel already holds a wake-up.
                 let _ = changed.try_send(());
--- a/crates/hyssoppost/src/meter.rs
+++ b/crates/hyssoppost/src/meter.rs
@@ -30,6 +30,12 @@
         .set(bytes(usage.resident_bytes));
 }
 
+/// Counts a call to the platform's store.
+pub(crate) fn count_call<T, E>(call: &'static str, result: &Result<T, E>) {
+    let result = if result.is_ok() { "ok" } else { "failed" };
+    counter!("hyssoppost_store_calls_total", "call" => call, "result" => result).increment(1);
+}
+
 /// Returns a count as a gauge's value.
 #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
 pub(crate) fn count(value: usize) -> f64 {
--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -110,11 +110,14 @@
             }
             return;
         }
-        let estimate = job.step(task).estimate;
+        let (estimate, cpu) = (job.step(task).estimate, job.step(task).need.cpu);
         job.ran |= !matches!(end.ending, Ending::NotRun(_));
         let Some(slot) = job.slot(task) else { return };
         match end.ending {
-            Ending::Done => slot.state = State::Done,
+            Ending::Done => {
+                slot.state = State::Done;
+                slot.spent = Duration::from_millis(end.spent.into());
+            }
             Ending::Failed => slot.failures += 1,
             Ending::Stopped | Ending::Lapsed => {}
             Ending::NotRun(_) => slot.resume = now + REFUSED_PAUSE,
@@ -128,6 +131,7 @@
             side: from,
             ending: end.ending,
             spent: Duration::from_millis(end.spent.into()),
+            cpu,
         });
         self.judge(now, from, end, estimate);
         self.rerank(now, task.job);
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -65,6 +65,8 @@
     pub(super) avoid: Option<Key>,
     /// Earliest time of the next run.
     pub(super) resume: Duration,
+    /// Time that the run took that succeeded.
+    pub(super) spent: Duration,
 }
 
 /// A job that has not ended.
@@ -76,8 +78,12 @@
     pub(super) priority: u8,
     pub(super) attempts: u32,
     pub(super) accepted: Duration,
-    /// Whether the customer has likely handed it in before, elsewhere.
-    pub(super) again: bool,
+    /// Time that the customer has likely waited before, elsewhere.
+    pub(super) waited: Duration,
+    /// Factor on the run time in the objective.
+    pub(super) slack: f64,
+    /// Time beside it in the objective.
+    pub(super) target: Duration,
     /// When the objective is missed.
     pub(super) due: Duration,
     /// Latest start that is likely to meet the objective.
@@ -277,6 +283,7 @@
             failures: 0,
             avoid: None,
             resume: Duration::ZERO,
+            spent: Duration::ZERO,
         };
         self.steps
             .iter()
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -24,6 +24,10 @@
 /// answer as missed.
 const USEFUL_FACTOR: u32 = 3;
 
+/// Factor by which a job's run time may exceed its estimate: customers' estimates
+/// are off by up to that.
+const ROUGH: u32 = 2;
+
 /// Factor on a job's expected time within which it must end before its entry
 /// leaves: room for a rough estimate and one run that fails.
 const LEAVE_CAUTION: f64 = 2.0;
@@ -138,6 +142,7 @@
     fn refuse_parked(&mut self, parked: &Parked) {
         self.events.push(Event::Refused {
             job: parked.submission.job,
+            queue: "-".to_owned(),
             reason: Reason::NoRules,
             wait: Duration::ZERO,
             useful: parked.submission.patience,
@@ -173,7 +178,7 @@
             wait,
             objective: job.due.saturating_sub(job.accepted),
             patience: job.submission.patience,
-            again: job.again,
+            again: !job.waited.is_zero(),
         });
         let work = job.submission.work();
         self.arrivals.add(job.accepted, job.rank.level(), work);
@@ -348,7 +353,10 @@
             queue: work.queue.clone(),
             state,
             took: now.saturating_sub(work.accepted),
-            objective: work.due.saturating_sub(work.accepted),
+            objective: work
+                .objective_of(work.ran_for())
+                .saturating_sub(work.waited),
+            ran: work.ran_for(),
             reruns: work.reruns(),
         });
         self.ended.insert(now, job, state);
@@ -424,6 +432,7 @@
             if started {
                 self.events.push(Event::GivenUp {
                     job: id,
+                    queue: job.queue.clone(),
                     held: now.saturating_sub(job.accepted),
                     left: job.left(),
                 });
@@ -452,6 +461,7 @@
     fn tell_refused(&mut self, now: Duration, job: &Job, reason: Reason, wait: Duration) {
         self.events.push(Event::Refused {
             job: job.submission.job,
+            queue: job.queue.clone(),
             reason,
             wait,
             useful: job.useful.saturating_sub(now),
@@ -477,19 +487,19 @@
         submission: Submission,
     ) -> Self {
         let target = Duration::from_millis(queue.target.into());
-        let objective = submission.chain().mul_f64(queue.slack) + target;
-        let due = (now + objective).saturating_sub(waited);
         let mut job = Self {
             queue: queue.name.clone(),
             service: queue.service.clone(),
             priority: queue.priority,
             attempts: queue.attempts.max(1),
             accepted: now,
-            again: !waited.is_zero(),
-            due,
-            start_by: due.saturating_sub(submission.chain().mul_f64(CAUTION)),
+            waited,
+            slack: queue.slack,
+            target,
+            due: now,
+            start_by: now,
             rank: Rank::default(),
-            useful: now + submission.patience.min(objective * USEFUL_FACTOR),
+            useful: now,
             deadline: now + submission.patience,
             tasks: submission.slots(),
             ran: false,
@@ -497,10 +507,32 @@
             customers: vec![customer],
             submission,
         };
+        let objective = job.objective_of(Duration::ZERO);
+        job.due = (now + objective).saturating_sub(waited);
+        job.start_by = job
+            .due
+            .saturating_sub(job.submission.chain().mul_f64(CAUTION));
+        job.useful = now + job.submission.patience.min(objective * USEFUL_FACTOR);
         job.rank = job.rank_at(now);
         job
     }
 
+    /// Returns the objective of a job whose longest runs took so long, which is
+    /// that of its estimate at least: estimates are rough. Hosts that are slow
+    /// do not make it longer than [`ROUGH`] times that.
+    fn objective_of(&self, ran: Duration) -> Duration {
+        let estimate = self.submission.chain();
+        ran.clamp(estimate, estimate * ROUGH).mul_f64(self.slack) + self.target
+    }
+
+    /// Returns the time that its longest runs took, step after step.
+    fn ran_for(&self) -> Duration {
+        let steps = self.tasks.iter();
+        steps
+            .filter_map(|slots| slots.iter().map(|slot| slot.spent).max())
+            .sum()
+    }
+
     /// Returns whether a run of the task is under way.
     pub fn is_placed(&self, task: Task) -> bool {
         let slot = &self.tasks[usize::from(task.step)][usize::from(task.index)];
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -56,6 +56,8 @@
     Refused {
         /// The job; 0 for a request without one.
         job: u64,
+        /// Its queue; `-` if that is not known yet.
+        queue: String,
         /// Why.
         reason: Reason,
         /// Expected wait for room.
@@ -90,6 +92,8 @@
         ending: Ending,
         /// Time from its start.
         spent: Duration,
+        /// What it occupied, in thousandths of a core.
+        cpu: u32,
     },
     /// A slow or hanging run is stopped to run elsewhere.
     Moved {
@@ -114,8 +118,10 @@
         state: Phase,
         /// Time since it was taken.
         took: Duration,
-        /// Its objective.
+        /// Time that the objective left, for the run time that it had.
         objective: Duration,
+        /// Time that its longest runs took.
+        ran: Duration,
         /// Runs beyond the first of each task.
         reruns: u32,
     },
@@ -123,6 +129,8 @@
     GivenUp {
         /// The job.
         job: u64,
+        /// Its queue.
+        queue: String,
         /// Time since it was taken.
         held: Duration,
         /// Tasks that had not succeeded.
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -29,13 +29,15 @@
             ),
             Self::Refused {
                 job,
+                queue,
                 reason,
                 wait,
                 useful,
                 held,
             } => write!(
                 to,
-                "event=refused job={job:016x} reason={reason} wait_ms={} useful_ms={} held_ms={} ran=no",
+                "event=refused job={job:016x} queue={queue} reason={reason} wait_ms={} \
+                 useful_ms={} held_ms={} ran=no",
                 millis(*wait),
                 millis(*useful),
                 millis(*held)
@@ -46,16 +48,24 @@
                 state,
                 took,
                 objective,
+                ran,
                 reruns,
             } => write!(
                 to,
-                "event=answered job={job:016x} queue={queue} state={state} took_ms={} objective_ms={} reruns={reruns}",
+                "event=answered job={job:016x} queue={queue} state={state} took_ms={} objective_ms={} \
+                 ran_ms={} reruns={reruns}",
                 millis(*took),
-                millis(*objective)
+                millis(*objective),
+                millis(*ran)
             ),
-            Self::GivenUp { job, held, left } => write!(
+            Self::GivenUp {
+                job,
+                queue,
+                held,
+                left,
+            } => write!(
                 to,
-                "event=given_up job={job:016x} held_ms={} tasks_left={left} ran=maybe",
+                "event=given_up job={job:016x} queue={queue} held_ms={} tasks_left={left} ran=maybe",
                 millis(*held)
             ),
             Self::Abandoned { job, held, started } => write!(
@@ -87,9 +97,10 @@
                 side,
                 ending,
                 spent,
+                cpu,
             } => write!(
                 to,
-                "event=ended run={run} side={side} ending={ending} spent_ms={}",
+                "event=ended run={run} side={side} ending={ending} spent_ms={} mcpu={cpu}",
                 millis(*spent)
             ),
             Self::Moved {
