--- a/crates/hyssopctl/src/cmd/mod.rs
+++ b/crates/hyssopctl/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod losses;
 pub mod progress;
 pub mod publish;
+pub mod simulate;
 pub mod slopes;
 pub mod status;
 pub mod store;
--- /dev/null
+++ b/crates/hyssopctl/src/cmd/simulate.rs
@@ -0,0 +1,124 @@
+//! `hyssopctl simulate`.
+
+use crate::{
+    Error,
+    model::{Day, POLICIES, Shape, Tally},
+};
+use lexopt::{Arg, Parser, ValueExt};
+use std::{fmt::Write, time::Duration};
+
+/// Usage of the command.
+pub const USAGE: &str = "\
+Compares policies for leased tasks on a simulated site, in virtual time.
+
+Usage:
+    hyssopctl simulate [OPTIONS]
+
+Draws a day of three kinds of jobs (eight tasks of 60 ms, two of 200 ms, four of
+900 ms; estimates are off) and plays it under each policy: fifo and urgent, one
+queue each; hyssoppost, the entries and sides of this program; oracle, which
+sees all hosts without delay and knows every run time. Prints the shares of the
+day's work by outcome and the worth earned, 1 in time and 0.2 late, over the day
+and in the worst two seconds. The same options give the same table.
+
+Options:
+        --hosts N       Hosts; 12 by default.
+        --entries N     Entries; 3 by default.
+        --load SHARE    Work that arrives, against what the hosts can do; 0.6 by
+                        default.
+        --burst FACTOR  Arrivals in the second quarter; 1 by default.
+        --lost SHARE    Share of the hosts lost for the third quarter; 0 by
+                        default.
+        --seconds N     Length of the day; 20 by default.
+        --seed N        Seed of the jobs and entries; 1 by default.
+    -h, --help          Print this text.
+
+Example:
+    hyssopctl simulate --load 0.6 --burst 2.2 --seed 3
+";
+
+/// Runs the command.
+pub fn run(parser: Parser) -> Result<(), Error> {
+    let Some(shape) = parse(parser)? else {
+        print!("{USAGE}");
+        return Ok(());
+    };
+    let day = Day::new(shape);
+    println!(
+        "{} jobs, {} hosts, {} entries, load {}, burst {}, lost {}, seed {}",
+        day.jobs.len(),
+        shape.hosts,
+        shape.entries,
+        shape.load,
+        shape.burst,
+        shape.lost,
+        shape.seed
+    );
+    println!("{}", header());
+    for policy in POLICIES {
+        println!("{}", row(policy.name(), &policy.play(&day)));
+    }
+    Ok(())
+}
+
+fn header() -> String {
+    let columns = [
+        "in time", "late", "useless", "refused", "later", "given up", "worth", "worst",
+    ];
+    line("policy", columns.map(str::to_owned))
+}
+
+fn row(name: &str, tally: &Tally) -> String {
+    let shares = [
+        tally.in_time,
+        tally.late,
+        tally.useless,
+        tally.refused_soon,
+        tally.refused_later,
+        tally.given_up,
+        tally.worth,
+        tally.worst,
+    ];
+    line(name, shares.map(|share| format!("{share:.3}")))
+}
+
+fn line(name: &str, cells: [String; 8]) -> String {
+    let mut text = format!("{name:<12}");
+    for cell in cells {
+        let _ = write!(text, "{cell:>10}");
+    }
+    text
+}
+
+fn parse(mut parser: Parser) -> Result<Option<Shape>, lexopt::Error> {
+    let mut shape = Shape {
+        hosts: 12,
+        entries: 3,
+        load: 0.6,
+        burst: 1.0,
+        lost: 0.0,
+        length: Duration::from_secs(20),
+        seed: 1,
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            Arg::Long("hosts") => shape.hosts = parser.value()?.parse()?,
+            Arg::Long("entries") => shape.entries = parser.value()?.parse()?,
+            Arg::Long("load") => shape.load = parser.value()?.parse()?,
+            Arg::Long("burst") => shape.burst = parser.value()?.parse()?,
+            Arg::Long("lost") => shape.lost = parser.value()?.parse()?,
+            Arg::Long("seconds") => shape.length = Duration::from_secs(parser.value()?.parse()?),
+            Arg::Long("seed") => shape.seed = parser.value()?.parse()?,
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    let positive = [shape.load, shape.burst].iter().all(|value| *value > 0.0);
+    if shape.hosts == 0 || shape.entries == 0 || !positive || shape.length.is_zero() {
+        return Err("hosts, entries, load, burst and seconds must be above 0".into());
+    }
+    if !(0.0..=1.0).contains(&shape.lost) {
+        return Err("lost must lie between 0 and 1".into());
+    }
+    Ok(Some(shape))
+}
--- a/crates/hyssopctl/src/lib.rs
+++ b/crates/hyssopctl/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod error;
 pub mod lab;
 pub mod losses;
+pub mod model;
 pub mod status;
 pub mod story;
 pub mod util;
--- a/crates/hyssopctl/src/main.rs
+++ b/crates/hyssopctl/src/main.rs
@@ -21,6 +21,7 @@
     explain  Tell a job's story from logs.
     losses   Count what was lost, by queue and cause, from logs.
     publish  Put an environment's document in force.
+    simulate Compare policies for leased tasks in virtual time.
     slopes   Measure what entries and sides cost.
     status   Show several processes at a glance.
     submit   Submit jobs and print their answers.
@@ -63,6 +64,7 @@
         "explain" => cmd::explain::run(parser),
         "losses" => cmd::losses::run(parser),
         "publish" => cmd::publish::run(parser),
+        "simulate" => cmd::simulate::run(parser),
         "slopes" => cmd::slopes::run(parser),
         "status" => cmd::status::run(parser),
         "submit" => cmd::submit::run(parser),
--- a/crates/hyssopctl/tests/command_lines.rs
+++ b/crates/hyssopctl/tests/command_lines.rs
@@ -4,9 +4,9 @@
 use serde_json::json;
 use std::process::{Command, Output};
 
-const COMMANDS: [&str; 11] = [
-    "bench", "check", "demo", "domain", "dump", "explain", "losses", "publish", "slopes", "status",
-    "submit",
+const COMMANDS: [&str; 12] = [
+    "bench", "check", "demo", "domain", "dump", "explain", "losses", "publish", "simulate",
+    "slopes", "status", "submit",
 ];
 
 fn hyssopctl(arguments: &[&str]) -> Output {
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -1,6 +1,11 @@
 //! Which task is placed next, and where.
 
-use super::{Dispatcher, Event, Job, Key, Way, backlog::work_ahead, fleet::Side, job::State};
+use super::{
+    Dispatcher, Event, Job, Key, Way,
+    backlog::{LATE, work_ahead},
+    fleet::Side,
+    job::State,
+};
 use crate::millis;
 use rand::{RngExt, seq::SliceRandom};
 use std::{collections::BTreeMap, time::Duration};
@@ -17,6 +22,11 @@
 /// job while it waits: arrivals are known as an average only.
 const MOST_PASSING: f64 = 0.95;
 
+/// The same for what is late already: bursts end, and a late answer is better
+/// than none. By `hyssopctl simulate`, a half serves a third more late jobs than
+/// [`MOST_PASSING`] does, and none fewer in time.
+const MOST_PASSING_LATE: f64 = 0.5;
+
 /// Weight of the used share of a host in the choice, against slowness.
 const LOAD_WEIGHT: f64 = 0.25;
 
@@ -348,7 +358,11 @@
         Outlook {
             joining: Duration::ZERO,
             ahead: ahead * mean - f64::from(free) * self.fleet.run_ms / 1e3,
-            passing: passing.min(MOST_PASSING),
+            passing: passing.min(if level == LATE {
+                MOST_PASSING_LATE
+            } else {
+                MOST_PASSING
+            }),
             processor,
         }
     }
