--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -68,6 +68,7 @@
 /// A job that came before the rules.
 #[derive(Debug)]
 pub(super) struct Parked {
+    at: Duration,
     customer: u64,
     host: String,
     path: String,
@@ -94,6 +95,7 @@
         }
         let Some(rules) = &self.rules else {
             let parked = Parked {
+                at: now,
                 customer,
                 host: host.to_owned(),
                 path: path.to_owned(),
@@ -102,7 +104,7 @@
             if now < self.joined && self.leaving.is_none() {
                 self.parked.push(parked);
             } else {
-                self.refuse_parked(&parked);
+                self.refuse_parked(now, &parked);
             }
             return;
         };
@@ -126,7 +128,7 @@
         }
         for parked in std::mem::take(&mut self.parked) {
             if self.rules.is_none() {
-                self.refuse_parked(&parked);
+                self.refuse_parked(now, &parked);
                 continue;
             }
             let Parked {
@@ -134,19 +136,20 @@
                 host,
                 path,
                 submission,
+                ..
             } = parked;
             self.submit(now, customer, &host, &path, submission);
         }
     }
 
-    fn refuse_parked(&mut self, parked: &Parked) {
+    fn refuse_parked(&mut self, now: Duration, parked: &Parked) {
         self.events.push(Event::Refused {
             job: parked.submission.job,
             queue: "-".to_owned(),
             reason: Reason::NoRules,
             wait: Duration::ZERO,
             useful: parked.submission.patience,
-            held: Duration::ZERO,
+            held: now.saturating_sub(parked.at),
         });
         self.refuse(parked.customer, Reason::NoRules);
     }
--- a/crates/kernel/tests/joining_entry.rs
+++ b/crates/kernel/tests/joining_entry.rs
@@ -3,7 +3,10 @@
 
 mod site;
 
-use kernel::dispatch::{Answer, Dispatcher, Phase, Reason};
+use kernel::{
+    dispatch::{Answer, Dispatcher, Phase, Reason},
+    event::Event,
+};
 use site::{Site, job, pace, rules};
 use std::time::Duration;
 
@@ -52,10 +55,14 @@
     let late = site.submit(0, job(9, 1, 1_000, RUN));
     assert_eq!(reason(&site, late), Some(Reason::NoRules), "at once");
     let events = site.entries[0].as_mut().unwrap().take_events();
-    for id in [7, 9] {
-        let logged = events.iter().any(|event| event.job() == Some(id));
-        assert!(logged, "job {id} has a line in the log");
-    }
+    let held = |id: u64| {
+        events.iter().find_map(|event| match event {
+            Event::Refused { job, held, .. } if *job == id => Some(*held),
+            _ => None,
+        })
+    };
+    assert!(held(7) > Some(Duration::from_millis(700)), "the log tells");
+    assert_eq!(held(9), Some(Duration::ZERO), "this one at once");
 }
 
 #[test]
