The factor for work away from its data comes from the settings

Test near_data: at 1 tasks go anywhere, at 2 they stay on the rack of their data; bad_factor for the settings.

--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -145,7 +145,8 @@
     let seed = settings.seed.unwrap_or_else(rand::random);
     let clock = Clock::default();
     let domain = &settings.common.domain;
-    let kernel = Dispatcher::new(clock.now(), domain, pace(lease), seed);
+    let mut kernel = Dispatcher::new(clock.now(), domain, pace(lease), seed);
+    kernel.set_away(lease.away);
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
         published: Duration::ZERO,
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -15,6 +15,7 @@
 
 const ADDRESS: &str = "an address as IP:port";
 const REGION: &str = "the region's name";
+const FACTOR: &str = "a factor of 1 or more";
 
 /// Settings that entries and sides share.
 #[derive(Debug, Clone)]
@@ -71,7 +72,7 @@
 }
 
 /// Times of leased tasks.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Lease {
     /// Longest lease that upstreams grant.
     pub longest: Duration,
@@ -79,12 +80,14 @@
     pub resend: Duration,
     /// Longest time that a stop takes at an upstream.
     pub stop: Duration,
+    /// Factor on the run time of a task away from its data.
+    pub away: f64,
     /// Address at which an entry tells the balancer whether it is ready.
     pub readiness: SocketAddr,
 }
 
 /// The upstream beside a side of leased tasks.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Beside {
     /// Times.
     pub lease: Lease,
@@ -281,6 +284,10 @@
     let longest = reader.required("lease", "longest_ms", MILLISECONDS);
     let resend: Option<u64> = reader.optional("lease", "resend_ms", MILLISECONDS);
     let stop = reader.required("lease", "stop_ms", MILLISECONDS);
+    let away = reader.optional("lease", "away_factor", FACTOR);
+    if away.is_some_and(|factor: f64| !(1.0..f64::INFINITY).contains(&factor)) {
+        reader.fault("lease", "away_factor", FACTOR);
+    }
     let readiness = if entry {
         reader.required("listen", "readiness", ADDRESS)
     } else {
@@ -290,6 +297,7 @@
         longest: Duration::from_millis(longest?),
         resend: Duration::from_millis(resend.unwrap_or(DEFAULT_RESEND_MS)),
         stop: Duration::from_millis(stop?),
+        away: away.unwrap_or(1.0),
         readiness: readiness?,
     })
 }
--- a/crates/hyssoppost/tests/settings_faults.rs
+++ b/crates/hyssoppost/tests/settings_faults.rs
@@ -85,6 +85,14 @@
     assert!(!found[0].contains("short\""), "the key itself is not shown");
 }
 
+#[test]
+fn bad_factor() {
+    let lease = "[lease]\nlongest_ms = 1000\nstop_ms = 50\naway_factor = 0.5\n";
+    let found = entry_faults(&format!("{ENTRY}{lease}"));
+    let told = |fault: &String| fault.contains(r#"key="away_factor""#);
+    assert!(found.iter().any(told), "{found:?}");
+}
+
 #[test]
 fn unknown_policy() {
     let found = entry_faults(&format!("{ENTRY}\n[policy]\nname = best\n"));
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -69,6 +69,8 @@
     /// Keeps this entry's choices apart from others'.
     salt: u64,
     random: SmallRng,
+    /// Factor on the run time of a task away from its data.
+    away: f64,
     rules: Option<Rules>,
     fleet: Fleet,
     peers: BTreeMap<Incarnation, Peer>,
@@ -102,6 +104,7 @@
             domain: domain.to_owned(),
             salt: seed,
             random: SmallRng::seed_from_u64(seed),
+            away: 1.0,
             rules: None,
             fleet: Fleet::default(),
             peers: BTreeMap::new(),
@@ -185,6 +188,12 @@
         self.rules.is_some() && connected && self.leaving.is_none()
     }
 
+    /// Sets the factor on the run time of a task away from its data, as the
+    /// deployment states it; 1 at first.
+    pub fn set_away(&mut self, factor: f64) {
+        self.away = factor;
+    }
+
     /// Takes what was learnt before, or by others, of how long customers wait:
     /// queues with milliseconds.
     pub fn recall(&mut self, marks: &[(String, u32)]) {
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -36,9 +36,6 @@
 /// Cost of another failure domain, against slowness.
 const DOMAIN_WEIGHT: f64 = 0.02;
 
-/// Factor on the slowness of a host away from a task's data.
-const FAR_FACTOR: f64 = 1.5;
-
 /// Time that a run takes to stop and start elsewhere, beside its own.
 const MOVE_COST: Duration = Duration::from_millis(80);
 
@@ -381,7 +378,7 @@
                 .is_none_or(|known| known.labels.iter().all(|own| own != rack))
         });
         let slowness = side.slowness / self.fleet.mean.max(1e-3);
-        slowness * if far { FAR_FACTOR } else { 1.0 }
+        slowness * if far { self.away } else { 1.0 }
             + used * LOAD_WEIGHT
             + if side.domain == self.domain {
                 0.0
--- a/crates/kernel/tests/leased_jobs.rs
+++ b/crates/kernel/tests/leased_jobs.rs
@@ -174,3 +174,29 @@
     assert!(refused, "it has not, and will not");
     assert_eq!(site.ups[0].running().count(), 0);
 }
+
+/// Returns the share of the tasks that ran on the rack of their data, where
+/// hosts elsewhere are as free.
+fn share_near(away: f64) -> f64 {
+    let mut site = Site::new(1, 6);
+    site.entries[0].as_mut().unwrap().set_away(away);
+    for id in 0..30 {
+        let mut near = job(id, 1, 1_000, RUN);
+        near.steps[0].rack = Some("r1".to_owned());
+        site.submit(0, near);
+        site.run(Duration::from_millis(150));
+    }
+    let starts = |sides: &[site::upstream::Up]| -> f64 {
+        sides
+            .iter()
+            .map(|up| f64::from(u32::try_from(up.starts.len()).unwrap()))
+            .sum()
+    };
+    starts(&site.ups[3..]) / starts(&site.ups)
+}
+
+#[test]
+fn near_data() {
+    assert!(share_near(1.0) < 0.9, "where the way costs nothing");
+    assert!(share_near(2.0) > 0.99, "where it doubles the run time");
+}
