--- a/crates/hyssopctl/src/cmd/explain.rs
+++ b/crates/hyssopctl/src/cmd/explain.rs
@@ -7,7 +7,7 @@
 };
 use lexopt::{Arg, Parser, ValueExt};
 use std::{
-    io::{self, BufRead, ErrorKind, Write, stdout},
+    io::{self, ErrorKind, Write, stdout},
     path::PathBuf,
 };
 
@@ -44,9 +44,9 @@
     let mut lines = Vec::new();
     for file in &arguments.files {
         let name = file.display().to_string();
-        for text in util::open_input(file)?.lines() {
-            lines.extend(story::read(&text?, &arguments.job, &name));
-        }
+        util::each_line(file, |text| {
+            lines.extend(story::read(text, &arguments.job, &name));
+        })?;
     }
     if lines.is_empty() {
         return Err(Error::NoLine(arguments.job));
--- a/crates/hyssopctl/src/cmd/losses.rs
+++ b/crates/hyssopctl/src/cmd/losses.rs
@@ -2,7 +2,7 @@
 
 use crate::{Error, losses::Losses, story, util};
 use lexopt::{Arg, Parser};
-use std::{io::BufRead, path::PathBuf};
+use std::path::PathBuf;
 
 /// Usage of the command.
 pub const USAGE: &str = "\
@@ -38,11 +38,11 @@
     let mut losses = Losses::default();
     for file in &arguments.files {
         let name = file.display().to_string();
-        for text in util::open_input(file)?.lines() {
-            if let Some(line) = story::parse(&text?, &name) {
+        util::each_line(file, |text| {
+            if let Some(line) = story::parse(text, &name) {
                 losses.take(&line);
             }
-        }
+        })?;
     }
     print!("{losses}");
     Ok(())
--- a/crates/hyssopctl/src/util.rs
+++ b/crates/hyssopctl/src/util.rs
@@ -21,16 +21,23 @@
     })
 }
 
-/// Opens a file, or standard input for `-`, to read it line by line.
-pub fn open_input(path: &Path) -> Result<Box<dyn BufRead>, Error> {
+/// Reads a file, or standard input for `-`, line by line.
+pub fn each_line(path: &Path, take: impl FnMut(&str)) -> Result<(), Error> {
     if path == Path::new("-") {
-        return Ok(Box::new(BufReader::new(io::stdin())));
+        return read_lines(io::stdin().lock(), take);
     }
     let file = File::open(path).map_err(|source| Error::File {
         file: path.to_owned(),
         source,
     })?;
-    Ok(Box::new(BufReader::new(file)))
+    read_lines(BufReader::new(file), take)
+}
+
+fn read_lines(input: impl BufRead, mut take: impl FnMut(&str)) -> Result<(), Error> {
+    for line in input.lines() {
+        take(&line?);
+    }
+    Ok(())
 }
 
 /// Writes a file.
--- a/crates/hyssoppost/src/admin.rs
+++ b/crates/hyssoppost/src/admin.rs
@@ -69,11 +69,14 @@
     http::bind(common.admin, DRAIN, app).await
 }
 
-/// Serves metrics alone, without a token.
-pub async fn bind_metrics(address: std::net::SocketAddr) -> Result<http::Handle, Error> {
+/// Serves metrics alone, without a token, where the settings say so.
+pub async fn bind_metrics(common: &Common) -> Result<Option<http::Handle>, Error> {
+    let Some(address) = common.metrics else {
+        return Ok(None);
+    };
     recorder();
     let app = Route::new().at("/metrics", get(render));
-    http::bind(address, DRAIN, app).await
+    Ok(Some(http::bind(address, DRAIN, app).await?))
 }
 
 /// Returns the process's metrics recorder, installed on first use.
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -17,7 +17,7 @@
 use hashbrown::HashMap;
 use kernel::dispatch::{Action, Answer, Dispatcher};
 pub(super) use platform::customer::Ask;
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::{JoinHandle, JoinSet},
@@ -123,25 +123,18 @@
     services.spawn(link::accept(listener, local.clone(), events.clone()));
     let (status, watched) = watch::channel(Status::default());
     let admin = admin::bind(&settings.common, dump_requests).await?;
-    let metrics = match settings.common.metrics {
-        Some(address) => Some(admin::bind_metrics(address).await?),
-        None => None,
-    };
+    let metrics = admin::bind_metrics(&settings.common).await?;
     let customers = front::bind(&settings, events.clone(), watched.clone()).await?;
     let readiness = front::bind_readiness(lease.readiness, watched.clone()).await?;
     let store = platform::store::Client::open(settings.store)?;
     services.spawn(rules::follow(store.clone(), events.clone()));
-    let own = registry::Own {
-        environment: settings.common.environment.clone(),
-        region: settings.region.clone(),
-        name: settings.common.name.clone(),
-        address: advertised.to_string(),
-    };
-    let registered = events.clone();
     let (marks, learnt) = watch::channel(registry::Marks::new());
-    services.spawn(async move {
-        registry::follow_entries(&store, &own, learnt, &registered).await;
-    });
+    services.spawn(register(
+        store,
+        own(&settings, advertised),
+        learnt,
+        events.clone(),
+    ));
     let seed = settings.seed.unwrap_or_else(rand::random);
     let clock = Clock::default();
     let domain = &settings.common.domain;
@@ -177,6 +170,24 @@
     })
 }
 
+fn own(settings: &settings::Entry, advertised: SocketAddr) -> registry::Own {
+    registry::Own {
+        environment: settings.common.environment.clone(),
+        region: settings.region.clone(),
+        name: settings.common.name.clone(),
+        address: advertised.to_string(),
+    }
+}
+
+async fn register(
+    store: platform::store::Client,
+    own: registry::Own,
+    learnt: watch::Receiver<registry::Marks>,
+    events: mpsc::Sender<Event>,
+) {
+    registry::follow_entries(&store, &own, learnt, &events).await;
+}
+
 impl Handle {
     /// Returns the means to set other entries to begin with.
     pub fn entries(&self) -> Entries<impl From<Seeds> + use<>> {
@@ -184,7 +195,7 @@
     }
 
     /// Returns the address for customers.
-    pub fn customers(&self) -> std::net::SocketAddr {
+    pub fn customers(&self) -> SocketAddr {
         self.customers.address()
     }
 
--- a/crates/hyssoppost/src/leased/record.rs
+++ b/crates/hyssoppost/src/leased/record.rs
@@ -119,6 +119,12 @@
             counter!("hyssoppost_jobs_given_up_total", "queue" => queue.clone()).increment(1);
         }
         Event::Abandoned { .. } => counter!("hyssoppost_jobs_abandoned_total").increment(1),
+        _ => measure_run(event),
+    }
+}
+
+fn measure_run(event: &Event) {
+    match event {
         Event::Placed { waited, .. } => {
             histogram!("hyssoppost_run_wait_seconds").record(waited.as_secs_f64());
         }
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -84,10 +84,7 @@
     let incarnation = hello.incarnation;
     let local = Local::new(hello, settings.common.keys.clone());
     let admin = admin::bind(&settings.common, dump_requests).await?;
-    let metrics = match settings.common.metrics {
-        Some(address) => Some(admin::bind_metrics(address).await?),
-        None => None,
-    };
+    let metrics = admin::bind_metrics(&settings.common).await?;
     let reports = bind_reports(settings.upstream, lease.service.clone(), events.clone()).await?;
     let pace = pace(&lease.lease);
     let client = Client::open(lease.address, pace.answer()).map_err(store::Error::from)?;
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -2,13 +2,21 @@
 
 use super::{backlog::Rank, fleet::Key};
 use std::time::Duration;
-use wire::lease::{Need, Run, Task};
+use wire::lease::{Need, Queue, Run, Task};
 
 /// Run time against the estimate that is reckoned with for whether a task can
 /// still meet its objective: estimates are rough, and the slowest task of a
 /// step counts.
 pub(super) const CAUTION: f64 = 1.3;
 
+/// Factor on a job's objective beyond which the service contract counts an
+/// answer as missed.
+const USEFUL_FACTOR: u32 = 3;
+
+/// Factor by which a job's run time may exceed its estimate: customers' estimates
+/// are off by up to that.
+const ROUGH: u32 = 2;
+
 /// A step of a job: tasks that are alike.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Step {
@@ -106,6 +114,70 @@
     pub(super) customers: Vec<u64>,
 }
 
+impl Job {
+    /// Makes a job of what a customer handed in.
+    /// The customer has waited elsewhere before, for about `waited`.
+    pub(super) fn new(
+        now: Duration,
+        waited: Duration,
+        customer: u64,
+        queue: &Queue,
+        submission: Submission,
+    ) -> Self {
+        let target = Duration::from_millis(queue.target.into());
+        let mut job = Self {
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            priority: queue.priority,
+            attempts: queue.attempts.max(1),
+            accepted: now,
+            waited,
+            slack: queue.slack,
+            target,
+            due: now,
+            start_by: now,
+            rank: Rank::default(),
+            useful: now,
+            deadline: now + submission.patience,
+            tasks: submission.slots(),
+            ran: false,
+            reserved: Vec::new(),
+            customers: vec![customer],
+            submission,
+        };
+        let objective = job.objective_of(Duration::ZERO);
+        job.due = (now + objective).saturating_sub(waited);
+        job.start_by = job
+            .due
+            .saturating_sub(job.submission.chain().mul_f64(CAUTION));
+        job.useful = now + job.submission.patience.min(objective * USEFUL_FACTOR);
+        job.rank = job.rank_at(now);
+        job
+    }
+
+    /// Returns the objective of a job whose longest runs took so long, which is
+    /// that of its estimate at least: estimates are rough. Hosts that are slow
+    /// do not make it longer than [`ROUGH`] times that.
+    pub(super) fn objective_of(&self, ran: Duration) -> Duration {
+        let estimate = self.submission.chain();
+        ran.clamp(estimate, estimate * ROUGH).mul_f64(self.slack) + self.target
+    }
+
+    /// Returns the time that its longest runs took, step after step.
+    pub(super) fn ran_for(&self) -> Duration {
+        let steps = self.tasks.iter();
+        steps
+            .filter_map(|slots| slots.iter().map(|slot| slot.spent).max())
+            .sum()
+    }
+
+    /// Returns whether a run of the task is under way.
+    pub fn is_placed(&self, task: Task) -> bool {
+        let slot = &self.tasks[usize::from(task.step)][usize::from(task.index)];
+        matches!(slot.state, State::Placed { .. })
+    }
+}
+
 impl Job {
     pub(super) fn id(&self, step: u16, index: u16) -> Task {
         Task {
--- /dev/null
+++ b/crates/kernel/src/dispatch/memory.rs
@@ -0,0 +1,36 @@
+//! Jobs that have ended.
+
+use super::Phase;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+/// Time for which ended jobs are remembered.
+const REMEMBER: Duration = Duration::from_mins(2);
+
+/// Jobs that have ended, for customers that ask again.
+#[derive(Debug, Default)]
+pub(super) struct Memory {
+    states: BTreeMap<u64, Phase>,
+    order: VecDeque<(Duration, u64)>,
+}
+
+impl Memory {
+    pub(super) fn insert(&mut self, now: Duration, job: u64, state: Phase) {
+        self.states.insert(job, state);
+        self.order.push_back((now + REMEMBER, job));
+    }
+
+    pub(super) fn get(&self, job: u64) -> Option<Phase> {
+        self.states.get(&job).copied()
+    }
+
+    pub(super) fn expire(&mut self, now: Duration) {
+        while self.order.front().is_some_and(|(until, _)| *until <= now) {
+            if let Some((_, job)) = self.order.pop_front() {
+                self.states.remove(&job);
+            }
+        }
+    }
+}
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -12,6 +12,8 @@
 mod fleet;
 mod follow;
 mod job;
+mod memory;
+mod park;
 mod peers;
 mod place;
 mod rules;
@@ -31,6 +33,7 @@
 use arrivals::Arrivals;
 use backlog::Backlog;
 use fleet::{Link, Side, echo_interval};
+use memory::Memory;
 use peers::Peer;
 use rand::{SeedableRng, rngs::SmallRng};
 use std::{
@@ -82,10 +85,10 @@
     /// When rules and sides are no longer expected.
     joined: Duration,
     /// Jobs that came before the rules.
-    parked: Vec<serve::Parked>,
+    parked: Vec<park::Parked>,
     usual: Usual,
     arrivals: Arrivals,
-    ended: serve::Memory,
+    ended: Memory,
     calls: BTreeMap<u64, peers::Call>,
     next_call: u64,
     /// When the entry will have left.
@@ -116,7 +119,7 @@
             parked: Vec::new(),
             usual: Usual::default(),
             arrivals: Arrivals::default(),
-            ended: serve::Memory::default(),
+            ended: Memory::default(),
             calls: BTreeMap::new(),
             next_call: 0,
             leaving: None,
--- /dev/null
+++ b/crates/kernel/src/dispatch/park.rs
@@ -0,0 +1,79 @@
+//! Jobs that come before the rules do.
+
+use super::{Dispatcher, Event, Reason, Submission};
+use std::time::Duration;
+
+/// A job that came before the rules.
+#[derive(Debug)]
+pub(super) struct Parked {
+    at: Duration,
+    customer: u64,
+    host: String,
+    path: String,
+    submission: Submission,
+}
+
+impl Dispatcher {
+    /// Lets a job wait for the rules while these are expected.
+    pub(super) fn park(
+        &mut self,
+        now: Duration,
+        customer: u64,
+        host: &str,
+        path: &str,
+        submission: Submission,
+    ) {
+        let parked = Parked {
+            at: now,
+            customer,
+            host: host.to_owned(),
+            path: path.to_owned(),
+            submission,
+        };
+        if now < self.joined && self.leaving.is_none() {
+            self.parked.push(parked);
+        } else {
+            self.refuse_parked(now, &parked);
+        }
+    }
+
+    /// Forgets a parked job whose customer has gone.
+    pub(super) fn forget_parked(&mut self, customer: u64) {
+        self.parked.retain(|parked| parked.customer != customer);
+    }
+
+    /// Takes or refuses the jobs that came before the rules, once these are
+    /// known or no longer expected.
+    pub(super) fn unpark(&mut self, now: Duration) {
+        let expected = now < self.joined && self.leaving.is_none();
+        if self.parked.is_empty() || (self.rules.is_none() && expected) {
+            return;
+        }
+        for parked in std::mem::take(&mut self.parked) {
+            if self.rules.is_none() {
+                self.refuse_parked(now, &parked);
+                continue;
+            }
+            let Parked {
+                customer,
+                host,
+                path,
+                submission,
+                ..
+            } = parked;
+            self.submit(now, customer, &host, &path, submission);
+        }
+    }
+
+    fn refuse_parked(&mut self, now: Duration, parked: &Parked) {
+        self.events.push(Event::Refused {
+            job: parked.submission.job,
+            queue: "-".to_owned(),
+            reason: Reason::NoRules,
+            wait: Duration::ZERO,
+            useful: parked.submission.patience,
+            held: now.saturating_sub(parked.at),
+        });
+        self.refuse(parked.customer, Reason::NoRules);
+    }
+}
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -1,33 +1,15 @@
 //! Customers' requests: jobs handed in, asked for, cancelled, given up.
 
 use super::{
-    Answer, Dispatcher, Event, Job, Phase, Reason, Submission,
-    backlog::{LATE, Rank},
-    job::{CAUTION, State},
-    place::Outlook,
-    route,
+    Answer, Dispatcher, Event, Job, Phase, Reason, Submission, backlog::LATE, place::Outlook, route,
 };
 use crate::mutation::{Mutant, is_seeded};
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
-use wire::lease::{Ending, Frame, Queue, Run, Step, Task};
-
-/// Time for which ended jobs are remembered.
-const REMEMBER: Duration = Duration::from_mins(2);
+use std::{collections::BTreeMap, time::Duration};
+use wire::lease::{Ending, Frame, Run, Step, Task};
 
 /// Least time after which a refused customer is told to come back.
 const RETRY: Duration = Duration::from_secs(1);
 
-/// Factor on a job's objective beyond which the service contract counts an
-/// answer as missed.
-const USEFUL_FACTOR: u32 = 3;
-
-/// Factor by which a job's run time may exceed its estimate: customers' estimates
-/// are off by up to that.
-const ROUGH: u32 = 2;
-
 /// Factor on a job's expected time within which it must end before its entry
 /// leaves: room for a rough estimate and one run that fails.
 const LEAVE_CAUTION: f64 = 2.0;
@@ -39,42 +21,6 @@
 /// Pause before a task that failed starts anew; doubles with each failure.
 const FAILED_PAUSE: Duration = Duration::from_millis(5);
 
-/// Jobs that have ended, for customers that ask again.
-#[derive(Debug, Default)]
-pub(super) struct Memory {
-    states: BTreeMap<u64, Phase>,
-    order: VecDeque<(Duration, u64)>,
-}
-
-impl Memory {
-    pub(super) fn insert(&mut self, now: Duration, job: u64, state: Phase) {
-        self.states.insert(job, state);
-        self.order.push_back((now + REMEMBER, job));
-    }
-
-    pub(super) fn get(&self, job: u64) -> Option<Phase> {
-        self.states.get(&job).copied()
-    }
-
-    pub(super) fn expire(&mut self, now: Duration) {
-        while self.order.front().is_some_and(|(until, _)| *until <= now) {
-            if let Some((_, job)) = self.order.pop_front() {
-                self.states.remove(&job);
-            }
-        }
-    }
-}
-
-/// A job that came before the rules.
-#[derive(Debug)]
-pub(super) struct Parked {
-    at: Duration,
-    customer: u64,
-    host: String,
-    path: String,
-    submission: Submission,
-}
-
 impl Dispatcher {
     /// Takes a job for the queue at this address.
     pub fn submit(
@@ -94,18 +40,7 @@
             return;
         }
         let Some(rules) = &self.rules else {
-            let parked = Parked {
-                at: now,
-                customer,
-                host: host.to_owned(),
-                path: path.to_owned(),
-                submission,
-            };
-            if now < self.joined && self.leaving.is_none() {
-                self.parked.push(parked);
-            } else {
-                self.refuse_parked(now, &parked);
-            }
+            self.park(now, customer, host, path, submission);
             return;
         };
         let Some((queue, _)) = route(rules, host, path) else {
@@ -119,41 +54,6 @@
         self.admit(now, customer, job);
     }
 
-    /// Takes or refuses the jobs that came before the rules, once these are
-    /// known or no longer expected.
-    pub(super) fn unpark(&mut self, now: Duration) {
-        let expected = now < self.joined && self.leaving.is_none();
-        if self.parked.is_empty() || (self.rules.is_none() && expected) {
-            return;
-        }
-        for parked in std::mem::take(&mut self.parked) {
-            if self.rules.is_none() {
-                self.refuse_parked(now, &parked);
-                continue;
-            }
-            let Parked {
-                customer,
-                host,
-                path,
-                submission,
-                ..
-            } = parked;
-            self.submit(now, customer, &host, &path, submission);
-        }
-    }
-
-    fn refuse_parked(&mut self, now: Duration, parked: &Parked) {
-        self.events.push(Event::Refused {
-            job: parked.submission.job,
-            queue: "-".to_owned(),
-            reason: Reason::NoRules,
-            wait: Duration::ZERO,
-            useful: parked.submission.patience,
-            held: now.saturating_sub(parked.at),
-        });
-        self.refuse(parked.customer, Reason::NoRules);
-    }
-
     /// Takes a job, unless it cannot be served.
     fn admit(&mut self, now: Duration, customer: u64, job: Job) {
         let outlook = self.outlook(now, &job.service, job.rank.level());
@@ -289,7 +189,7 @@
     /// Records that a customer has gone; a job that nobody waits for is
     /// stopped.
     pub fn forget(&mut self, now: Duration, job: u64, customer: u64) {
-        self.parked.retain(|parked| parked.customer != customer);
+        self.forget_parked(customer);
         let Some(work) = self.jobs.get_mut(&job) else {
             return;
         };
@@ -478,67 +378,3 @@
         self.answer(customer, Answer::Refused { reason, retry });
     }
 }
-
-impl Job {
-    /// Makes a job of what a customer handed in.
-    /// The customer has waited elsewhere before, for about `waited`.
-    fn new(
-        now: Duration,
-        waited: Duration,
-        customer: u64,
-        queue: &Queue,
-        submission: Submission,
-    ) -> Self {
-        let target = Duration::from_millis(queue.target.into());
-        let mut job = Self {
-            queue: queue.name.clone(),
-            service: queue.service.clone(),
-            priority: queue.priority,
-            attempts: queue.attempts.max(1),
-            accepted: now,
-            waited,
-            slack: queue.slack,
-            target,
-            due: now,
-            start_by: now,
-            rank: Rank::default(),
-            useful: now,
-            deadline: now + submission.patience,
-            tasks: submission.slots(),
-            ran: false,
-            reserved: Vec::new(),
-            customers: vec![customer],
-            submission,
-        };
-        let objective = job.objective_of(Duration::ZERO);
-        job.due = (now + objective).saturating_sub(waited);
-        job.start_by = job
-            .due
-            .saturating_sub(job.submission.chain().mul_f64(CAUTION));
-        job.useful = now + job.submission.patience.min(objective * USEFUL_FACTOR);
-        job.rank = job.rank_at(now);
-        job
-    }
-
-    /// Returns the objective of a job whose longest runs took so long, which is
-    /// that of its estimate at least: estimates are rough. Hosts that are slow
-    /// do not make it longer than [`ROUGH`] times that.
-    fn objective_of(&self, ran: Duration) -> Duration {
-        let estimate = self.submission.chain();
-        ran.clamp(estimate, estimate * ROUGH).mul_f64(self.slack) + self.target
-    }
-
-    /// Returns the time that its longest runs took, step after step.
-    fn ran_for(&self) -> Duration {
-        let steps = self.tasks.iter();
-        steps
-            .filter_map(|slots| slots.iter().map(|slot| slot.spent).max())
-            .sum()
-    }
-
-    /// Returns whether a run of the task is under way.
-    pub fn is_placed(&self, task: Task) -> bool {
-        let slot = &self.tasks[usize::from(task.step)][usize::from(task.index)];
-        matches!(slot.state, State::Placed { .. })
-    }
-}
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -42,6 +42,12 @@
                 millis(*useful),
                 millis(*held)
             ),
+            _ => self.write_outcome(to),
+        }
+    }
+
+    fn write_outcome(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
             Self::Answered {
                 job,
                 queue,
