Reports and echoes whose number a second stays as a deployment grows

Beyond twelve entries the time between two reports now grows with the square of the entries, up to the heartbeat's 100 ms; beyond a hundred sides echoes become rarer, up to 200 ms, a third of a side's limit. Deployments of up to twelve entries and a hundred sides behave as before.

--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -13,7 +13,7 @@
     mesh::Mesh,
     meter, settings,
 };
-use kernel::guard::{Action, GATHER, Guard, Held, Started};
+use kernel::guard::{Action, Guard, Held, Started};
 use platform::upstream::{Client, Failure, Report};
 use poem::{EndpointExt, Request, Response, endpoint::make, http::StatusCode};
 use std::{net::SocketAddr, time::Duration};
@@ -227,7 +227,7 @@
     }
 
     fn due(&self) -> Option<Duration> {
-        self.kernel.is_dirty().then_some(GATHER)
+        self.kernel.is_dirty().then(|| self.kernel.gather())
     }
 
     fn dump(&self, now: Duration) -> serde_json::Value {
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -304,7 +304,19 @@
     }
 }
 
-/// Returns the interval at which sides are echoed.
-pub(super) fn echo_interval() -> Duration {
-    BEAT * 4 / 5
+/// Longest time between two echoes: a third of the shortest time after which a
+/// side stops the runs of an entry that it has not heard.
+const ECHO_LONGEST: Duration = Duration::from_millis(200);
+
+/// Sides beyond which echoes become rarer, so that their number a second stays.
+const ECHO_SIDES: u32 = 100;
+
+impl Fleet {
+    /// Returns the interval at which sides are echoed.
+    pub(super) fn echo_interval(&self) -> Duration {
+        let sides = u32::try_from(self.sides.len()).unwrap_or(u32::MAX);
+        let interval = BEAT * 4 / 5;
+        let rarer = interval.saturating_mul(sides.max(ECHO_SIDES)) / ECHO_SIDES;
+        rarer.min(ECHO_LONGEST)
+    }
 }
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -32,7 +32,7 @@
 };
 use arrivals::Arrivals;
 use backlog::Backlog;
-use fleet::{Link, Side, echo_interval};
+use fleet::{Link, Side};
 use memory::Memory;
 use peers::Peer;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -331,9 +331,10 @@
 
     fn echo(&mut self, now: Duration) {
         let mut frames = Vec::new();
+        let interval = self.fleet.echo_interval();
         for (key, side) in self.fleet.iter_mut() {
             let Some(status) = side.status else { continue };
-            let due = now.saturating_sub(side.echo_at) >= echo_interval();
+            let due = now.saturating_sub(side.echo_at) >= interval;
             if side.link != Link::Up || status.clock <= side.echoed || !due {
                 continue;
             }
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -37,8 +37,13 @@
 pub const BEAT: Duration = Duration::from_millis(100);
 
 /// Least time between two [`Status`] frames, which gathers changes that come
-/// together.
-pub const GATHER: Duration = Duration::from_millis(4);
+/// together, where a side has up to [`GATHER_ENTRIES`] entries.
+const GATHER: Duration = Duration::from_millis(4);
+
+/// Entries beyond which reports become rarer. All sides report to all entries,
+/// and both grow with a deployment: with the square of the entries between two
+/// reports, their number a second stays what it is here, up to [`BEAT`].
+const GATHER_ENTRIES: u32 = 12;
 
 /// Time for which ends wait for an entry that does not come back.
 const KEEP_ENDS: Duration = Duration::from_secs(10);
@@ -340,7 +345,7 @@
     /// Reports to the entries what is due.
     pub fn flush(&mut self, now: Duration) {
         let age = now.saturating_sub(self.reported);
-        if age < GATHER || (age < BEAT && !self.dirty) {
+        if age < self.gather() || (age < BEAT && !self.dirty) {
             return;
         }
         self.dirty = false;
@@ -369,7 +374,18 @@
         }
     }
 
-    /// Returns whether a report waits for [`GATHER`] to pass.
+    /// Returns the least time between two reports.
+    pub fn gather(&self) -> Duration {
+        let connected = self.peers.values().filter(|peer| peer.connected);
+        let entries = u32::try_from(connected.count()).unwrap_or(u32::MAX);
+        let square = entries
+            .saturating_mul(entries)
+            .max(GATHER_ENTRIES * GATHER_ENTRIES);
+        let gather = GATHER.saturating_mul(square) / (GATHER_ENTRIES * GATHER_ENTRIES);
+        gather.min(BEAT)
+    }
+
+    /// Returns whether a report waits for [`Guard::gather`] to pass.
     pub fn is_dirty(&self) -> bool {
         self.dirty
     }
