http: a stopping server answers on all connections that are open

Cause: the server was told to stop and its listener dropped in one step. Ruled out: jobs given up at the end of the drain time, which are answered first.

Change: the acceptor is ours. It takes what is in the queue, then closes the listener; what is connected has 200 ms to send its request; then idle connections are closed and the rest finished.

--- a/crates/hyssoppost/src/http.rs
+++ b/crates/hyssoppost/src/http.rs
@@ -1,16 +1,47 @@
 //! HTTP servers of the processes.
+//!
+//! A server stops in three steps, so that it resets no connection on which a
+//! client is about to send a request. It takes the connections that clients have
+//! already opened and then stops listening. It goes on serving while clients send
+//! their requests. Then it closes what is idle and finishes the rest.
 
 use crate::Error;
-use poem::{Endpoint, Server, listener::TcpAcceptor};
-use std::{net::SocketAddr, time::Duration};
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use poem::{
+    Addr, Endpoint, Server,
+    http::uri::Scheme,
+    listener,
+    web::{LocalAddr, RemoteAddr},
+};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+};
+
+/// Time in which a client that has connected must send its request once the
+/// server no longer listens.
+const REQUEST_WAIT: Duration = Duration::from_millis(200);
 
 /// A running HTTP server. Dropping the handle stops it as [`Handle::close`]
-/// does, without waiting.
+/// does, without waiting for requests.
 #[derive(Debug)]
 pub struct Handle {
     address: SocketAddr,
+    /// Stops listening.
+    unlisten: watch::Sender<bool>,
+    /// Closes idle connections, and the others after their responses.
     stop: watch::Sender<bool>,
+    /// Counts the open connections: each holds a receiver, as does the acceptor.
+    connections: Arc<watch::Sender<()>>,
     task: JoinHandle<()>,
 }
 
@@ -20,9 +51,12 @@
         self.address
     }
 
-    /// Accepts no more connections, and waits until every request in progress has
-    /// its response or the drain time is over.
+    /// Accepts no more connections, and waits until every request has its response
+    /// or the drain time is over. Requests that arrive meanwhile are served.
     pub async fn close(self) {
+        self.unlisten.send_replace(true);
+        // Fails if connections stay open, which the next step closes.
+        let _ = tokio::time::timeout(REQUEST_WAIT, self.connections.closed()).await;
         self.stop.send_replace(true);
         // Fails only if the server's task panicked; there is nothing left to
         // close.
@@ -31,7 +65,7 @@
 }
 
 /// Binds `address` and serves `app` on it. [`Handle::close`] waits for `drain` at
-/// most.
+/// most once it has closed the idle connections.
 pub async fn bind<E: Endpoint + 'static>(
     address: SocketAddr,
     drain: Duration,
@@ -43,8 +77,15 @@
     };
     let listener = TcpListener::bind(address).await.map_err(bind_error)?;
     let address = listener.local_addr()?;
-    let acceptor = TcpAcceptor::from_tokio(listener)?;
+    let (unlisten, unlistened) = watch::channel(false);
     let (stop, mut stopped) = watch::channel(false);
+    let connections = Arc::new(watch::Sender::new(()));
+    let acceptor = Acceptor {
+        address,
+        state: State::Listening(listener),
+        unlistened,
+        open: connections.subscribe(),
+    };
     let signal = async move {
         // An error means that the handle was dropped, which stops the server too.
         let _ = stopped.wait_for(|stop| *stop).await;
@@ -59,7 +100,136 @@
     });
     Ok(Handle {
         address,
+        unlisten,
         stop,
+        connections,
         task,
     })
 }
+
+enum State {
+    Listening(TcpListener),
+    /// Takes the connections that clients opened before.
+    Emptying(std::net::TcpListener),
+    Closed,
+}
+
+/// Accepts connections until it is told to stop, and then those that are open
+/// already.
+struct Acceptor {
+    address: SocketAddr,
+    state: State,
+    unlistened: watch::Receiver<bool>,
+    /// Cloned for each connection.
+    open: watch::Receiver<()>,
+}
+
+impl listener::Acceptor for Acceptor {
+    type Io = Connection;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        vec![LocalAddr(Addr::SocketAddr(self.address))]
+    }
+
+    async fn accept(&mut self) -> io::Result<(Connection, LocalAddr, RemoteAddr, Scheme)> {
+        loop {
+            let stream = match &self.state {
+                State::Listening(listener) => tokio::select! {
+                    accepted = listener.accept() => Some(accepted?.0),
+                    // A dropped handle stops the server by its other signal.
+                    Ok(_) = self.unlistened.wait_for(|unlistened| *unlistened) => None,
+                },
+                State::Emptying(listener) => match listener.accept() {
+                    Ok((stream, _)) => {
+                        stream.set_nonblocking(true)?;
+                        Some(TcpStream::from_std(stream)?)
+                    }
+                    Err(_) => None,
+                },
+                State::Closed => std::future::pending().await,
+            };
+            match stream {
+                Some(stream) => return self.connection(stream),
+                None => self.advance()?,
+            }
+        }
+    }
+}
+
+impl Acceptor {
+    fn connection(
+        &self,
+        stream: TcpStream,
+    ) -> io::Result<(Connection, LocalAddr, RemoteAddr, Scheme)> {
+        let remote = stream.peer_addr()?;
+        let connection = Connection {
+            stream,
+            _open: self.open.clone(),
+        };
+        Ok((
+            connection,
+            LocalAddr(Addr::SocketAddr(self.address)),
+            RemoteAddr(Addr::SocketAddr(remote)),
+            Scheme::HTTP,
+        ))
+    }
+
+    /// Goes to the next state once no connection is to be expected in this one.
+    fn advance(&mut self) -> io::Result<()> {
+        self.state = match std::mem::replace(&mut self.state, State::Closed) {
+            State::Listening(listener) => State::Emptying(listener.into_std()?),
+            State::Emptying(_) | State::Closed => {
+                // From now on only connections hold receivers.
+                self.open = watch::channel(()).1;
+                State::Closed
+            }
+        };
+        Ok(())
+    }
+}
+
+/// A connection of a client.
+struct Connection {
+    stream: TcpStream,
+    _open: watch::Receiver<()>,
+}
+
+impl AsyncRead for Connection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Connection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
