Sides find a new entry within a stated time

Cause: an isolated side listed the entries once a second, and a dialler paused up to 1.2 s, while a fresh entry refuses after 0.8 s.

Change: after a listing an isolated side watches the registrations, so it learns of an entry as it registers. Dial attempts start at most reconnect::MAX_INTERVAL (0.8 s) apart, jitter and the time of the attempt included, and the entry's startup grace is that same constant.

--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -12,7 +12,10 @@
     publication::{self, Current},
     store::Lease,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
 use wire::frame::{Config, Endpoint};
 
 /// Longest interval between two reads of the document.
@@ -27,8 +30,11 @@
 /// Pause after a failed watch.
 const WATCH_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval at which a side without a connected entry lists the entries.
-const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest interval at which a side without a connected entry lists the entries.
+const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest pause after a failed listing.
+const MAX_SEARCH_RETRY_INTERVAL: Duration = Duration::from_millis(800);
 
 /// Least change of a patience floor that updates the registration, relative to
 /// the registered floor.
@@ -167,7 +173,7 @@
     let mut floors_reported = false;
     let prefix = publication::entries_prefix(&instance.environment, &instance.region);
     loop {
-        if let Ok(registrations) = list(store, &prefix).await {
+        if let Ok(Listed { registrations, .. }) = list(store, &prefix).await {
             if registrations
                 .iter()
                 .all(|other| other.name != instance.name)
@@ -195,7 +201,7 @@
 }
 
 /// Reports the registered entries to a side while it is `isolated`, which means
-/// connected to no entry.
+/// connected to no entry: at once, and again as soon as one registers.
 pub(crate) async fn find_entries<S: Store, E: From<Event>>(
     store: S,
     environment: &str,
@@ -204,21 +210,54 @@
     events: &mpsc::Sender<E>,
 ) {
     let prefix = publication::entries_prefix(environment, region);
+    let mut retry_interval = MIN_SEARCH_INTERVAL;
     while isolated.wait_for(|isolated| *isolated).await.is_ok() {
-        match list(&store, &prefix).await {
-            Ok(registrations) => {
-                let event = Event::Entries(addresses(registrations));
+        let listed_at = Instant::now();
+        let watched = match list(&store, &prefix).await {
+            Ok(listed) => {
+                let event = Event::Entries(addresses(listed.registrations));
                 if events.send(event.into()).await.is_err() {
                     return;
                 }
+                await_change(&store, &prefix, listed.revision, &mut isolated).await
+            }
+            Err(error) => {
+                log::warn!("event=entries_not_found reason=\"{error}\"");
+                Err(error)
             }
-            Err(error) => log::warn!("event=entries_not_found reason=\"{error}\""),
+        };
+        retry_interval = match watched {
+            Ok(()) => MIN_SEARCH_INTERVAL,
+            Err(_) => (retry_interval * 2).min(MAX_SEARCH_RETRY_INTERVAL),
+        };
+        tokio::time::sleep_until(listed_at + retry_interval).await;
+    }
+}
+
+/// Waits until a registration changes after `revision`, or the side is connected.
+async fn await_change<S: Store>(
+    store: &S,
+    prefix: &str,
+    revision: u64,
+    isolated: &mut watch::Receiver<bool>,
+) -> Result<(), S::Error> {
+    tokio::select! {
+        watched = store.wait(prefix, revision) => {
+            meter::count_call("entries_watch", &watched);
+            watched.map(|_| ())
         }
-        tokio::time::sleep(SEARCH_INTERVAL).await;
+        // The sender is dropped with the process, which ends the search too.
+        _ = isolated.wait_for(|isolated| !*isolated) => Ok(()),
     }
 }
 
-async fn list<S: Store>(store: &S, prefix: &str) -> Result<Vec<Registration>, S::Error> {
+/// The registrations at one revision of the store.
+struct Listed {
+    revision: u64,
+    registrations: Vec<Registration>,
+}
+
+async fn list<S: Store>(store: &S, prefix: &str) -> Result<Listed, S::Error> {
     let listing = store.list(prefix).await;
     meter::count_call("entries", &listing);
     let listing = listing?;
@@ -226,7 +265,10 @@
         .items
         .iter()
         .filter_map(|item| serde_json::from_slice(&item.value.bytes).ok());
-    Ok(registrations.collect())
+    Ok(Listed {
+        revision: listing.revision,
+        registrations: registrations.collect(),
+    })
 }
 
 fn addresses(registrations: Vec<Registration>) -> Vec<Endpoint> {
--- a/crates/hyssoppost/src/link.rs
+++ b/crates/hyssoppost/src/link.rs
@@ -8,6 +8,7 @@
 use crate::Error;
 use futures::StreamExt;
 use hashbrown::HashMap;
+use kernel::reconnect::Backoff;
 use rand::RngExt;
 use std::{
     net::SocketAddr,
@@ -25,6 +26,7 @@
     },
     sync::mpsc,
     task::JoinHandle,
+    time::Instant,
 };
 use tokio_util::codec::{Encoder, FramedRead};
 use wire::{
@@ -46,11 +48,8 @@
 /// Time limit for a write; the connection is closed when it passes.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// First pause between connection attempts; it doubles with each attempt.
-const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(50);
-
-/// Longest pause between connection attempts, before jitter.
-const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(800);
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Size from which buffered frames are written, in bytes.
 const WRITE_BUFFER_BYTES: usize = 64 * 1024;
@@ -215,7 +214,7 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(MIN_RECONNECT_DELAY).await;
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         let (local, events) = (local.clone(), events.clone());
@@ -231,19 +230,20 @@
     events: mpsc::Sender<E>,
 ) -> JoinHandle<()> {
     tokio::spawn(async move {
-        let mut delay = MIN_RECONNECT_DELAY;
+        let mut backoff = Backoff::default();
         loop {
+            let mut attempted_at = Instant::now();
             let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
             if let Ok(Ok(stream)) = connect.await
                 && let Some(reader) = establish(stream, &local, &events, Some(address)).await
             {
-                delay = MIN_RECONNECT_DELAY;
                 // The task ends with the connection, whatever its result.
                 let _ = reader.await;
+                backoff = Backoff::default();
+                attempted_at = Instant::now();
             }
-            let jitter = rand::rng().random_range(0.5..1.5);
-            tokio::time::sleep(delay.mul_f64(jitter)).await;
-            delay = (delay * 2).min(MAX_RECONNECT_DELAY);
+            let interval = backoff.next_interval(rand::rng().random());
+            tokio::time::sleep_until(attempted_at + interval).await;
         }
     })
 }
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -30,6 +30,7 @@
     event::{Event, Way},
     guard::Timing,
     mutation::{Mutant, is_seeded},
+    reconnect,
 };
 use arrivals::Arrivals;
 use backlog::Backlog;
@@ -51,10 +52,10 @@
 /// Pause before a task that a side refused is placed again.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(5);
 
-/// Time after the start within which an entry receives its rules and sides;
-/// sides that lost an entry reconnect at least this often. Jobs that arrive
-/// before wait rather than being refused for lack of information.
-const STARTUP_GRACE: Duration = Duration::from_millis(800);
+/// Time after the start within which an entry receives its rules and sides: all
+/// that know its address have tried to connect by then. Jobs that arrive before
+/// wait rather than being refused for lack of information.
+const STARTUP_GRACE: Duration = reconnect::MAX_INTERVAL;
 
 /// An action that the runtime carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod mutation;
 pub mod policy;
 pub mod queue;
+pub mod reconnect;
 pub mod side;
 pub mod work;
 
