Rules on request, and a bounded neighbourhood for each side

Cause: on 35 entries and 160 sides every entry sent new rules to every other (34 copies of a hundred kilobytes on each link when 960 routes appear), and again whenever any key of the store changed, since the listing's revision rose; it listed all rules twice a second; and the list of entries went to all sides with each entry that joined. Every side reported to every entry: 5,600 links.

Change: entries follow the operators' keys by their changes, not by listings. A side chooses 8 entries by rendezvous hashing (kernel::neighbourhood), and releases others without losing a run: it reports that it takes no more tasks, refuses orders in transit, and closes once nothing is left. Entries tell each other their shares of the hosts, so that forecasts count the whole fleet. Lists of entries go out at most every 300 ms.

Ruled out: subsets by failure domain (the list of entries names none), and sides that drop links without a release (the entry waits for their runs).

--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -26,7 +26,7 @@
     Frame,
     frame::{Hello, Role},
     id::Incarnation,
-    lease::{self, Rules},
+    lease,
 };
 
 /// Share of the drain time during which a leaving entry keeps running even if it
@@ -55,7 +55,7 @@
         job: u64,
         customer: u64,
     },
-    Rules(Rules),
+    Rules(rules::Update),
     Registry(registry::Event),
     /// Fail readiness checks, and stop within this time.
     Leave(Duration),
@@ -81,9 +81,9 @@
     }
 }
 
-impl From<Rules> for Event {
-    fn from(rules: Rules) -> Self {
-        Self::Rules(rules)
+impl From<rules::Update> for Event {
+    fn from(update: rules::Update) -> Self {
+        Self::Rules(update)
     }
 }
 
@@ -309,9 +309,11 @@
                 self.customers.remove(&customer);
                 self.kernel.remove_customer(now, job, customer);
             }
-            Event::Rules(rules) => {
+            Event::Rules(update) => {
                 self.rules_read_at = Some(now);
-                self.kernel.adopt(now, &rules, None);
+                if let rules::Update::Rules(rules) = update {
+                    self.kernel.adopt(now, &rules, None);
+                }
             }
             Event::Registry(registry::Event::Entries(entries)) => {
                 self.mesh.set_registered(entries);
--- a/crates/hyssoppost/src/leased/rules.rs
+++ b/crates/hyssoppost/src/leased/rules.rs
@@ -1,111 +1,150 @@
-//! Follows the operators' rules in the store by periodic listings and a watch.
+//! Follows the operators' rules in the store: lists their keys once, and from
+//! then on receives the changes.
 
 use crate::meter;
-use kernel::millis;
-use std::time::{Duration, Instant};
-use store::Store;
+use std::time::Duration;
+use store::{History, store::Listing};
 use tokio::sync::mpsc;
 use wire::lease::Rules;
 
-/// Interval between listings, in addition to the watch. It is a quarter of the
-/// shortest time in which any deployment requires new rules to take effect.
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// How long the store holds one call open for a change. A connection that has
+/// gone silent is noticed after this time and [`MAX_CALL_TIMEOUT`]; both together
+/// are well below the time in which new rules must take effect.
+const CHANGE_WAIT: Duration = Duration::from_millis(400);
+
+/// The same after a failed call, so that a recovered store is noticed soon.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
 
 /// Pause after a failed call.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Timeout of the first call after a failure; it doubles with each further
-/// failure. Calls sent while the store is unreachable never return, so a short
-/// timeout is needed to notice a recovered store soon.
+/// Timeout of the first call after a failure, in addition to its wait; it doubles
+/// with each further failure. Calls sent while the store is unreachable never
+/// return, so a short timeout is needed to notice a recovered store soon.
 const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Longest timeout of a call: many times the response time of a slow store.
+/// Longest timeout of a call, in addition to its wait: many times the response
+/// time of a slow store.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Follows the store until the task is aborted.
-pub(super) async fn follow<S: Store, E: From<Rules>>(store: S, events: mpsc::Sender<E>) {
-    let (changed, change) = mpsc::channel(1);
-    tokio::join!(list(&store, &events, change), watch(&store, changed));
+/// What a call to the store has shown.
+#[derive(Debug)]
+pub(super) enum Update {
+    /// The rules have changed, or are read for the first time.
+    Rules(Rules),
+    /// The last rules are the current ones.
+    Confirmed,
 }
 
-async fn list<S: Store, E: From<Rules>>(
-    store: &S,
-    events: &mpsc::Sender<E>,
-    mut change: mpsc::Receiver<()>,
-) {
-    let mut failing = false;
-    let mut call_timeout = MIN_CALL_TIMEOUT;
+/// Follows the store until the task is aborted.
+pub(super) async fn follow<S: History, E: From<Update>>(store: S, events: mpsc::Sender<E>) {
+    let mut follower = Follower {
+        store,
+        listing: None,
+        failing: false,
+        call_timeout: MIN_CALL_TIMEOUT,
+    };
     loop {
-        let started = Instant::now();
-        let read = tokio::time::timeout(call_timeout, read(store)).await;
-        let read = read.unwrap_or_else(|_| Err(format!("no answer in {call_timeout:?}")));
-        meter::count_call("rules", &read);
-        call_timeout = match read {
-            Ok(_) => MAX_CALL_TIMEOUT,
-            Err(_) if failing => (call_timeout * 2).min(MAX_CALL_TIMEOUT),
-            Err(_) => MIN_CALL_TIMEOUT,
-        };
-        let pause = match read {
-            Ok(rules) => {
-                if failing {
-                    log::info!("event=store_regained revision={}", rules.revision);
-                }
-                failing = false;
-                if events.send(rules.into()).await.is_err() {
-                    return;
-                }
-                LIST_INTERVAL
-            }
+        let update = match follower.read().await {
+            Ok(update) => update,
             Err(reason) => {
-                if !failing {
-                    log::warn!("event=store_lost reason=\"{reason}\"");
-                }
-                failing = true;
-                RETRY_INTERVAL
+                follower.record_failure(&reason);
+                tokio::time::sleep(RETRY_INTERVAL).await;
+                continue;
             }
         };
-        log::debug!("event=store_listed took_ms={}", millis(started.elapsed()));
-        tokio::select! {
-            () = tokio::time::sleep(pause) => {}
-            _ = change.recv() => {}
+        follower.record_success();
+        if let Some(update) = update
+            && events.send(update.into()).await.is_err()
+        {
+            return;
         }
     }
 }
 
-async fn read<S: Store>(store: &S) -> Result<Rules, String> {
-    let listing = store.list(platform::operator::PREFIX).await;
-    let listing = listing.map_err(|error| error.to_string())?;
-    platform::operator::decode(&listing).map_err(|error| error.to_string())
+struct Follower<S> {
+    store: S,
+    /// The operators' keys as last read; `None` before the first listing and
+    /// once the store has discarded the history since.
+    listing: Option<Listing>,
+    failing: bool,
+    call_timeout: Duration,
 }
 
-/// Triggers a listing as soon as a key changes.
-async fn watch<S: Store>(store: &S, changed: mpsc::Sender<()>) {
-    let mut watched_from = None;
-    loop {
-        let Some(revision) = watched_from else {
-            match store.list(platform::operator::PREFIX).await {
-                Ok(listing) => watched_from = Some(listing.revision),
-                Err(_) => tokio::time::sleep(RETRY_INTERVAL).await,
-            }
-            // A change between the reader's last listing and this one would
-            // otherwise be missed.
-            let _ = changed.try_send(());
-            continue;
+impl<S: History> Follower<S> {
+    /// Makes one call. Returns `None` if the keys hold no valid rules.
+    async fn read(&mut self) -> Result<Option<Update>, String> {
+        let prefix = platform::operator::PREFIX;
+        let Some(listing) = &mut self.listing else {
+            let listing = call(self.call_timeout, self.store.list(prefix)).await?;
+            let rules = decode(&listing);
+            self.listing = Some(listing);
+            return Ok(rules.map(Update::Rules));
+        };
+        let wait = if self.failing {
+            PROBE_WAIT
+        } else {
+            CHANGE_WAIT
         };
-        let watched = store.wait(platform::operator::PREFIX, revision).await;
-        meter::count_call("watch", &watched);
-        match watched {
-            Ok(true) => {
-                // If the channel is full, a listing is already due.
-                let _ = changed.try_send(());
-                watched_from = None;
+        let changes = self.store.changes(prefix, listing.revision, wait);
+        match call(self.call_timeout + wait, changes).await? {
+            Some(changes) if changes.changes.is_empty() => {
+                listing.revision = changes.revision;
+                Ok(Some(Update::Confirmed))
             }
-            Ok(false) => {}
-            Err(error) => {
-                log::debug!("event=watch_failed reason=\"{error}\"");
-                watched_from = None;
-                tokio::time::sleep(RETRY_INTERVAL).await;
+            Some(changes) => {
+                listing.apply(changes);
+                Ok(decode(listing).map(Update::Rules))
+            }
+            None => {
+                self.listing = None;
+                Ok(None)
             }
         }
     }
+
+    fn record_success(&mut self) {
+        if self.failing {
+            let revision = self.listing.as_ref().map_or(0, |listing| listing.revision);
+            log::info!("event=store_regained revision={revision}");
+        }
+        self.failing = false;
+        self.call_timeout = MAX_CALL_TIMEOUT;
+    }
+
+    fn record_failure(&mut self, reason: &str) {
+        if self.failing {
+            self.call_timeout = (self.call_timeout * 2).min(MAX_CALL_TIMEOUT);
+            return;
+        }
+        log::warn!("event=store_lost reason=\"{reason}\"");
+        self.failing = true;
+        self.call_timeout = MIN_CALL_TIMEOUT;
+    }
+}
+
+async fn call<T, E: std::fmt::Display>(
+    timeout: Duration,
+    call: impl Future<Output = Result<T, E>>,
+) -> Result<T, String> {
+    let result = match tokio::time::timeout(timeout, call).await {
+        Ok(result) => result.map_err(|error| error.to_string()),
+        Err(_) => Err(format!("no answer in {timeout:?}")),
+    };
+    meter::count_call("rules", &result);
+    result
+}
+
+/// Decodes the rules; keys that hold none are logged, and the rules in force stay.
+fn decode(listing: &Listing) -> Option<Rules> {
+    match platform::operator::decode(listing) {
+        Ok(rules) => Some(rules),
+        Err(error) => {
+            log::error!(
+                "event=rules_invalid revision={} reason=\"{error}\"",
+                listing.revision
+            );
+            None
+        }
+    }
 }
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -15,7 +15,10 @@
     mesh::Mesh,
     meter, settings,
 };
-use kernel::guard::{Action, Admission, Guard, Inventory};
+use kernel::{
+    guard::{Action, Admission, Guard, Inventory},
+    neighbourhood,
+};
 use platform::upstream::{Client, Failure, Report};
 use poem::{EndpointExt, Request, Response, endpoint::make, http::StatusCode};
 use std::{net::SocketAddr, time::Duration};
@@ -25,7 +28,7 @@
 };
 use wire::{
     Frame,
-    frame::{Hello, Role},
+    frame::{Endpoint, Hello, Role},
     id::Incarnation,
     lease::{self, Run},
 };
@@ -33,6 +36,9 @@
 /// Largest report accepted from an upstream, in bytes.
 const MAX_REPORT_BYTES: usize = 64 << 10;
 
+/// Interval at which surplus connections are looked for.
+const SURPLUS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// An event that the process handles.
 #[derive(Debug)]
 enum Event {
@@ -107,10 +113,13 @@
             registry::find_entries(store, &environment, &region, isolation, &events).await;
         });
     }
+    let mut kernel = Guard::new(timing, clock.now());
+    kernel.set_release_jitter(rand::random());
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
         published_at: Duration::ZERO,
-        kernel: Guard::new(timing, clock.now()),
+        surplus_checked_at: Duration::ZERO,
+        kernel,
         mesh: Mesh::new(local, events.clone(), settings.entries.clone()),
         client,
         events: events.clone(),
@@ -214,6 +223,7 @@
 struct Process {
     recorder: Recorder,
     published_at: Duration,
+    surplus_checked_at: Duration,
     kernel: Guard,
     mesh: Mesh<Event>,
     client: Client,
@@ -259,7 +269,7 @@
             Event::Inventory(Err(Failure::Gone)) => self.kernel.upstream_gone(now),
             Event::Inventory(Err(Failure::Fenced)) => self.kernel.hold_fenced(now),
             Event::Inventory(Err(Failure::Unanswered)) => self.kernel.hold_failed(now),
-            Event::Registry(registry::Event::Entries(entries)) => self.mesh.set_registered(entries),
+            Event::Registry(registry::Event::Entries(entries)) => self.set_entries(&entries),
             Event::Registry(_) => {}
             Event::Leave => self.kernel.leave(),
         }
@@ -283,6 +293,7 @@
 
     fn tick(&mut self, now: Duration) {
         self.close_silent(now);
+        self.release_surplus(now);
         self.kernel.tick(now);
         if now.saturating_sub(self.published_at) >= meter::PUBLISH_INTERVAL {
             self.published_at = now;
@@ -322,7 +333,7 @@
                         let _ = events.send(Event::Inventory(result)).await;
                     });
                 }
-                Action::Entries(entries) => self.mesh.set_registered(entries),
+                Action::Entries(entries) => self.set_entries(&entries),
             }
         }
         let isolated = !self.mesh.has_peers();
@@ -335,3 +346,27 @@
         }
     }
 }
+
+impl Process {
+    /// Connects to this side's choice of the entries.
+    fn set_entries(&mut self, entries: &[Endpoint]) {
+        let name = &self.mesh.local().hello.name;
+        let chosen = neighbourhood::choose(name, entries);
+        self.mesh.set_registered(chosen);
+    }
+
+    /// Ends the connections to entries that this side would no longer choose, once
+    /// they have nothing left here.
+    fn release_surplus(&mut self, now: Duration) {
+        if now.saturating_sub(self.surplus_checked_at) < SURPLUS_CHECK_INTERVAL {
+            return;
+        }
+        self.surplus_checked_at = now;
+        self.kernel.set_surplus(now, &self.mesh.surplus());
+        for entry in self.kernel.released(now) {
+            if let Some(peer) = self.mesh.release(entry) {
+                self.kernel.lose(peer.incarnation);
+            }
+        }
+    }
+}
--- a/crates/hyssoppost/src/mesh.rs
+++ b/crates/hyssoppost/src/mesh.rs
@@ -170,6 +170,27 @@
         Some(peer)
     }
 
+    /// Returns the connected peers that this process dialled and would no longer.
+    pub(crate) fn surplus(&self) -> Vec<Incarnation> {
+        let wanted = self.wanted();
+        self.connections
+            .values()
+            .filter(|connection| connection.dialled.is_some_and(|to| !wanted.contains(&to)))
+            .map(|connection| connection.peer.incarnation)
+            .collect()
+    }
+
+    /// Closes the connection to a surplus peer and dials it no more.
+    pub(crate) fn release(&mut self, to: Incarnation) -> Option<Hello> {
+        let number = self.links.get(&to)?.number();
+        let dialled = self.connections.get(&number)?.dialled?;
+        if let Some(dialer) = self.dialers.remove(&dialled) {
+            dialer.abort();
+        }
+        log::info!("event=peer_released incarnation={to} connection={number}");
+        self.remove_connection(number)
+    }
+
     /// Closes the connection to a peer; returns the peer if there was one.
     pub(crate) fn close(&mut self, to: Incarnation, reason: &str) -> Option<Hello> {
         let number = self.links.get(&to)?.number();
@@ -217,19 +238,25 @@
         endpoints
     }
 
+    /// Returns the addresses to dial: those of the registered entries, and the
+    /// seeds. A side uses its seeds only until it knows entries: all sides have the
+    /// same seeds.
+    fn wanted(&self) -> HashSet<SocketAddr> {
+        let own = &self.local.hello.address;
+        let needs_seeds = self.local.hello.role == Role::Entry || self.registered.is_empty();
+        let seeds = self.seeds.iter().filter(|_| needs_seeds);
+        self.registered
+            .iter()
+            .filter_map(|endpoint| endpoint.address.parse().ok())
+            .chain(seeds.copied())
+            .filter(|address| address.to_string() != *own)
+            .collect()
+    }
+
     /// Starts and stops dialers so that they match the registered entries and
     /// the seeds. Dialers with a live connection are kept.
     pub(crate) fn update_dialers(&mut self) {
-        let own = self.local.hello.address.clone();
-        let registered = self
-            .registered
-            .iter()
-            .filter(|endpoint| endpoint.address != own)
-            .filter_map(|endpoint| endpoint.address.parse().ok());
-        let wanted: HashSet<SocketAddr> = registered
-            .chain(self.seeds.iter().copied())
-            .filter(|address| address.to_string() != own)
-            .collect();
+        let wanted = self.wanted();
         let unwanted: Vec<SocketAddr> = self
             .dialers
             .keys()
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -8,7 +8,7 @@
 };
 use wire::{
     id::Incarnation,
-    lease::{Need, Run, Status, Upstream},
+    lease::{Need, Run, Share, Status, Upstream},
 };
 
 /// Identifies a side within one entry by its incarnation.
@@ -119,6 +119,15 @@
         upstream.map_or_else(Need::default, |declared| declared.capacity)
     }
 
+    /// Returns this entry's share of the host.
+    pub(super) fn share(&self) -> Share {
+        let entries = self.status.map_or(1, |status| status.entries.max(1));
+        Share {
+            total: u64::from(self.capacity().cpu) / u64::from(entries),
+            free: u64::from(self.room().cpu) / u64::from(entries),
+        }
+    }
+
     /// Returns whether the side is connected, accepts tasks and has reported
     /// within [`MAX_SILENCE`].
     pub(super) fn is_available(&self, now: Duration) -> bool {
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -77,9 +77,15 @@
     /// Factor on the run time of a task on another rack than its data.
     remote_factor: f64,
     rules: Option<Rules>,
+    /// [`Rules::digest`] of the rules in force; 0 without rules.
+    rules_digest: u64,
+    pull: peers::Pull,
     fleet: Fleet,
     peers: BTreeMap<Incarnation, Peer>,
     entries: Vec<Endpoint>,
+    /// Whether the sides' list of entries is out of date.
+    entries_changed: bool,
+    entries_sent_at: Duration,
     jobs: BTreeMap<u64, Job>,
     waiting: Backlog,
     /// Steps with waiting tasks for which no [`Frame::Reserve`] was sent.
@@ -111,9 +117,13 @@
             random: SmallRng::seed_from_u64(seed),
             remote_factor: 1.0,
             rules: None,
+            rules_digest: 0,
+            pull: peers::Pull::default(),
             fleet: Fleet::default(),
             peers: BTreeMap::new(),
             entries: Vec::new(),
+            entries_changed: false,
+            entries_sent_at: Duration::ZERO,
             jobs: BTreeMap::new(),
             waiting: Backlog::default(),
             unreserved: BTreeSet::new(),
@@ -281,6 +291,7 @@
         self.demote_late(now);
         self.place(now);
         self.send_echoes(now);
+        self.announce_entries(now);
         self.send_heartbeats(now);
         self.history.expire(now);
     }
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -6,15 +6,27 @@
 use wire::{
     frame::{Endpoint, Hello},
     id::Incarnation,
-    lease::{Cancel, Cancelled, Frame, Heartbeat, Rules},
+    lease::{Cancel, Cancelled, Frame, Heartbeat, Rules, Share},
 };
 
+/// Shortest interval at which the sides get the list of entries. When a whole
+/// site starts, the list changes with each entry that joins.
+const ENTRIES_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Interval between heartbeats to another entry.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time without a message after which an entry's connection is replaced.
 const MAX_SILENCE: Duration = Duration::from_millis(900);
 
+/// Time for which an entry that has rules waits for newer ones from the store
+/// before it requests them from another entry. The store tells all entries of a
+/// change at the same time; only those that it does not reach need another's copy.
+const STORE_WAIT: Duration = Duration::from_millis(250);
+
+/// Time after which requested rules are requested from another entry.
+const PULL_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time for other entries to reply whether they have a job.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -31,6 +43,17 @@
     pub(super) waiting: Vec<(u8, u64)>,
     /// Work arriving there, in core-milliseconds per second, by level.
     pub(super) arriving: Vec<(u8, u64)>,
+    /// Its shares of the hosts that it uses, by service.
+    pub(super) shares: BTreeMap<String, Share>,
+}
+
+/// Requests for newer rules to other entries.
+#[derive(Debug, Default)]
+pub(super) struct Pull {
+    /// When another entry was first seen to have newer rules.
+    behind_since: Option<Duration>,
+    /// When the last request was sent.
+    sent_at: Option<Duration>,
 }
 
 /// A customer's cancellation that was sent to the other entries.
@@ -42,14 +65,26 @@
 }
 
 impl Dispatcher {
-    /// Records a new connection to another entry and requests its rules.
+    /// Records a new connection to another entry, and requests its rules if this
+    /// entry has none.
     pub fn join_entry(&mut self, now: Duration, hello: &Hello) {
         let peer = Peer {
             last_received: now,
             ..Peer::default()
         };
         self.peers.insert(hello.incarnation, peer);
-        self.send(hello.incarnation, Frame::Pull);
+        if self.rules.is_none() {
+            self.pull(now, hello.incarnation);
+        }
+    }
+
+    /// Requests the rules of an entry, unless a request is in progress.
+    fn pull(&mut self, now: Duration, from: Incarnation) {
+        let sent_at = self.pull.sent_at;
+        if sent_at.is_none_or(|sent_at| now.saturating_sub(sent_at) >= PULL_TIMEOUT) {
+            self.pull.sent_at = Some(now);
+            self.send(from, Frame::Pull);
+        }
     }
 
     /// Records that the connection to another entry is lost.
@@ -67,12 +102,20 @@
             .collect()
     }
 
-    /// Sets the list of entries, and sends it to all sides if it changed.
+    /// Sets the list of entries; all sides get it soon if it changed.
     pub fn set_entries(&mut self, entries: &[Endpoint]) {
-        if self.entries == entries {
+        self.entries_changed |= self.entries != entries;
+        self.entries = entries.to_vec();
+    }
+
+    /// Sends the list of entries to all sides if it changed and is due.
+    pub(super) fn announce_entries(&mut self, now: Duration) {
+        let is_due = now.saturating_sub(self.entries_sent_at) >= ENTRIES_INTERVAL;
+        if !self.entries_changed || !is_due {
             return;
         }
-        self.entries = entries.to_vec();
+        self.entries_changed = false;
+        self.entries_sent_at = now;
         let sides: Vec<Incarnation> = self.fleet.iter().map(|(key, _)| key).collect();
         for side in sides {
             self.send_entries(side);
@@ -86,9 +129,13 @@
         }
     }
 
-    /// Puts rules in force unless they are older than the current ones, and sends
-    /// them to the other entries. `from` is the sending entry; `None` for the
-    /// store. Returns whether the rules were adopted.
+    /// Puts rules in force unless they are older than the current ones. `from` is
+    /// the sending entry; `None` for the store. Returns whether the rules were
+    /// adopted.
+    ///
+    /// Other entries learn the new revision from heartbeats and request what the
+    /// store has not sent them: rules that every entry sent to every other would
+    /// fill the links of all.
     pub fn adopt(&mut self, now: Duration, rules: &Rules, from: Option<Incarnation>) -> bool {
         if !is_newer(self.rules.as_ref(), rules) {
             return false;
@@ -101,11 +148,9 @@
             from,
         });
         self.rules = Some(rules.clone());
+        self.rules_digest = rules.digest();
+        self.pull = Pull::default();
         self.needs_placement = true;
-        let peers: Vec<Incarnation> = self.peers.keys().copied().collect();
-        for peer in peers {
-            self.send(peer, Frame::Rules(rules.clone()));
-        }
         self.unpark(now);
         true
     }
@@ -132,7 +177,6 @@
     }
 
     fn record_heartbeat(&mut self, now: Duration, from: Incarnation, heartbeat: Heartbeat) {
-        let revision = self.rules.as_ref().map_or(0, |rules| rules.revision);
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
@@ -141,8 +185,29 @@
         peer.pending = heartbeat.pending.into_iter().collect();
         peer.waiting = heartbeat.waiting;
         peer.arriving = heartbeat.arriving;
-        if heartbeat.revision > revision {
-            self.send(from, Frame::Pull);
+        peer.shares = heartbeat.shares.into_iter().collect();
+        self.compare_rules(now, from, heartbeat.revision, heartbeat.digest);
+    }
+
+    /// Requests the rules of another entry if they are newer and the store has not
+    /// sent them in time.
+    fn compare_rules(&mut self, now: Duration, from: Incarnation, revision: u64, digest: u64) {
+        let Some(rules) = &mut self.rules else {
+            if revision > 0 {
+                self.pull(now, from);
+            }
+            return;
+        };
+        if revision <= rules.revision {
+            return;
+        }
+        if digest == self.rules_digest {
+            rules.revision = revision;
+            return;
+        }
+        let behind_since = *self.pull.behind_since.get_or_insert(now);
+        if now.saturating_sub(behind_since) >= STORE_WAIT {
+            self.pull(now, from);
         }
     }
 
@@ -191,13 +256,32 @@
             clock: millis(now),
             echo: 0,
             revision: self.rules.as_ref().map_or(0, |rules| rules.revision),
+            digest: self.rules_digest,
             pending: pending
                 .into_iter()
                 .map(|(queue, count)| (queue.to_owned(), count))
                 .collect(),
             waiting: self.waiting.levels().collect(),
             arriving: self.arrivals.levels(now).collect(),
+            shares: self.shares(now),
+        }
+    }
+
+    /// Returns this entry's shares of its sides' hosts, by service.
+    fn shares(&self, now: Duration) -> Vec<(String, Share)> {
+        let mut shares: BTreeMap<&str, Share> = BTreeMap::new();
+        for (_, side) in self.fleet.iter() {
+            if let Some(upstream) = &side.upstream
+                && self.may_run(now, side, &upstream.service, None)
+            {
+                let sum = shares.entry(&upstream.service).or_default();
+                *sum = sum.plus(side.share());
+            }
         }
+        shares
+            .into_iter()
+            .map(|(service, share)| (service.to_owned(), share))
+            .collect()
     }
 
     /// Cancels a job at this entry or, if it is unknown here, at the others.
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -9,7 +9,7 @@
 use crate::millis;
 use rand::{RngExt, seq::SliceRandom};
 use std::{collections::BTreeMap, time::Duration};
-use wire::lease::{Frame, Progress, Reserve, Run, Start, Step, Task};
+use wire::lease::{Frame, Progress, Reserve, Run, Share, Start, Step, Task};
 
 /// Number of tasks without a suitable side after which a placement round ends.
 const MAX_MISSES: u32 = 12;
@@ -318,7 +318,13 @@
     }
 
     /// Returns whether a side's domain, state and upstream admit a service's task.
-    fn may_run(&self, now: Duration, side: &Side, service: &str, label: Option<&str>) -> bool {
+    pub(super) fn may_run(
+        &self,
+        now: Duration,
+        side: &Side,
+        service: &str,
+        label: Option<&str>,
+    ) -> bool {
         let Some(host) = &side.upstream else {
             return false;
         };
@@ -333,20 +339,14 @@
     /// Forecasts a job's wait from the work at all entries and the usable sides.
     #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
     pub(super) fn forecast(&self, now: Duration, service: &str, level: u8) -> Forecast {
-        let (mut throughput, mut free) = (0.0, 0);
-        for (_, side) in self.fleet.iter() {
-            if self.may_run(now, side, service, None) {
-                throughput += f64::from(side.capacity().cpu);
-                free += side.room().cpu;
-            }
-        }
-        if throughput == 0.0 && now < self.startup_ends {
+        let fleet = self.fleet_share(now, service);
+        if fleet.total == 0 && now < self.startup_ends {
             return Forecast {
                 startup_left: self.startup_ends.saturating_sub(now),
                 ..Forecast::default()
             };
         }
-        let throughput = f64::max(throughput, 1.0);
+        let throughput = fleet.total.max(1) as f64;
         let mean_slowness = self.fleet.mean_slowness.max(1.0);
         let others = self.peers.values().flat_map(|peer| &peer.waiting).copied();
         let queued_work = work_ahead(self.waiting.levels().chain(others), level) as f64;
@@ -359,7 +359,7 @@
         Forecast {
             startup_left: Duration::ZERO,
             queued_work: queued_work * mean_slowness
-                - f64::from(free) * self.fleet.mean_run_ms / 1e3,
+                - fleet.free as f64 * self.fleet.mean_run_ms / 1e3,
             overtaking: overtaking.min(if level == LATE_LEVEL {
                 MAX_OVERTAKING_LATE
             } else {
@@ -369,6 +369,28 @@
         }
     }
 
+    /// Returns the processors of a service's usable hosts, and the free part. Where
+    /// each side takes tasks from some entries only, the shares of all entries add
+    /// up to more than this one sees.
+    fn fleet_share(&self, now: Duration, service: &str) -> Share {
+        let (mut seen, mut share) = (Share::default(), Share::default());
+        for (_, side) in self.fleet.iter() {
+            if self.may_run(now, side, service, None) {
+                seen = seen.plus(Share {
+                    total: side.capacity().cpu.into(),
+                    free: side.room().cpu.into(),
+                });
+                share = share.plus(side.share());
+            }
+        }
+        let others = self
+            .peers
+            .values()
+            .filter_map(|peer| peer.shares.get(service));
+        let all = others.copied().fold(share, Share::plus);
+        if all.total > seen.total { all } else { seen }
+    }
+
     fn cost(&self, side: &Side, rack: Option<&str>) -> f64 {
         let capacity = side.capacity().cpu;
         let used = 1.0 - f64::from(side.room().cpu) / f64::from(capacity.max(1));
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -56,10 +56,12 @@
                 number: run.task.step,
             };
             self.queue.release_claim(from, step);
-            let refusal = if is_current {
-                self.refusal(now, *run, start.need)
-            } else {
+            let refusal = if !is_current {
                 Some(Refusal::Stale)
+            } else if self.is_released(now, from) {
+                Some(Refusal::Closed)
+            } else {
+                self.refusal(now, *run, start.need)
             };
             match refusal {
                 Some(refusal) => {
@@ -100,7 +102,8 @@
         };
         let clock = Duration::from_millis(reserve.clock);
         peer.last_contact = peer.last_contact.max(clock);
-        if now.saturating_sub(clock) <= self.timing.max_order_age() && self.is_accepting(now) {
+        let is_current = now.saturating_sub(clock) <= self.timing.max_order_age();
+        if is_current && self.is_accepting(now) && !self.is_released(now, from) {
             self.queue.push(now, from, reserve);
             self.claim(now);
         }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod guard;
 pub mod ini;
 pub mod mutation;
+pub mod neighbourhood;
 pub mod policy;
 pub mod queue;
 pub mod reconnect;
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -46,6 +46,8 @@
     /// The refusal of a repeated start order counts as proof that the run did not
     /// start.
     RepeatTrusted,
+    /// A side takes tasks from an entry that it has released.
+    ReleasedEntry,
 }
 
 #[cfg(feature = "mutation")]
--- a/crates/kernel/tests/lease_histories.rs
+++ b/crates/kernel/tests/lease_histories.rs
@@ -71,7 +71,7 @@
         let entry = self.random.random_range(0..self.site.entries.len());
         let side = self.random.random_range(0..self.site.sides.len());
         let now = self.site.now;
-        match self.random.random_range(0..30) {
+        match self.random.random_range(0..31) {
             0..=11 => {
                 self.next_job += 1;
                 let tasks = self.random.random_range(1..8);
@@ -100,10 +100,24 @@
             26 | 27 => self.site.upstreams[side].fault = Fault::None,
             28 => self.publish(&[["d0", "d1", "d2"][side % 3]]),
             29 => self.publish(&[]),
+            30 => self.change_neighbourhood(entry, side),
             _ => {}
         }
     }
 
+    /// Makes an entry surplus at a side, or none.
+    fn change_neighbourhood(&mut self, entry: usize, side: usize) {
+        let surplus = [self.site.entry_id(entry)];
+        let surplus: &[_] = if self.random.random_bool(0.7) {
+            &surplus
+        } else {
+            &[]
+        };
+        if let Some(guard) = &mut self.site.sides[side] {
+            guard.set_surplus(self.site.now, surplus);
+        }
+    }
+
     /// Puts new rules in force with the failure domains `out`.
     fn publish(&mut self, out: &[&str]) {
         self.version += 1;
@@ -172,6 +186,9 @@
                 self.site.start_side(side);
             }
             let now = self.site.now;
+            if let Some(guard) = &mut self.site.sides[side] {
+                guard.set_surplus(now, &[]);
+            }
             let stub = &mut self.site.upstreams[side];
             stub.order_delay = None;
             stub.fault = Fault::None;
@@ -311,6 +328,23 @@
     assert_eq!(site.upstreams[0].starts.len(), 1, "the task runs once");
 }
 
+/// Guards against a side that takes tasks from an entry that it has released: the
+/// order was sent before the entry was told.
+#[test]
+fn order_to_released_side() {
+    let mut site = Site::new(2, 1);
+    let surplus = [site.entry_id(0)];
+    let now = site.now;
+    site.sides[0].as_mut().unwrap().set_surplus(now, &surplus);
+    // The side reports the release 5 s later at the earliest.
+    site.run(Duration::from_millis(4_999));
+    let before = site.upstreams[0].starts.len();
+    let customer = site.submit(0, job(1, 1, 1_000, Duration::from_millis(100)));
+    site.run(Duration::from_millis(600));
+    assert_ne!(site.state(customer), Some(Phase::Completed));
+    assert_eq!(site.upstreams[0].starts.len(), before);
+}
+
 /// Number of histories within which each seeded bug must be found.
 const MUTANT_HISTORIES: u64 = 200;
 
@@ -337,7 +371,8 @@
             None => missed.push(mutant),
         }
     }
-    let directed: [(Mutant, &dyn Fn()); 3] = [
+    let directed: [(Mutant, &dyn Fn()); 4] = [
+        (Mutant::ReleasedEntry, &order_to_released_side),
         (Mutant::RepeatTrusted, &order_repeated_after_end),
         (Mutant::EarlyLife, &order_delivered_after_restart),
         (Mutant::AgainAtOnce, &resubmission_after_lost_side),
--- /dev/null
+++ b/crates/kernel/tests/neighbourhoods.rs
@@ -0,0 +1,152 @@
+//! Sides that take tasks from a bounded number of entries. At 35 entries and 160
+//! sides (folia-cluj-large) the full mesh has 5,600 links, each with reports and
+//! echoes; at 13,000 hosts it can't exist.
+
+mod site;
+
+use kernel::{
+    dispatch::Phase,
+    neighbourhood::{MAX_ENTRIES, choose},
+};
+use site::{Site, job};
+use std::{collections::BTreeMap, time::Duration};
+use wire::{frame::Endpoint, id::Incarnation};
+
+const RUN: Duration = Duration::from_millis(100);
+
+fn entries(count: usize) -> Vec<Endpoint> {
+    let entries = (0..count).map(|index| Endpoint {
+        name: format!("edge-nord-{}-{index}", index % 5),
+        address: format!("10.0.{}.{}:8166", index / 200, index % 200),
+    });
+    entries.collect()
+}
+
+fn side(index: usize) -> String {
+    format!("side-nord-{}-{index}", index % 5)
+}
+
+fn names(chosen: &[Endpoint]) -> Vec<String> {
+    chosen.iter().map(|entry| entry.name.clone()).collect()
+}
+
+#[test]
+fn few_entries_all_chosen() {
+    let all = entries(MAX_ENTRIES);
+    assert_eq!(choose("s", &all), all);
+}
+
+#[test]
+fn even_shares() {
+    for (entry_count, side_count) in [(35, 160), (54, 246), (200, 2_000), (1_000, 12_000)] {
+        let all = entries(entry_count);
+        let mut sides: BTreeMap<String, usize> = BTreeMap::new();
+        for index in 0..side_count {
+            for name in names(&choose(&side(index), &all)) {
+                *sides.entry(name).or_default() += 1;
+            }
+        }
+        let mean = side_count * MAX_ENTRIES / entry_count;
+        assert_eq!(sides.len(), entry_count, "every entry has sides");
+        for (name, count) in sides {
+            assert!(count * 2 >= mean, "{name}: {count} of {mean}");
+            assert!(count <= mean * 2, "{name}: {count} of {mean}");
+        }
+    }
+}
+
+#[test]
+fn order_without_effect() {
+    let all = entries(35);
+    let mut reversed = all.clone();
+    reversed.reverse();
+    for index in 0..50 {
+        assert_eq!(choose(&side(index), &all), choose(&side(index), &reversed));
+    }
+}
+
+#[test]
+fn few_links_move() {
+    let all = entries(35);
+    let fewer: Vec<Endpoint> = all.iter().skip(1).cloned().collect();
+    let mut moved = 0;
+    for index in 0..160 {
+        let (before, after) = (names(&choose(&side(index), &all)), {
+            names(&choose(&side(index), &fewer))
+        });
+        let new = after.iter().filter(|name| !before.contains(name)).count();
+        let expected = usize::from(before.contains(&all[0].name));
+        assert_eq!(new, expected, "only the lost entry's link moves");
+        moved += new;
+    }
+    assert!(moved < 160 / 2);
+}
+
+#[test]
+fn lost_domain() {
+    let all = entries(35);
+    for lost in 0..5 {
+        let suffix = format!("edge-nord-{lost}-");
+        for index in 0..160 {
+            let chosen = names(&choose(&side(index), &all));
+            let left = chosen.iter().filter(|name| !name.starts_with(&suffix));
+            assert!(left.count() >= 2, "side {index}, domain {lost}");
+        }
+    }
+}
+
+/// Makes entry 0 surplus at the only side, and runs until the side releases it.
+fn release(site: &mut Site) -> Incarnation {
+    let entry = site.entry_id(0);
+    let now = site.now;
+    site.sides[0].as_mut().unwrap().set_surplus(now, &[entry]);
+    site.run(Duration::from_millis(5_200));
+    entry
+}
+
+#[test]
+fn released_entry_starts_nothing() {
+    let mut site = Site::new(2, 1);
+    let entry = release(&mut site);
+    let before = site.upstreams[0].starts.len();
+    let refused = site.submit(0, job(7, 2, 1_000, RUN));
+    let served = site.submit(1, job(8, 2, 1_000, RUN));
+    site.run(Duration::from_millis(400));
+    assert_ne!(site.state(refused), Some(Phase::Completed));
+    assert_eq!(site.state(served), Some(Phase::Completed));
+    assert_eq!(site.upstreams[0].starts.len() - before, 2);
+    site.run(Duration::from_secs(1));
+    let now = site.now;
+    assert_eq!(site.sides[0].as_ref().unwrap().released(now), [entry]);
+}
+
+#[test]
+fn run_in_progress_kept() {
+    let mut site = Site::new(2, 1);
+    let entry = site.entry_id(0);
+    let now = site.now;
+    site.sides[0].as_mut().unwrap().set_surplus(now, &[entry]);
+    site.upstreams[0].run_time = Duration::from_millis(1_300);
+    site.run(Duration::from_millis(4_900));
+    let customer = site.submit(0, job(7, 1, 1_000, Duration::from_millis(1_300)));
+    site.run(Duration::from_millis(1_200));
+    let now = site.now;
+    assert!(
+        site.sides[0].as_ref().unwrap().released(now).is_empty(),
+        "a run is in progress"
+    );
+    site.run(Duration::from_millis(600));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+}
+
+#[test]
+fn chosen_again() {
+    let mut site = Site::new(2, 1);
+    release(&mut site);
+    let now = site.now;
+    site.sides[0].as_mut().unwrap().set_surplus(now, &[]);
+    site.run(Duration::from_millis(200));
+    let customer = site.submit(0, job(7, 1, 1_000, RUN));
+    site.run(Duration::from_millis(400));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+}
--- a/crates/kernel/tests/room_refusals.rs
+++ b/crates/kernel/tests/room_refusals.rs
@@ -69,6 +69,7 @@
     fn report(&mut self, pause: Duration) -> Vec<Run> {
         self.now += pause;
         let status = Status {
+            entries: 1,
             clock: u64::try_from(self.now.as_millis()).unwrap(),
             received: self.received,
             free: CAPACITY,
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -4,7 +4,7 @@
 //! Every step asserts that no task has two runs at a time, and every start that
 //! it stays within the host's capacity.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 pub mod make;
 pub mod upstream;
@@ -118,6 +118,10 @@
         Incarnation(self.next_id)
     }
 
+    pub fn entry_id(&self, index: usize) -> Incarnation {
+        self.entry_ids[index]
+    }
+
     pub fn start_side(&mut self, index: usize) {
         self.side_ids[index] = self.new_incarnation();
         self.sides[index] = Some(Guard::new(self.timing, self.now));
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,4 +11,4 @@
 pub mod store;
 
 pub use error::Error;
-pub use store::{Store, Value};
+pub use store::{History, Store, Value};
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,6 +1,6 @@
 //! Operations of the platform's store that the dispatcher uses.
 
-use std::future::Future;
+use std::{future::Future, time::Duration};
 
 /// A key's value with its revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +29,41 @@
     pub items: Vec<Item>,
 }
 
+/// A change of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// The key was written.
+    Written(Item),
+    /// The key was removed.
+    Removed(String),
+}
+
+/// The changes of all keys with a prefix between two revisions of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// Store revision up to which the changes are complete.
+    pub revision: u64,
+    /// The changes in their order.
+    pub changes: Vec<Change>,
+}
+
+impl Listing {
+    /// Brings the listing to the revision of `changes`, which must continue it.
+    pub fn apply(&mut self, changes: Changes) {
+        self.revision = changes.revision;
+        for change in changes.changes {
+            let key = match &change {
+                Change::Written(item) => &item.key,
+                Change::Removed(key) => key,
+            };
+            self.items.retain(|item| item.key != *key);
+            if let Change::Written(item) = change {
+                self.items.push(item);
+            }
+        }
+    }
+}
+
 /// Identifier of a lease. The store deletes the keys attached to a lease when
 /// it expires.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,3 +114,16 @@
         after: u64,
     ) -> impl Future<Output = Result<bool, Self::Error>> + Send;
 }
+
+/// A [`Store`] that returns the changes of its keys themselves.
+pub trait History: Store {
+    /// Returns the changes of the keys with a prefix after the store revision
+    /// `after`, as soon as there is one, or none after `wait`. Returns `None` if
+    /// the store no longer has this history: the keys must be listed again.
+    fn changes(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Option<Changes>, Self::Error>> + Send;
+}
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -4,6 +4,7 @@
 
 use crate::{frame::Endpoint, id::Incarnation};
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use std::fmt;
 
 /// Identifies one task of a job.
@@ -158,6 +159,8 @@
     pub accepting: bool,
     /// Runs of all entries at the host.
     pub runs: u16,
+    /// Number of entries that the side takes tasks from, the receiver included.
+    pub entries: u16,
 }
 
 /// Entry to side: heartbeat and acknowledgement.
@@ -262,6 +265,8 @@
     pub echo: u64,
     /// Store revision of the rules in force; 0 for none.
     pub revision: u64,
+    /// Digest of these rules' content, [`Rules::digest`]; 0 for none.
+    pub digest: u64,
     /// Number of jobs without a started task, by queue name.
     pub pending: Vec<(String, u32)>,
     /// Waiting work in core-milliseconds, by priority; work that is late has the
@@ -269,6 +274,30 @@
     pub waiting: Vec<(u8, u64)>,
     /// Arriving work in core-milliseconds per second, by priority as `waiting`.
     pub arriving: Vec<(u8, u64)>,
+    /// The sender's shares of the hosts that it uses, by service.
+    pub shares: Vec<(String, Share)>,
+}
+
+/// An entry's share of the processors of its sides' hosts. Every host counts as
+/// divided equally among the entries that its side takes tasks from, so the shares
+/// of all entries add up to the fleet.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Total, in thousandths of a core.
+    pub total: u64,
+    /// Free part of it.
+    pub free: u64,
+}
+
+impl Share {
+    /// Returns the sum.
+    #[must_use]
+    pub fn plus(self, other: Share) -> Share {
+        Share {
+            total: self.total + other.total,
+            free: self.free + other.free,
+        }
+    }
 }
 
 /// Entry to entry: the rules in force.
@@ -284,6 +313,20 @@
     pub out: Vec<String>,
 }
 
+impl Rules {
+    /// Returns a digest of the content, without the revision: the store's
+    /// revision also rises when other keys change.
+    pub fn digest(&self) -> u64 {
+        let content = (self.version, &self.queues, &self.out);
+        // Serialization into memory of plain fields cannot fail.
+        let bytes = postcard::to_allocvec(&content).unwrap_or_default();
+        let hash = Sha256::digest(&bytes);
+        hash.iter()
+            .take(8)
+            .fold(0, |digest, byte| digest << 8 | u64::from(*byte))
+    }
+}
+
 /// A queue: the jobs that it accepts and the service that runs them.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
