Steps of the time of day lock no upstream out

Cause: a side took an upstream's process for the present one only if its start time was not before the last known one, and raised its fencing token by a minute for each refusal. Where the time of day is set back between two lives, the restarted upstream was ignored for good, and a restarted side needed as many refused calls as minutes were missing.

Change: a start time that differs is a restart; an earlier one is believed from an answer to a call sent after the last known restart, never from an announcement, and start times once left behind never come back. The token's increment doubles. Malformed registrations are logged.

Ruled out: comparing seq or the upstream's steady clock, which begin anew.

--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -10,7 +10,7 @@
 use store::{
     Store,
     publication::{self, Current},
-    store::Lease,
+    store::{Item, Lease},
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -261,16 +261,27 @@
     let listing = store.list(prefix).await;
     meter::count_call("entries", &listing);
     let listing = listing?;
-    let registrations = listing
-        .items
-        .iter()
-        .filter_map(|item| serde_json::from_slice(&item.value.bytes).ok());
+    let registrations = listing.items.iter().filter_map(decode);
     Ok(Listed {
         revision: listing.revision,
         registrations: registrations.collect(),
     })
 }
 
+/// Decodes a registration; one that is malformed names no entry.
+fn decode(item: &Item) -> Option<Registration> {
+    match serde_json::from_slice(&item.value.bytes) {
+        Ok(registration) => Some(registration),
+        Err(error) => {
+            log::warn!(
+                "event=registration_invalid key={:?} reason=\"{error}\"",
+                item.key
+            );
+            None
+        }
+    }
+}
+
 fn addresses(registrations: Vec<Registration>) -> Vec<Endpoint> {
     let addresses = registrations.into_iter().map(|registration| Endpoint {
         name: registration.name,
--- a/crates/kernel/src/guard/action.rs
+++ b/crates/kernel/src/guard/action.rs
@@ -58,8 +58,8 @@
 pub struct Announcement {
     /// The part that the side passes on to entries.
     pub upstream: Upstream,
-    /// Time of the upstream's start, in milliseconds since the Unix epoch;
-    /// rises with each restart.
+    /// Time of the upstream's start, in milliseconds since the Unix epoch; differs
+    /// with each restart.
     pub started_at: u64,
     /// Whether the upstream is shutting down and starts no new tasks.
     pub leaving: bool,
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -21,6 +21,9 @@
 /// a call at an idle upstream.
 const HOLD_RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Most start times of earlier processes of the upstream that are remembered.
+const MAX_PREVIOUS_STARTS: usize = 16;
+
 /// Multiple of a run's estimate beyond which its progress is reported.
 const OVERRUN_REPORT_FACTOR: u32 = 3;
 
@@ -59,6 +62,7 @@
             return;
         }
         self.hold_token = Some(self.token);
+        self.held_since_restart = true;
         self.hold_sent_at = now;
         let is_responsive =
             now.saturating_sub(self.last_received) <= self.timing.max_upstream_silence();
@@ -99,7 +103,7 @@
 
     /// Records that the upstream has seen a higher fencing token.
     pub fn hold_fenced(&mut self, now: Duration) {
-        self.token += super::order::TOKEN_STEP;
+        self.raise_token();
         self.hold_failed(now);
     }
 
@@ -114,7 +118,7 @@
     /// Records an inventory and sends the next hold call.
     pub fn record_inventory(&mut self, now: Duration, inventory: &Inventory) {
         let token = self.hold_token.take();
-        if inventory.started_at >= self.started_at {
+        if self.is_present(inventory.started_at) {
             self.detect_restart(now, inventory.started_at);
             self.last_received = now;
             for (number, run, ending) in &inventory.unacknowledged {
@@ -132,11 +136,25 @@
         self.hold(now);
     }
 
+    /// Returns whether an inventory with this start time is of the upstream's
+    /// present process. A restart may show an earlier time than the process before
+    /// it, since the time of day can be set back. The answer is of the present
+    /// process then if its call was sent after the last known restart.
+    fn is_present(&self, started_at: u64) -> bool {
+        (started_at >= self.started_at || self.held_since_restart)
+            && !self.previous_starts.contains(&started_at)
+    }
+
     /// Resets the state if the upstream has restarted, which ended its runs.
     pub(super) fn detect_restart(&mut self, now: Duration, started_at: u64) {
-        if started_at <= self.started_at {
+        if started_at == self.started_at {
             return;
         }
+        if self.previous_starts.len() == MAX_PREVIOUS_STARTS {
+            self.previous_starts.pop_front();
+        }
+        self.previous_starts.push_back(self.started_at);
+        self.held_since_restart = false;
         self.events.push(Event::UpstreamRestarted {
             started_at,
             previous_start: self.started_at,
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -144,10 +144,16 @@
 pub struct Guard {
     timing: Timing,
     token: u64,
+    /// Next increment of the token if the upstream has seen a higher one.
+    token_step: u64,
     announced: Option<Announcement>,
     /// Start of the upstream's present process, in milliseconds since the Unix
     /// epoch.
     started_at: u64,
+    /// The same of its earlier processes.
+    previous_starts: VecDeque<u64>,
+    /// Whether a hold call was sent since the last restart that was detected.
+    held_since_restart: bool,
     /// The upstream's clock, in milliseconds, and the own clock at the newest
     /// inventory.
     clock: Option<(u64, Duration)>,
@@ -184,8 +190,11 @@
         Self {
             timing,
             token: millis(now),
+            token_step: order::MIN_TOKEN_STEP,
             announced: None,
             started_at: 0,
+            previous_starts: VecDeque::new(),
+            held_since_restart: false,
             clock: None,
             last_received: Duration::ZERO,
             runs_known: false,
@@ -317,7 +326,10 @@
 
     /// Records an announcement of the upstream.
     pub fn announce(&mut self, now: Duration, announcement: Announcement) {
-        if announcement.started_at < self.started_at {
+        // A start before the known one is confirmed by the upstream's next answer.
+        let is_earlier = announcement.started_at < self.started_at
+            || self.previous_starts.contains(&announcement.started_at);
+        if is_earlier {
             return;
         }
         self.detect_restart(now, announcement.started_at);
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -15,9 +15,10 @@
 /// Shortest time between two stop orders for one run.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Increment of the fencing token after the upstream has seen a higher token of
-/// unknown value.
-pub(super) const TOKEN_STEP: u64 = 60_000;
+/// First increment of the fencing token after the upstream has seen a higher token
+/// of unknown value; each further one is twice as long. An earlier side's token may
+/// be far higher if the time of day was set back.
+pub(super) const MIN_TOKEN_STEP: u64 = 60_000;
 
 /// The upstream's answer to a start order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -246,7 +247,7 @@
                 return;
             }
             Admission::Fenced => {
-                self.token += TOKEN_STEP;
+                self.raise_token();
                 Refusal::Upstream
             }
             Admission::OldAttempt => Refusal::Attempt,
@@ -257,6 +258,12 @@
         self.finish(now, run.task, Ending::NotRun(refusal));
     }
 
+    /// Raises the fencing token beyond one that the upstream has seen.
+    pub(super) fn raise_token(&mut self) {
+        self.token += self.token_step;
+        self.token_step = self.token_step.saturating_mul(2);
+    }
+
     /// Orders a stop, so that the run cannot start if it has not started yet.
     fn revoke(&mut self, now: Duration, task: Task) {
         if let Some(slot) = self.runs.get_mut(&task) {
--- a/crates/kernel/tests/lease_histories.rs
+++ b/crates/kernel/tests/lease_histories.rs
@@ -31,6 +31,8 @@
 struct History {
     site: Site,
     random: SmallRng,
+    /// Steps of upstreams' clocks.
+    clocks: SmallRng,
     /// Connected customers, with the entry, the job and its number of tasks.
     open: BTreeMap<u64, (usize, u64, u16)>,
     resubmissions: Vec<Resubmission>,
@@ -49,6 +51,7 @@
         Self {
             site,
             random,
+            clocks: SmallRng::seed_from_u64(!seed),
             open: BTreeMap::new(),
             resubmissions: Vec::new(),
             next_job: 0,
@@ -87,6 +90,8 @@
             21 => {
                 let alive = self.site.upstreams[side].alive;
                 self.site.upstreams[side].set_alive(now, !alive);
+                // The time of day may be set forward or back between two lives.
+                self.site.upstreams[side].started_at = self.clocks.random_range(1..1 << 40);
             }
             22 => {
                 let order_delay = self.random.random_range(0..2_500);
--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -154,6 +154,11 @@
         elapsed - elapsed * CLOCK_LAG_PER_MILLE / 1_000
     }
 
+    /// Raises the highest fencing token seen, as by a side whose clock was ahead.
+    pub fn raise_token(&mut self, ahead: Duration) {
+        self.token += u64::try_from(ahead.as_millis()).expect("fits into 64 bits");
+    }
+
     pub fn running(&self) -> impl Iterator<Item = Run> {
         self.runs.iter().map(|(task, running)| Run {
             task: *task,
