--- a/crates/hyssoppost/tests/soak/pair.rs
+++ b/crates/hyssoppost/tests/soak/pair.rs
@@ -22,9 +22,9 @@
 /// The running processes and their stand-ins.
 pub struct Pair {
     pub entry: Process,
-    _side: Process,
+    pub side: Process,
+    pub store: Store,
     _upstream: Upstream,
-    _store: Store,
     folder: PathBuf,
 }
 
@@ -93,9 +93,9 @@
         wait_until("the side to accept tasks", accepts).await;
         Self {
             entry,
-            _side: side,
+            side,
+            store,
             _upstream: upstream,
-            _store: store,
             folder,
         }
     }
