Releases, reports and forecasts in modules of their own; refusals in one spelling

Log lines and metrics name refusals in lower case (not_run:room) instead of by Rust variants; losses reads both. The pair of processes under test keeps its unused parts without a lint.

--- a/crates/hyssopctl/src/losses.rs
+++ b/crates/hyssopctl/src/losses.rs
@@ -53,9 +53,10 @@
                 None => return,
             },
             "ended" => {
-                let ending = line.get("ending").unwrap_or("?");
-                if !matches!(ending, "done" | "stopped" | "not_run:Room") {
-                    *self.endings.entry(ending.to_owned()).or_default() += 1;
+                // Earlier versions wrote refusals with a capital.
+                let ending = line.get("ending").unwrap_or("?").to_ascii_lowercase();
+                if !matches!(ending.as_str(), "done" | "stopped" | "not_run:room") {
+                    *self.endings.entry(ending).or_default() += 1;
                 }
                 return;
             }
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -151,7 +151,7 @@
 
 fn ending_label(ending: Ending) -> String {
     match ending {
-        Ending::NotRun(refusal) => format!("not_run_{refusal:?}").to_lowercase(),
+        Ending::NotRun(refusal) => format!("not_run_{refusal}"),
         other => other.to_string(),
     }
 }
--- a/crates/hyssoppost/tests/soak/pair.rs
+++ b/crates/hyssoppost/tests/soak/pair.rs
@@ -20,6 +20,7 @@
      [security]\nkey = pair-pair-pair-pair\nadmin_token = test\n";
 
 /// The running processes and their stand-ins.
+#[allow(dead_code, reason = "each test file uses a part")]
 pub struct Pair {
     pub entry: Process,
     pub side: Process,
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod backlog;
 mod fleet;
 mod follow;
+mod forecast;
 mod history;
 mod job;
 mod park;
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -1,15 +1,10 @@
 //! Placement: which waiting task is next, and on which side it runs.
 
-use super::{
-    Dispatcher, Event, Job, Key, Way,
-    backlog::{LATE_LEVEL, work_ahead},
-    fleet::Side,
-    job::State,
-};
+use super::{Dispatcher, Event, Job, Key, Way, fleet::Side, job::State};
 use crate::millis;
 use rand::{RngExt, seq::SliceRandom};
 use std::{collections::BTreeMap, time::Duration};
-use wire::lease::{Frame, Progress, Reserve, Run, Share, Start, Step, Task};
+use wire::lease::{Frame, Progress, Reserve, Run, Start, Step, Task};
 
 /// Number of tasks without a suitable side after which a placement round ends.
 const MAX_MISSES: u32 = 12;
@@ -19,13 +14,6 @@
 /// The same for each waiting task; the larger number applies.
 const RESERVE_SIDES_PER_TASK: usize = 2;
 
-/// Largest processor share assumed for overtaking jobs; their rate is an average.
-const MAX_OVERTAKING: f64 = 0.95;
-
-/// The same bound for late jobs. It is lower so that fewer of them are given up:
-/// bursts end, and a late answer is better than none.
-const MAX_OVERTAKING_LATE: f64 = 0.5;
-
 /// Weight of a host's used share in the placement cost, relative to slowness.
 const LOAD_WEIGHT: f64 = 0.25;
 
@@ -336,61 +324,6 @@
         !out && tagged && host.service == service && side.is_available(now) && !side.is_ejected(now)
     }
 
-    /// Forecasts a job's wait from the work at all entries and the usable sides.
-    #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
-    pub(super) fn forecast(&self, now: Duration, service: &str, level: u8) -> Forecast {
-        let fleet = self.fleet_share(now, service);
-        if fleet.total == 0 && now < self.startup_ends {
-            return Forecast {
-                startup_left: self.startup_ends.saturating_sub(now),
-                ..Forecast::default()
-            };
-        }
-        let throughput = fleet.total.max(1) as f64;
-        let mean_slowness = self.fleet.mean_slowness.max(1.0);
-        let others = self.peers.values().flat_map(|peer| &peer.waiting).copied();
-        let queued_work = work_ahead(self.waiting.levels().chain(others), level) as f64;
-        let others = self.peers.values().flat_map(|peer| &peer.arriving).copied();
-        let arriving = self.arrivals.levels(now).chain(others);
-        let overtaking = match level.checked_sub(1) {
-            Some(above) => work_ahead(arriving, above) as f64 * mean_slowness / throughput,
-            None => 0.0,
-        };
-        Forecast {
-            startup_left: Duration::ZERO,
-            queued_work: queued_work * mean_slowness
-                - fleet.free as f64 * self.fleet.mean_run_ms / 1e3,
-            overtaking: overtaking.min(if level == LATE_LEVEL {
-                MAX_OVERTAKING_LATE
-            } else {
-                MAX_OVERTAKING
-            }),
-            throughput,
-        }
-    }
-
-    /// Returns the processors of a service's usable hosts, and the free part. Where
-    /// each side takes tasks from some entries only, the shares of all entries add
-    /// up to more than this one sees.
-    fn fleet_share(&self, now: Duration, service: &str) -> Share {
-        let (mut seen, mut share) = (Share::default(), Share::default());
-        for (_, side) in self.fleet.iter() {
-            if self.may_run(now, side, service, None) {
-                seen = seen.plus(Share {
-                    total: side.capacity().cpu.into(),
-                    free: side.room().cpu.into(),
-                });
-                share = share.plus(side.share());
-            }
-        }
-        let others = self
-            .peers
-            .values()
-            .filter_map(|peer| peer.shares.get(service));
-        let all = others.copied().fold(share, Share::plus);
-        if all.total > seen.total { all } else { seen }
-    }
-
     fn cost(&self, side: &Side, rack: Option<&str>) -> f64 {
         let capacity = side.capacity().cpu;
         let used = 1.0 - f64::from(side.room().cpu) / f64::from(capacity.max(1));
@@ -495,28 +428,3 @@
         .filter(|slot| matches!(slot.state, State::Placed { side, .. } if side == key));
     placed_there.count() >= usize::from(most)
 }
-
-/// Inputs from which the wait of a job is estimated.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Forecast {
-    /// Remaining time in which the first sides are expected; zero after that.
-    startup_left: Duration,
-    /// Work queued before it, in core-milliseconds; negative if there is room.
-    queued_work: f64,
-    /// Share of the processor time that more urgent arrivals take, from 0 to 1.
-    overtaking: f64,
-    /// Capacity, in core-milliseconds per second.
-    throughput: f64,
-}
-
-impl Forecast {
-    /// Returns the expected wait of a job of `own` core-milliseconds. More urgent
-    /// jobs also overtake it while some of its own tasks wait.
-    #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
-    pub(super) fn wait(&self, own: u64) -> Duration {
-        let left = self.throughput * (1.0 - self.overtaking);
-        let work = self.queued_work + own as f64 * self.overtaking;
-        let seconds = if work > 0.0 { work / left } else { 0.0 };
-        self.startup_left + Duration::from_secs_f64(seconds.min(3_600.0))
-    }
-}
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Answer, Dispatcher, Event, Job, Phase, Reason, Submission, backlog::LATE_LEVEL,
-    place::Forecast, route,
+    forecast::Forecast, route,
 };
 use crate::mutation::{Mutant, is_seeded};
 use std::{collections::BTreeMap, time::Duration};
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -143,7 +143,7 @@
                 order_age,
             } => write!(
                 to,
-                "event=run_refused run={run} entry={entry} refusal={refusal:?} free_mcpu={free} age_ms={}",
+                "event=run_refused run={run} entry={entry} refusal={refusal} free_mcpu={free} age_ms={}",
                 millis(*order_age)
             ),
             Self::RunOrdered {
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -11,11 +11,14 @@
 mod hold;
 mod order;
 mod queue;
+mod release;
+mod report;
 mod timing;
 
 pub use action::{Action, Announcement, Hold, Order};
 pub use hold::{Inventory, Observation};
 pub use order::Admission;
+pub use report::MAX_REPORT_INTERVAL;
 pub use timing::Timing;
 
 use crate::{
@@ -30,32 +33,9 @@
 };
 use wire::{
     id::Incarnation,
-    lease::{Echo, End, Ending, Ends, Frame, Need, Refusal, Run, Status, Task},
+    lease::{Echo, End, Ending, Ends, Frame, Need, Refusal, Run, Task},
 };
 
-/// Longest time between two [`Status`] frames to a connected entry.
-pub const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Shortest time between two [`Status`] frames while a side has at most
-/// [`ENTRIES_AT_FULL_RATE`] entries; it batches changes that occur together.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(4);
-
-/// Number of entries beyond which reports become less frequent, so that their
-/// number per second is bounded, until [`MAX_REPORT_INTERVAL`] is reached.
-const ENTRIES_AT_FULL_RATE: u32 = 6;
-
-/// Time between reports for each entry of a side that has more than
-/// [`ENTRIES_AT_FULL_RATE`]: at most 200 reports a second to all together.
-const REPORT_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(5);
-
-/// Least time for which a side keeps an entry that it would no longer choose;
-/// lists of entries differ for a while after a change.
-const MIN_SURPLUS_TIME: Duration = Duration::from_secs(5);
-
-/// Time between a report that a side takes no more tasks from an entry and the end
-/// of their connection. Orders already sent are refused meanwhile.
-const RELEASE_TIME: Duration = Duration::from_secs(1);
-
 /// Time after the last contact for which the ends of a disconnected entry's
 /// runs are kept.
 const END_RETENTION: Duration = Duration::from_secs(10);
@@ -111,13 +91,6 @@
     surplus_since: Option<Duration>,
 }
 
-impl Peer {
-    /// Returns for how long the side has taken no more tasks from this entry.
-    fn released_for(&self, now: Duration, delay: Duration) -> Option<Duration> {
-        now.checked_sub(self.surplus_since? + delay)
-    }
-}
-
 /// Counters since the start of the process.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Stats {
@@ -208,7 +181,7 @@
             leaving: false,
             dirty: false,
             reported_at: Duration::ZERO,
-            surplus_time: MIN_SURPLUS_TIME,
+            surplus_time: release::MIN_SURPLUS_TIME,
             stats: Stats::default(),
             actions: Vec::new(),
             events: Vec::new(),
@@ -216,47 +189,6 @@
         }
     }
 
-    /// Spreads the release of surplus entries by many sides; `random` is a number
-    /// from 0 to 1.
-    pub fn set_release_jitter(&mut self, random: f64) {
-        self.surplus_time = MIN_SURPLUS_TIME.mul_f64(1.0 + random);
-    }
-
-    /// Sets the connected entries that the side would no longer choose. After a
-    /// while it takes no more tasks from them.
-    pub fn set_surplus(&mut self, now: Duration, surplus: &[Incarnation]) {
-        for (entry, peer) in &mut self.peers {
-            if surplus.contains(entry) {
-                peer.surplus_since.get_or_insert(now);
-            } else {
-                peer.surplus_since = None;
-            }
-        }
-    }
-
-    /// Returns the released entries that have nothing left here; their connections
-    /// may be closed.
-    pub fn released(&self, now: Duration) -> Vec<Incarnation> {
-        let idle = |entry: &Incarnation| self.runs.values().all(|run| run.entry != *entry);
-        self.peers
-            .iter()
-            .filter(|(_, peer)| peer.connected && peer.ends.is_empty())
-            .filter(|(_, peer)| {
-                peer.released_for(now, self.surplus_time)
-                    .is_some_and(|time| time >= RELEASE_TIME)
-            })
-            .map(|(entry, _)| *entry)
-            .filter(idle)
-            .collect()
-    }
-
-    /// Returns whether the side takes no more tasks from an entry.
-    fn is_released(&self, now: Duration, entry: Incarnation) -> bool {
-        let peer = self.peers.get(&entry);
-        peer.is_some_and(|peer| peer.released_for(now, self.surplus_time).is_some())
-            && !is_seeded(Mutant::ReleasedEntry)
-    }
-
     /// Removes and returns the actions for the runtime, in order.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -428,62 +360,6 @@
         });
     }
 
-    /// Sends a status to every connected entry, if one is due.
-    pub fn flush(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.reported_at);
-        if age < self.report_interval() || (age < MAX_REPORT_INTERVAL && !self.dirty) {
-            return;
-        }
-        self.dirty = false;
-        self.reported_at = now;
-        let (free, accepting) = (self.free(), self.is_accepting(now));
-        if accepting != self.reported_accepting {
-            self.reported_accepting = accepting;
-            self.events.push(Event::Accepting {
-                accepting,
-                leaving: self.leaving || self.announced.as_ref().is_some_and(|known| known.leaving),
-                runs_known: self.runs_known,
-                silent: now.saturating_sub(self.last_received),
-            });
-        }
-        let runs = u16::try_from(self.runs.len()).unwrap_or(u16::MAX);
-        let connected = self.peers.iter().filter(|(_, peer)| peer.connected);
-        let (released, used): (Vec<_>, Vec<_>) =
-            connected.partition(|(entry, _)| self.is_released(now, **entry));
-        let entries = u16::try_from(used.len()).unwrap_or(u16::MAX);
-        let statuses = used
-            .into_iter()
-            .map(|peer| (peer, true))
-            .chain(released.into_iter().map(|peer| (peer, false)));
-        let frames: Vec<Action> = statuses
-            .map(|((entry, peer), is_used)| {
-                let status = Status {
-                    clock: millis(now),
-                    received: peer.received,
-                    free,
-                    accepting: accepting && is_used,
-                    runs,
-                    entries,
-                };
-                Action::Send((*entry, Frame::Status(status)))
-            })
-            .collect();
-        self.actions.extend(frames);
-    }
-
-    /// Returns the shortest time between two reports for the present number of
-    /// connected entries.
-    pub fn report_interval(&self) -> Duration {
-        let connected = self.peers.values().filter(|peer| peer.connected);
-        let entries = u32::try_from(connected.count()).unwrap_or(u32::MAX);
-        if entries <= ENTRIES_AT_FULL_RATE {
-            return MIN_REPORT_INTERVAL;
-        }
-        REPORT_INTERVAL_PER_ENTRY
-            .saturating_mul(entries)
-            .min(MAX_REPORT_INTERVAL)
-    }
-
     /// Returns whether there are changes that no report has included yet.
     pub fn is_dirty(&self) -> bool {
         self.dirty
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -105,7 +105,7 @@
             Self::Failed => formatter.write_str("failed"),
             Self::Stopped => formatter.write_str("stopped"),
             Self::Lapsed => formatter.write_str("lapsed"),
-            Self::NotRun(refusal) => write!(formatter, "not_run:{refusal:?}"),
+            Self::NotRun(refusal) => write!(formatter, "not_run:{refusal}"),
         }
     }
 }
@@ -131,6 +131,21 @@
     Lost,
 }
 
+impl fmt::Display for Refusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Room => "room",
+            Self::Stale => "stale",
+            Self::Closed => "closed",
+            Self::Duplicate => "duplicate",
+            Self::Attempt => "attempt",
+            Self::Upstream => "upstream",
+            Self::Unanswered => "unanswered",
+            Self::Lost => "lost",
+        })
+    }
+}
+
 /// Side to entry: the upstream beside the side. Sent on connection and on every
 /// change.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
