--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 /// Version of the frame format; a peer with another version is refused.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 
 /// The role of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
