Dispatcher state in types with one job each

Cause: kernel::dispatch::Dispatcher had thirty fields, and every method could read and change all of them.

Change: four types hold the state, each in its own module with its own constructor: ActiveRules (rules in force, requests for newer ones, which sides may run a task), Peers (connected entries, list of entries, cancellations), Admission (arrivals, patience floors, start-up, exit, parked jobs) and Placement (backlog, steps to announce, random numbers, choice of a side). Dispatcher wires them with the fleet, the jobs and the history. Frames to and from other entries move from peers.rs to exchange.rs. Behaviour, wire format and public interface are unchanged.

--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -135,6 +135,20 @@
         self.link == Link::Up && accepting && now.saturating_sub(self.last_received) <= MAX_SILENCE
     }
 
+    /// Returns whether the side is available and its upstream not ejected.
+    pub(super) fn is_usable(&self, now: Duration) -> bool {
+        self.is_available(now) && !self.is_ejected(now)
+    }
+
+    /// Returns whether the upstream serves a service and has a label, if given.
+    pub(super) fn serves(&self, service: &str, label: Option<&str>) -> bool {
+        let Some(host) = &self.upstream else {
+            return false;
+        };
+        let tagged = label.is_none_or(|label| host.labels.iter().any(|own| own == label));
+        tagged && host.service == service
+    }
+
     /// Returns whether the upstream is ejected and no probe run is due.
     pub(super) fn is_ejected(&self, now: Duration) -> bool {
         self.ejection
--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -18,7 +18,9 @@
         let before = (side.is_available(now), side.room());
         side.report(now, status);
         let after = (side.is_available(now), side.room());
-        self.needs_placement |= after.0 && (!before.0 || !after.1.fits(before.1));
+        if after.0 && (!before.0 || !after.1.fits(before.1)) {
+            self.placement.request_round();
+        }
         let (accepting, name) = (status.accepting, side.name.clone());
         if accepting {
             self.supersede(now, from, &name);
@@ -62,7 +64,7 @@
             return;
         };
         side.link = Link::Up;
-        self.needs_placement = true;
+        self.placement.request_round();
         self.events.push(Event::SideUp {
             name: side.name.clone(),
             side: from,
--- a/crates/kernel/src/dispatch/forecast.rs
+++ b/crates/kernel/src/dispatch/forecast.rs
@@ -19,18 +19,17 @@
     #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
     pub(super) fn forecast(&self, now: Duration, service: &str, level: u8) -> Forecast {
         let fleet = self.fleet_share(now, service);
-        if fleet.total == 0 && now < self.startup_ends {
+        if fleet.total == 0 && self.admission.is_starting(now) {
             return Forecast {
-                startup_left: self.startup_ends.saturating_sub(now),
+                startup_left: self.admission.startup_left(now),
                 ..Forecast::default()
             };
         }
         let throughput = fleet.total.max(1) as f64;
         let mean_slowness = self.fleet.mean_slowness.max(1.0);
-        let others = self.peers.values().flat_map(|peer| &peer.waiting).copied();
-        let queued_work = work_ahead(self.waiting.levels().chain(others), level) as f64;
-        let others = self.peers.values().flat_map(|peer| &peer.arriving).copied();
-        let arriving = self.arrivals.levels(now).chain(others);
+        let waiting = self.placement.backlog().levels();
+        let queued_work = work_ahead(waiting.chain(self.peers.waiting()), level) as f64;
+        let arriving = self.admission.arriving(now).chain(self.peers.arriving());
         let overtaking = match level.checked_sub(1) {
             Some(above) => work_ahead(arriving, above) as f64 * mean_slowness / throughput,
             None => 0.0,
@@ -53,20 +52,14 @@
     /// up to more than this one sees.
     fn fleet_share(&self, now: Duration, service: &str) -> Share {
         let (mut seen, mut share) = (Share::default(), Share::default());
-        for (_, side) in self.fleet.iter() {
-            if self.may_run(now, side, service, None) {
-                seen = seen.plus(Share {
-                    total: side.capacity().cpu.into(),
-                    free: side.room().cpu.into(),
-                });
-                share = share.plus(side.share());
-            }
+        for (_, side) in self.rules.usable(now, &self.fleet, service) {
+            seen = seen.plus(Share {
+                total: side.capacity().cpu.into(),
+                free: side.room().cpu.into(),
+            });
+            share = share.plus(side.share());
         }
-        let others = self
-            .peers
-            .values()
-            .filter_map(|peer| peer.shares.get(service));
-        let all = others.copied().fold(share, Share::plus);
+        let all = self.peers.shares(service).fold(share, Share::plus);
         if all.total > seen.total { all } else { seen }
     }
 }
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -7,9 +7,11 @@
 //! reported the end or refused the run, or every lease that the run could have
 //! has expired.
 
+mod admission;
 mod answer;
 mod arrivals;
 mod backlog;
+mod exchange;
 mod fleet;
 mod follow;
 mod forecast;
@@ -18,6 +20,7 @@
 mod park;
 mod peers;
 mod place;
+mod placement;
 mod resubmission;
 mod rules;
 mod serve;
@@ -31,21 +34,16 @@
     event::{Event, Way},
     guard::Timing,
     mutation::{Mutant, is_seeded},
-    reconnect,
 };
-use arrivals::Arrivals;
-use backlog::Backlog;
+use admission::Admission;
 use fleet::{Link, Side};
 use history::History;
-use peers::Peer;
-use rand::{SeedableRng, rngs::SmallRng};
-use resubmission::Detector;
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use peers::Peers;
+use placement::Placement;
+use rules::ActiveRules;
+use std::{collections::BTreeMap, time::Duration};
 use wire::{
-    frame::{Endpoint, Hello},
+    frame::Hello,
     id::Incarnation,
     lease::{Addressed, Echo, End, Ending, Frame, Rules, Run},
 };
@@ -53,11 +51,6 @@
 /// Pause before a task that a side refused is placed again.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(5);
 
-/// Time after the start within which an entry receives its rules and sides: all
-/// that know its address have tried to connect by then. Jobs that arrive before
-/// wait rather than being refused for lack of information.
-const STARTUP_GRACE: Duration = reconnect::MAX_INTERVAL;
-
 /// An action that the runtime carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -71,38 +64,13 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     timing: Timing,
-    domain: String,
-    /// Differs between entries, so that they break ties differently.
-    salt: u64,
-    random: SmallRng,
-    /// Factor on the run time of a task on another rack than its data.
-    remote_factor: f64,
-    rules: Option<Rules>,
-    /// [`Rules::digest`] of the rules in force; 0 without rules.
-    rules_digest: u64,
-    pull: peers::Pull,
+    rules: ActiveRules,
+    peers: Peers,
+    admission: Admission,
+    placement: Placement,
     fleet: Fleet,
-    peers: BTreeMap<Incarnation, Peer>,
-    entries: Vec<Endpoint>,
-    /// Whether the sides' list of entries is out of date.
-    entries_changed: bool,
-    entries_sent_at: Duration,
     jobs: BTreeMap<u64, Job>,
-    waiting: Backlog,
-    /// Steps with waiting tasks for which no [`Frame::Reserve`] was sent.
-    unreserved: BTreeSet<(u64, u16)>,
-    /// Time until which missing rules and sides are expected.
-    startup_ends: Duration,
-    /// Jobs that arrived before the rules.
-    parked: Vec<park::Parked>,
-    resubmissions: Detector,
-    arrivals: Arrivals,
     history: History,
-    cancellations: BTreeMap<u64, peers::Cancellation>,
-    next_call: u64,
-    /// Time of the entry's exit, if it is shutting down.
-    exit_at: Option<Duration>,
-    needs_placement: bool,
     stats: Stats,
     actions: Vec<Action>,
     events: Vec<Event>,
@@ -113,30 +81,13 @@
     pub fn new(now: Duration, domain: &str, timing: Timing, seed: u64) -> Self {
         Self {
             timing,
-            domain: domain.to_owned(),
-            salt: seed,
-            random: SmallRng::seed_from_u64(seed),
-            remote_factor: 1.0,
-            rules: None,
-            rules_digest: 0,
-            pull: peers::Pull::default(),
+            rules: ActiveRules::new(),
+            peers: Peers::new(),
+            admission: Admission::new(now),
+            placement: Placement::new(domain, seed),
             fleet: Fleet::default(),
-            peers: BTreeMap::new(),
-            entries: Vec::new(),
-            entries_changed: false,
-            entries_sent_at: Duration::ZERO,
             jobs: BTreeMap::new(),
-            waiting: Backlog::default(),
-            unreserved: BTreeSet::new(),
-            startup_ends: now + STARTUP_GRACE,
-            parked: Vec::new(),
-            resubmissions: Detector::default(),
-            arrivals: Arrivals::default(),
             history: History::default(),
-            cancellations: BTreeMap::new(),
-            next_call: 0,
-            exit_at: None,
-            needs_placement: false,
             stats: Stats::default(),
             actions: Vec::new(),
             events: Vec::new(),
@@ -160,7 +111,7 @@
 
     /// Returns the rules in force.
     pub fn rules(&self) -> Option<&Rules> {
-        self.rules.as_ref()
+        self.rules.get()
     }
 
     /// Returns the number of jobs that have not ended.
@@ -170,7 +121,7 @@
 
     /// Returns the number of tasks that wait for free resources.
     pub fn backlog(&self) -> usize {
-        self.waiting.len()
+        self.placement.backlog().len()
     }
 
     /// Returns each side's state as last reported.
@@ -202,35 +153,35 @@
     /// connected.
     pub fn is_ready(&self) -> bool {
         let connected = self.fleet.iter().any(|(_, side)| side.link == Link::Up);
-        self.rules.is_some() && connected && self.exit_at.is_none()
+        self.rules.get().is_some() && connected && !self.admission.is_leaving()
     }
 
     /// Sets the factor on the run time of a task on another rack than its data;
     /// initially 1.
     pub fn set_remote_factor(&mut self, factor: f64) {
-        self.remote_factor = factor;
+        self.placement.set_remote_factor(factor);
     }
 
     /// Restores patience floors learnt by an earlier process or another entry:
     /// queue names with milliseconds. Queues that have a floor keep it.
     pub fn restore_floors(&mut self, patience_floors: &[(String, u32)]) {
-        self.resubmissions.restore(patience_floors);
+        self.admission.restore_floors(patience_floors);
     }
 
     /// Returns the patience floors: queue names with milliseconds.
     pub fn patience_floors(&self) -> Vec<(String, u32)> {
-        self.resubmissions.floors()
+        self.admission.floors()
     }
 
     /// Starts the shutdown: from now on only jobs that likely finish before `end`
     /// are accepted.
     pub fn leave(&mut self, end: Duration) {
-        self.exit_at = Some(end);
+        self.admission.leave(end);
     }
 
     /// Returns whether the entry is shutting down.
     pub fn is_leaving(&self) -> bool {
-        self.exit_at.is_some()
+        self.admission.is_leaving()
     }
 
     /// Records a new connection to a side.
@@ -250,7 +201,7 @@
         }
         for (id, job) in &mut self.jobs {
             for (step, _) in job.reserved.extract_if(.., |(_, side)| *side == key) {
-                self.unreserved.insert((*id, step));
+                self.placement.postpone_announcement(*id, step);
             }
         }
     }
@@ -272,7 +223,7 @@
             Frame::Upstream(upstream) => {
                 if let Some(side) = self.fleet.get_mut(from) {
                     side.upstream = upstream;
-                    self.needs_placement = true;
+                    self.placement.request_round();
                 }
             }
             Frame::Status(status) => self.record_status(now, from, status),
@@ -299,7 +250,7 @@
 
     /// Places waiting tasks if a change since the last call may let them start.
     pub fn place_if_changed(&mut self, now: Duration) {
-        if std::mem::take(&mut self.needs_placement) {
+        if self.placement.take_round_request() {
             self.place(now);
         }
     }
--- a/crates/kernel/src/dispatch/park.rs
+++ b/crates/kernel/src/dispatch/park.rs
@@ -1,18 +1,8 @@
 //! Jobs that arrive before the entry has rules.
 
-use super::{Dispatcher, Event, Reason, Submission};
+use super::{Dispatcher, Event, Reason, Submission, admission::Parked};
 use std::time::Duration;
 
-/// A submission that waits for the rules.
-#[derive(Debug)]
-pub(super) struct Parked {
-    submitted_at: Duration,
-    customer: u64,
-    host: String,
-    path: String,
-    submission: Submission,
-}
-
 impl Dispatcher {
     /// Keeps a job until the rules arrive, or refuses it if they are no longer
     /// expected.
@@ -31,27 +21,22 @@
             path: path.to_owned(),
             submission,
         };
-        if now < self.startup_ends && self.exit_at.is_none() {
-            self.parked.push(parked);
+        if self.admission.expects_rules(now) {
+            self.admission.park(parked);
         } else {
             self.refuse_parked(now, &parked);
         }
     }
 
-    /// Removes a parked job whose customer has disconnected.
-    pub(super) fn remove_parked(&mut self, customer: u64) {
-        self.parked.retain(|parked| parked.customer != customer);
-    }
-
     /// Submits the parked jobs once the rules are known, or refuses them once
     /// the rules are no longer expected.
     pub(super) fn unpark(&mut self, now: Duration) {
-        let expected = now < self.startup_ends && self.exit_at.is_none();
-        if self.parked.is_empty() || (self.rules.is_none() && expected) {
+        let has_rules = self.rules.get().is_some();
+        if !has_rules && self.admission.expects_rules(now) {
             return;
         }
-        for parked in std::mem::take(&mut self.parked) {
-            if self.rules.is_none() {
+        for parked in self.admission.take_parked() {
+            if !has_rules {
                 self.refuse_parked(now, &parked);
                 continue;
             }
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -1,28 +1,13 @@
 //! Placement: which waiting task is next, and on which side it runs.
 
-use super::{Dispatcher, Event, Job, Key, Way, fleet::Side, job::State};
+use super::{Dispatcher, Event, Key, Way, job::State, placement::is_at_host_limit};
 use crate::millis;
-use rand::{RngExt, seq::SliceRandom};
 use std::{collections::BTreeMap, time::Duration};
 use wire::lease::{Frame, Progress, Reserve, Run, Start, Step, Task};
 
 /// Number of tasks without a suitable side after which a placement round ends.
 const MAX_MISSES: u32 = 12;
 
-/// Number of sides to which a step with waiting tasks is announced, at least.
-const MIN_RESERVE_SIDES: usize = 16;
-/// The same for each waiting task; the larger number applies.
-const RESERVE_SIDES_PER_TASK: usize = 2;
-
-/// Weight of a host's used share in the placement cost, relative to slowness.
-const LOAD_WEIGHT: f64 = 0.25;
-
-/// Weight of the tie-breaker, which keeps entries from all choosing one side.
-const RANDOM_WEIGHT: f64 = 0.15;
-
-/// Placement cost of another failure domain, relative to slowness.
-const DOMAIN_COST: f64 = 0.02;
-
 /// Time to stop a run and start it elsewhere, without the run time itself.
 const MOVE_COST: Duration = Duration::from_millis(80);
 
@@ -40,12 +25,12 @@
         let mut sequence: Vec<(Key, u64, u16)> = Vec::new();
         let mut last = None;
         while misses < MAX_MISSES {
-            let Some((rank, task)) = self.waiting.next(last) else {
+            let Some((rank, task)) = self.placement.backlog().next(last) else {
                 break;
             };
             last = Some((rank, task));
             match self.place_task(now, task) {
-                Placement::Placed(side, run) => {
+                Attempt::Placed(side, run) => {
                     let key = (side, task.job, task.step);
                     let runs = orders.entry(key).or_insert_with(|| {
                         sequence.push(key);
@@ -53,8 +38,8 @@
                     });
                     runs.push(run);
                 }
-                Placement::NoRoom => misses += 1,
-                Placement::Deferred => {}
+                Attempt::NoRoom => misses += 1,
+                Attempt::Deferred => {}
             }
         }
         for key in sequence {
@@ -64,7 +49,7 @@
             self.rerank(now, key.1);
         }
         if misses > 0 {
-            for (job, step) in std::mem::take(&mut self.unreserved) {
+            for (job, step) in self.placement.take_unannounced() {
                 self.reserve(now, job, step);
             }
         }
@@ -85,19 +70,8 @@
 
     /// Updates a job's sort key and moves its waiting tasks accordingly.
     pub(super) fn rerank(&mut self, now: Duration, id: u64) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let rank = job.rank_at(now);
-        let old = std::mem::replace(&mut job.rank, rank);
-        if old == rank {
-            return;
-        }
-        for task in job.waiting() {
-            let work = job.step(task).work();
-            if self.waiting.remove(old, task, work) {
-                self.waiting.insert(rank, task, work);
-            }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            self.placement.rerank(now, job);
         }
     }
 
@@ -111,19 +85,13 @@
             return;
         }
         if job.is_paused(now, number) {
-            self.unreserved.insert((id, number));
+            self.placement.postpone_announcement(id, number);
             return;
         }
         let step = &job.submission.steps[usize::from(number)];
-        let mut sides: Vec<(Key, u64)> = self
-            .fleet
-            .iter()
-            .filter(|(_, side)| self.may_run(now, side, &job.service, step.label.as_deref()))
-            .filter(|(_, side)| step.need.fits(side.capacity()))
-            .map(|(key, side)| (key, side.status.map_or(0, |status| status.clock)))
-            .collect();
-        sides.shuffle(&mut self.random);
-        sides.truncate(MIN_RESERVE_SIDES.max(usize::from(count) * RESERVE_SIDES_PER_TASK));
+        let sides =
+            self.placement
+                .choose_announced(now, &self.rules, &self.fleet, job, (number, count));
         let reserve = |clock| Reserve {
             clock,
             step: Step { job: id, number },
@@ -138,7 +106,7 @@
             .map(|(key, clock)| (*key, Frame::Reserve(reserve(*clock))))
             .collect();
         if frames.is_empty() {
-            self.unreserved.insert((id, number));
+            self.placement.postpone_announcement(id, number);
         }
         if let Some(job) = self.jobs.get_mut(&id) {
             let known = sides.iter().map(|(key, _)| (number, *key));
@@ -173,7 +141,7 @@
         let Some(task) = task else {
             if let Some(job) = self.jobs.get_mut(&step.job) {
                 job.reserved.retain(|known| *known != (step.number, from));
-                self.unreserved.insert((step.job, step.number));
+                self.placement.postpone_announcement(step.job, step.number);
             }
             self.send(from, Frame::Unreserve(step));
             return;
@@ -208,27 +176,29 @@
         let side = self.fleet.get(from)?;
         let task = job.claimable(now, step.number, from)?;
         let wanted = job.step(task);
-        let allowed = self.may_run(now, side, &job.service, wanted.label.as_deref())
+        let allowed = self
+            .rules
+            .may_run(now, side, &job.service, wanted.label.as_deref())
             && !is_at_host_limit(job, wanted.max_per_host, task, from);
         allowed.then_some(task)
     }
 
-    fn place_task(&mut self, now: Duration, task: Task) -> Placement {
+    fn place_task(&mut self, now: Duration, task: Task) -> Attempt {
         let slot = self.jobs.get_mut(&task.job).and_then(|job| job.slot(task));
         if let Some(slot) = slot {
             if slot.not_before > now {
-                return Placement::Deferred;
+                return Attempt::Deferred;
             }
             if slot.claim_only_until > now {
-                return Placement::NoRoom;
+                return Attempt::NoRoom;
             }
         }
         let Some(key) = self.choose_side(now, task) else {
-            return Placement::NoRoom;
+            return Attempt::NoRoom;
         };
         match self.assign(now, task, key, false) {
-            Some(run) => Placement::Placed(key, run),
-            None => Placement::NoRoom,
+            Some(run) => Attempt::Placed(key, run),
+            None => Attempt::NoRoom,
         }
     }
 
@@ -236,7 +206,7 @@
     fn assign(&mut self, now: Duration, task: Task, key: Key, claimed: bool) -> Option<Run> {
         let job = self.jobs.get_mut(&task.job)?;
         let need = job.step(task).need;
-        self.waiting.remove(job.rank, task, job.step(task).work());
+        self.placement.dequeue(job, task);
         let slot = job.slot(task)?;
         slot.attempt += 1;
         let run = Run {
@@ -279,88 +249,22 @@
         self.send(key, Frame::Start(start));
     }
 
-    fn choose_side(&mut self, now: Duration, task: Task) -> Option<Key> {
+    /// Returns the side with room for a task on which it costs least.
+    fn choose_side(&self, now: Duration, task: Task) -> Option<Key> {
         let job = self.jobs.get(&task.job)?;
-        let step = job.step(task);
-        let avoid = job.tasks[usize::from(task.step)][usize::from(task.index)].avoid;
-        let mut best: Option<(f64, Key)> = None;
-        let mut fallback = None;
-        for (key, side) in self.fleet.iter() {
-            if !self.may_run(now, side, &job.service, step.label.as_deref())
-                || !step.need.fits(side.room())
-                || is_at_host_limit(job, step.max_per_host, task, key)
-            {
-                continue;
-            }
-            if avoid == Some(key) {
-                fallback = Some(key);
-                continue;
-            }
-            let cost =
-                self.cost(side, step.rack.as_deref()) + self.tie_break(key, task) * RANDOM_WEIGHT;
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, key));
-            }
-        }
-        best.map(|(_, key)| key).or(fallback)
-    }
-
-    /// Returns whether a side's domain, state and upstream admit a service's task.
-    pub(super) fn may_run(
-        &self,
-        now: Duration,
-        side: &Side,
-        service: &str,
-        label: Option<&str>,
-    ) -> bool {
-        let Some(host) = &side.upstream else {
-            return false;
-        };
-        let out = self
-            .rules
-            .as_ref()
-            .is_none_or(|rules| rules.out.contains(&side.domain));
-        let tagged = label.is_none_or(|label| host.labels.iter().any(|own| own == label));
-        !out && tagged && host.service == service && side.is_available(now) && !side.is_ejected(now)
-    }
-
-    fn cost(&self, side: &Side, rack: Option<&str>) -> f64 {
-        let capacity = side.capacity().cpu;
-        let used = 1.0 - f64::from(side.room().cpu) / f64::from(capacity.max(1));
-        let off_rack = rack.is_some_and(|rack| {
-            side.upstream
-                .as_ref()
-                .is_none_or(|known| known.labels.iter().all(|own| own != rack))
-        });
-        let slowness = side.slowness / self.fleet.mean_slowness.max(1e-3);
-        slowness * if off_rack { self.remote_factor } else { 1.0 }
-            + used * LOAD_WEIGHT
-            + if side.domain == self.domain {
-                0.0
-            } else {
-                DOMAIN_COST
-            }
-    }
-
-    /// Returns a number from 0 to 1, hashed from the side, the task and the entry.
-    fn tie_break(&self, key: Key, task: Task) -> f64 {
-        let mixed = (key.0 ^ self.salt)
-            .wrapping_add(task.job.rotate_left(u32::from(task.index)))
-            .wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        f64::from(u32::try_from(mixed >> 32).unwrap_or_default()) / f64::from(u32::MAX)
+        let (rules, fleet) = (&self.rules, &self.fleet);
+        self.placement.choose_side(now, rules, fleet, job, task)
     }
 
     /// Adds a waiting task to the backlog.
     pub(super) fn enqueue(&mut self, task: Task) {
         if let Some(job) = self.jobs.get(&task.job) {
-            self.waiting.insert(job.rank, task, job.step(task).work());
-            self.unreserved.insert((task.job, task.step));
-            self.needs_placement = true;
+            self.placement.enqueue(job, task);
         }
     }
 
     /// Returns whether a run is stalled or would end sooner on another host.
-    pub(super) fn should_move(&mut self, now: Duration, progress: Progress) -> bool {
+    pub(super) fn should_move(&self, now: Duration, progress: Progress) -> bool {
         let task = progress.run.task;
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
@@ -387,21 +291,15 @@
 
     /// Returns whether another upstream of the service is in use.
     fn has_alternative(&self, now: Duration, service: &str, run: Run) -> bool {
-        self.fleet
-            .iter()
-            .any(|(_, side)| !side.runs.contains(&run) && self.may_run(now, side, service, None))
-    }
-
-    /// Returns a random pause from `least` to twice that, to spread resubmissions.
-    pub(super) fn retry_delay(&mut self, least: Duration) -> Duration {
-        least.mul_f64(self.random.random_range(1.0..2.0))
+        self.rules
+            .usable(now, &self.fleet, service)
+            .any(|(_, side)| !side.runs.contains(&run))
     }
 
     /// Returns whether any upstream of a service is in use.
     pub(super) fn is_served(&self, now: Duration, service: &str) -> bool {
-        self.fleet
-            .iter()
-            .any(|(_, side)| self.may_run(now, side, service, None))
+        let mut usable = self.rules.usable(now, &self.fleet, service);
+        usable.next().is_some()
     }
 }
 
@@ -414,17 +312,8 @@
 }
 
 /// Outcome of an attempt to place a task.
-enum Placement {
+enum Attempt {
     Placed(Key, Run),
     NoRoom,
     Deferred,
 }
-
-/// Returns whether a side has as many tasks of the step as one host may run.
-fn is_at_host_limit(job: &Job, limit: Option<u16>, task: Task, key: Key) -> bool {
-    let Some(most) = limit else { return false };
-    let placed_there = job.tasks[usize::from(task.step)]
-        .iter()
-        .filter(|slot| matches!(slot.state, State::Placed { side, .. } if side == key));
-    placed_there.count() >= usize::from(most)
-}
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -42,7 +42,7 @@
             job.customers.push(customer);
             return;
         }
-        let Some(rules) = &self.rules else {
+        let Some(rules) = self.rules.get() else {
             self.park(now, customer, host, path, submission);
             return;
         };
@@ -51,14 +51,9 @@
             return;
         };
         let resubmit_after = self.timing.resubmit_after;
-        let resubmitted =
-            self.resubmissions
-                .learn(&queue.name, submission.patience, resubmit_after);
-        let waited = if resubmitted {
-            resubmit_after
-        } else {
-            Duration::ZERO
-        };
+        let waited =
+            self.admission
+                .learn_patience(&queue.name, submission.patience, resubmit_after);
         let job = Job::new(now, waited, customer, queue, submission);
         self.admit(now, customer, job);
     }
@@ -92,8 +87,7 @@
             patience: job.submission.patience,
             resubmitted: !job.waited.is_zero(),
         });
-        let work = job.submission.work();
-        self.arrivals.add(job.accepted, job.rank.level(), work);
+        self.admission.record_arrival(&job);
         self.delay_for_earlier_runs(&mut job);
         let tasks = job.unblock();
         self.jobs.insert(job.submission.job, job);
@@ -136,7 +130,8 @@
     /// Returns whether no upstream of a service is known or still expected.
     fn lacks_upstream(&self, now: Duration, service: &str) -> bool {
         let mut sides = self.fleet.iter();
-        now >= self.startup_ends && !sides.any(|(key, _)| self.fleet.service(key) == Some(service))
+        !self.admission.is_starting(now)
+            && !sides.any(|(key, _)| self.fleet.service(key) == Some(service))
     }
 
     /// Returns whether a job that starts at `start` may run past the entry's exit.
@@ -146,7 +141,7 @@
             .submission
             .critical_path()
             .mul_f64(mean_slowness * EXIT_SAFETY_FACTOR);
-        self.exit_at.is_some_and(|end| start + run > end)
+        self.admission.has_exited_by(start + run)
     }
 
     /// Returns whether a job that starts at `start` may end before its answer has
@@ -175,7 +170,7 @@
     /// Answers with the number of a queue's jobs of which no task has started, at
     /// all entries.
     pub fn count_pending(&mut self, customer: u64, host: &str, path: &str) {
-        let Some(rules) = &self.rules else {
+        let Some(rules) = self.rules.get() else {
             self.refuse(customer, Reason::NoRules);
             return;
         };
@@ -185,11 +180,7 @@
         };
         let name = queue.name.clone();
         let own = self.pending_of(&name);
-        let others: u32 = self
-            .peers
-            .values()
-            .map(|peer| peer.pending.get(&name).copied().unwrap_or_default())
-            .sum();
+        let others = self.peers.pending_of(&name);
         self.answer(customer, Answer::Pending(own + others));
     }
 
@@ -203,7 +194,7 @@
     /// Records that a customer has disconnected; a job without customers is
     /// stopped.
     pub fn remove_customer(&mut self, now: Duration, job: u64, customer: u64) {
-        self.remove_parked(customer);
+        self.admission.remove_parked(customer);
         let Some(open_job) = self.jobs.get_mut(&job) else {
             return;
         };
@@ -287,8 +278,7 @@
     fn drop_job(&mut self, job: u64) -> Option<Job> {
         let open_job = self.jobs.remove(&job)?;
         for task in open_job.waiting() {
-            let size = open_job.step(task).work();
-            self.waiting.remove(open_job.rank, task, size);
+            self.placement.dequeue(&open_job, task);
         }
         let mut stops: BTreeMap<super::Key, Vec<Run>> = BTreeMap::new();
         for (side, run) in open_job.placed() {
@@ -389,7 +379,7 @@
 
     pub(super) fn refuse(&mut self, customer: u64, reason: Reason) {
         self.stats.refused += 1;
-        let retry_after = self.retry_delay(MIN_RETRY_AFTER);
+        let retry_after = self.placement.retry_delay(MIN_RETRY_AFTER);
         self.answer(
             customer,
             Answer::Refused {
