wire: Endpoint in a module below frame and lease

Cause: frame imported lease::Frame, and lease imported frame::Endpoint.

Change: Endpoint moves to wire::endpoint, below both; frame re-exports it, so its path wire::frame::Endpoint stays. Encoding is unchanged.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,5 +1,7 @@
 //! Frames between entries and sides.
 
+pub use crate::endpoint::Endpoint;
+
 use crate::{
     Code, Payload,
     id::{Incarnation, Job},
@@ -148,15 +150,6 @@
     pub indices: Vec<u16>,
 }
 
-/// The name and address of an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Endpoint {
-    /// The entry's name, unique in its environment.
-    pub name: String,
-    /// Address at which the entry accepts connections, `IP:port`.
-    pub address: String,
-}
-
 /// Heartbeat, in either direction.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -2,7 +2,7 @@
 //! it needs, runs under a lease at an upstream, and may be started once more
 //! when its previous run is proved to have ended.
 
-use crate::{frame::Endpoint, id::Incarnation};
+use crate::{endpoint::Endpoint, id::Incarnation};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod code;
 pub mod codec;
+pub mod endpoint;
 pub mod frame;
 pub mod id;
 pub mod lease;
