kernel: job states, refusal causes and time limits in modules below

Cause: dispatch, event and guard imported each other: dispatch used event and guard's time limits, event used dispatch's phases and reasons, and guard used event.

Change: Phase and Reason move to kernel::outcome, Timing and MAX_REPORT_INTERVAL to kernel::timing. dispatch and guard re-export them, so existing paths stay. event imports neither dispatch nor guard, and dispatch no longer imports guard. Behaviour is unchanged.

--- a/crates/kernel/src/dispatch/answer.rs
+++ b/crates/kernel/src/dispatch/answer.rs
@@ -1,23 +1,9 @@
 //! Answers to customers, and read-only views of the dispatcher's state.
 
+use crate::outcome::{Phase, Reason};
 use std::time::Duration;
 use wire::lease::Need;
 
-/// State of a job, as reported to customers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    /// No task has started.
-    Queued,
-    /// A task has started.
-    Running,
-    /// All tasks succeeded.
-    Completed,
-    /// A task failed as often as its queue allows.
-    Failed,
-    /// A customer cancelled it.
-    Cancelled,
-}
-
 /// An answer to a customer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
@@ -42,19 +28,6 @@
     Pending(u32),
 }
 
-/// Why a job was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reason {
-    /// The entry has not received rules yet.
-    NoRules,
-    /// The entry is shutting down, and the job might run longer than it does.
-    Leaving,
-    /// The job is expected to end after its answer has lost its value.
-    Overload,
-    /// No upstream of the service is in use.
-    NoUpstream,
-}
-
 /// A side's state as last reported to this entry.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct View<'a> {
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -1,7 +1,7 @@
 //! The entry's view of its sides: connections, free resources, runs, and the
 //! health of their upstreams.
 
-use crate::guard::MAX_REPORT_INTERVAL;
+use crate::timing::MAX_REPORT_INTERVAL;
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -25,15 +25,16 @@
 mod rules;
 mod serve;
 
-pub use answer::{Answer, Phase, Reason, Stats, View};
+pub use crate::outcome::{Phase, Reason};
+pub use answer::{Answer, Stats, View};
 pub use fleet::{Fleet, Key};
 pub use job::{Job, Step, Submission};
 pub use rules::route;
 
 use crate::{
     event::{Event, Way},
-    guard::Timing,
     mutation::{Mutant, is_seeded},
+    timing::Timing,
 };
 use admission::Admission;
 use fleet::{Link, Side};
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -6,7 +6,7 @@
 
 mod text;
 
-use crate::dispatch::{Phase, Reason};
+use crate::outcome::{Phase, Reason};
 use std::time::Duration;
 use wire::{
     id::Incarnation,
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -1,10 +1,7 @@
 //! Formats events as lines of key=value pairs.
 
 use super::Event;
-use crate::{
-    dispatch::{Phase, Reason},
-    millis,
-};
+use crate::millis;
 use std::fmt;
 
 impl Event {
@@ -231,26 +228,3 @@
         self.write_job(to)
     }
 }
-
-impl fmt::Display for Reason {
-    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
-        to.write_str(match self {
-            Self::NoRules => "no_rules",
-            Self::Leaving => "leaving",
-            Self::Overload => "overload",
-            Self::NoUpstream => "no_upstream",
-        })
-    }
-}
-
-impl fmt::Display for Phase {
-    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
-        to.write_str(match self {
-            Self::Queued => "queued",
-            Self::Running => "running",
-            Self::Completed => "completed",
-            Self::Failed => "failed",
-            Self::Cancelled => "cancelled",
-        })
-    }
-}
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -13,13 +13,11 @@
 mod queue;
 mod release;
 mod report;
-mod timing;
 
+pub use crate::timing::{MAX_REPORT_INTERVAL, Timing};
 pub use action::{Action, Announcement, Hold, Order};
 pub use hold::{Inventory, Observation};
 pub use order::Admission;
-pub use report::MAX_REPORT_INTERVAL;
-pub use timing::Timing;
 
 use crate::{
     event::Event,
--- a/crates/kernel/src/guard/report.rs
+++ b/crates/kernel/src/guard/report.rs
@@ -1,13 +1,10 @@
 //! Load reports to the connected entries.
 
 use super::{Action, Guard};
-use crate::{event::Event, millis};
+use crate::{event::Event, millis, timing::MAX_REPORT_INTERVAL};
 use std::time::Duration;
 use wire::lease::{Frame, Status};
 
-/// Longest time between two [`Status`] frames to a connected entry.
-pub const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Shortest time between two [`Status`] frames while a side has at most
 /// [`ENTRIES_AT_FULL_RATE`] entries; it batches changes that occur together.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(4);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -17,10 +17,12 @@
 pub mod ini;
 pub mod mutation;
 pub mod neighbourhood;
+pub mod outcome;
 pub mod policy;
 pub mod queue;
 pub mod reconnect;
 pub mod side;
+pub mod timing;
 pub mod work;
 
 use std::time::Duration;
--- a/crates/kernel/src/timing.rs
+++ b/crates/kernel/src/timing.rs
@@ -1,7 +1,12 @@
-//! Time limits for leases, silence and calls, derived from three settings.
+//! Time limits for leases, silence, calls and reports. Most are derived from
+//! three settings.
 
 use std::time::Duration;
 
+/// Longest time between two [`wire::lease::Status`] frames from a side to a
+/// connected entry.
+pub const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Greatest rate error of an upstream's clock that runs slow.
 const MAX_CLOCK_SLOWNESS_PER_MILLE: u32 = 20;
 
