leased: events and status of an entry in a module of their own

Cause: leased/entry.rs used frontend to bind the interfaces, and leased/frontend.rs used entry's events, operations and status.

Change: Event and Status move to leased/event.rs, below both; frontend imports Operation from the platform crate, which defines it.

--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -1,7 +1,9 @@
 //! The entry process for leased tasks: accepts jobs and places their tasks.
 
 use super::{
-    EVENT_QUEUE_CAPACITY, EXIT_MARGIN, SeedSender, Seeds, dump, event_loop, frontend, hello, rules,
+    EVENT_QUEUE_CAPACITY, EXIT_MARGIN, SeedSender, Seeds, dump,
+    event::{Event, Status},
+    event_loop, frontend, hello, rules,
     telemetry::{self, Recorder},
     timing,
 };
@@ -16,7 +18,7 @@
 };
 use hashbrown::HashMap;
 use kernel::dispatch::{Action, Answer, Dispatcher};
-pub(super) use platform::customer::Operation;
+use platform::customer::Operation;
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -37,64 +39,6 @@
 /// Time without open jobs after which a leaving entry stops.
 const IDLE_BEFORE_EXIT: Duration = Duration::from_millis(200);
 
-/// An event that the process handles.
-#[derive(Debug)]
-pub(super) enum Event {
-    Link(link::Event),
-    /// The settings file lists other seeds.
-    Seeds(Seeds),
-    Call {
-        customer: u64,
-        host: String,
-        path: String,
-        operation: Operation,
-        reply: oneshot::Sender<Answer>,
-    },
-    /// A customer disconnected before its answer.
-    Disconnected {
-        job: u64,
-        customer: u64,
-    },
-    Rules(rules::Update),
-    Registry(registry::Event),
-    /// Fail readiness checks, and stop within this time.
-    Leave(Duration),
-    /// The time to stop is over: end all open jobs.
-    Abandon,
-}
-
-impl From<Seeds> for Event {
-    fn from(seeds: Seeds) -> Self {
-        Self::Seeds(seeds)
-    }
-}
-
-impl From<link::Event> for Event {
-    fn from(event: link::Event) -> Self {
-        Self::Link(event)
-    }
-}
-
-impl From<registry::Event> for Event {
-    fn from(event: registry::Event) -> Self {
-        Self::Registry(event)
-    }
-}
-
-impl From<rules::Update> for Event {
-    fn from(update: rules::Update) -> Self {
-        Self::Rules(update)
-    }
-}
-
-/// The process's state as the HTTP interfaces and [`Handle`] see it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) struct Status {
-    pub(super) ready: bool,
-    pub(super) leaving: bool,
-    pub(super) idle: bool,
-}
-
 /// A running entry.
 #[derive(Debug)]
 pub struct Handle {
--- /dev/null
+++ b/crates/hyssoppost/src/leased/event.rs
@@ -0,0 +1,66 @@
+//! Events that an entry process handles, and its state as its interfaces see it.
+
+use super::{Seeds, rules};
+use crate::{entry::registry, link};
+use kernel::dispatch::Answer;
+use platform::customer::Operation;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// An event that the process handles.
+#[derive(Debug)]
+pub(super) enum Event {
+    Link(link::Event),
+    /// The settings file lists other seeds.
+    Seeds(Seeds),
+    Call {
+        customer: u64,
+        host: String,
+        path: String,
+        operation: Operation,
+        reply: oneshot::Sender<Answer>,
+    },
+    /// A customer disconnected before its answer.
+    Disconnected {
+        job: u64,
+        customer: u64,
+    },
+    Rules(rules::Update),
+    Registry(registry::Event),
+    /// Fail readiness checks, and stop within this time.
+    Leave(Duration),
+    /// The time to stop is over: end all open jobs.
+    Abandon,
+}
+
+impl From<Seeds> for Event {
+    fn from(seeds: Seeds) -> Self {
+        Self::Seeds(seeds)
+    }
+}
+
+impl From<link::Event> for Event {
+    fn from(event: link::Event) -> Self {
+        Self::Link(event)
+    }
+}
+
+impl From<registry::Event> for Event {
+    fn from(event: registry::Event) -> Self {
+        Self::Registry(event)
+    }
+}
+
+impl From<rules::Update> for Event {
+    fn from(update: rules::Update) -> Self {
+        Self::Rules(update)
+    }
+}
+
+/// The process's state as the HTTP interfaces and [`Handle`] see it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Status {
+    pub(super) ready: bool,
+    pub(super) leaving: bool,
+    pub(super) idle: bool,
+}
--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -1,7 +1,8 @@
 //! HTTP interfaces of an entry for customers and for the load balancer.
 
-use super::entry::{Event, Operation, Status};
+use super::event::{Event, Status};
 use crate::{Error, http, settings};
+use platform::customer::Operation;
 use poem::{Body, EndpointExt, Request, Response, endpoint::make, http::StatusCode};
 use std::{
     sync::{
--- a/crates/hyssoppost/src/leased/mod.rs
+++ b/crates/hyssoppost/src/leased/mod.rs
@@ -3,6 +3,7 @@
 
 mod dump;
 pub mod entry;
+mod event;
 mod event_loop;
 mod frontend;
 mod rules;
