Settings key listen.customers; callers stays as an alias

Cause: the code, the log and the documentation call them customers; only the settings key said callers.

Change: Reader::required_alias reads a value under exactly one of two names. Faults name the key that is present, or customers if neither is; both together are a fault.

--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -169,7 +169,7 @@
         );
         let common = read_common(&mut reader, "entry");
         let region = reader.optional("entry", "region", EXPECTED_REGION);
-        let customers = reader.required("listen", "callers", EXPECTED_ADDRESS);
+        let customers = reader.required_alias("listen", "customers", "callers", EXPECTED_ADDRESS);
         let links = reader.required("listen", "links", EXPECTED_ADDRESS);
         let advertise = reader.optional("listen", "advertise", EXPECTED_ADDRESS);
         let store = reader.required("store", "address", EXPECTED_ADDRESS);
--- a/crates/hyssoppost/tests/settings_faults.rs
+++ b/crates/hyssoppost/tests/settings_faults.rs
@@ -78,6 +78,38 @@
     );
 }
 
+/// Guards against settings in which only one of the two names of the customers'
+/// address is read, or faults that name the other one.
+#[test]
+fn customers_under_either_name() {
+    let renamed = ENTRY.replace("callers =", "customers =");
+    let (old, new) = (
+        settings::Entry::parse(ENTRY).unwrap(),
+        settings::Entry::parse(&renamed).unwrap(),
+    );
+    assert_eq!(old.customers, new.customers);
+    let bad = renamed.replace("customers = 127.0.0.1:0", "customers = localhost");
+    assert_eq!(
+        entry_faults(&bad),
+        [r#"line=7 section="listen" key="customers" expected="an address as IP:port""#]
+    );
+    let missing = ENTRY.replace("callers = 127.0.0.1:0\n", "");
+    assert_eq!(
+        entry_faults(&missing),
+        [r#"line=6 section="listen" key="customers" expected="an address as IP:port""#]
+    );
+}
+
+/// Guards against two addresses of which one is silently ignored.
+#[test]
+fn customers_under_both_names() {
+    let both = ENTRY.replace("callers =", "customers = 127.0.0.1:1\ncallers =");
+    assert_eq!(
+        entry_faults(&both),
+        [r#"line=8 section="listen" key="callers" expected="customers or callers, not both""#]
+    );
+}
+
 #[test]
 fn short_key() {
     let found = entry_faults(&ENTRY.replace("0123456789abcdef", "short"));
--- a/crates/kernel/src/ini.rs
+++ b/crates/kernel/src/ini.rs
@@ -102,16 +102,37 @@
     /// Returns a value that must be present. Records a fault if it is absent or
     /// does not parse.
     pub fn required<T: FromStr>(&mut self, section: &str, key: &str, expected: &str) -> Option<T> {
-        let present = self
-            .ini
-            .section(Some(section))
-            .is_some_and(|properties| properties.contains_key(key));
-        if !present {
+        if !self.has_key(section, key) {
             self.fault(section, key, expected);
         }
         self.optional(section, key, expected)
     }
 
+    /// Returns a value that must be present under exactly one of two names of its
+    /// key. Faults of the value name the key that is present.
+    pub fn required_alias<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        alias: &str,
+        expected: &str,
+    ) -> Option<T> {
+        if !self.has_key(section, alias) {
+            return self.required(section, key, expected);
+        }
+        if self.has_key(section, key) {
+            let both = format!("{key} or {alias}, not both");
+            self.fault(section, alias, &both);
+            self.optional::<T>(section, key, expected);
+        }
+        self.optional(section, alias, expected)
+    }
+
+    fn has_key(&self, section: &str, key: &str) -> bool {
+        let properties = self.ini.section(Some(section));
+        properties.is_some_and(|properties| properties.contains_key(key))
+    }
+
     /// Records a fault of a key, or of the section if `key` is empty.
     pub fn fault(&mut self, section: &str, key: &str, expected: &str) {
         self.faults.push(Fault {
