--- a/crates/kernel/src/neighbourhood.rs
+++ b/crates/kernel/src/neighbourhood.rs
@@ -5,6 +5,7 @@
 //! first ones. The choice needs no agreement, entries get even shares of the
 //! sides, and an entry that joins or leaves moves only the links of its own.
 
+use sha2::{Digest, Sha256};
 use wire::frame::Endpoint;
 
 /// Most entries that a side takes tasks from. The loss of two failure domains out
@@ -25,14 +26,27 @@
     ranked.into_iter().map(|(_, entry)| entry.clone()).collect()
 }
 
-/// Hashes a pair of names: FNV-1a, with the finalizer of `SplitMix64`, since names
-/// differ in few characters.
+/// Hashes a pair of names: the first 64 bits, in little-endian order, of SHA-256
+/// of the side's name, a zero byte and the entry's name. All builds in a deployment
+/// must compute the same value, so the hash is one whose output is standardized.
 fn weight(side: &str, entry: &str) -> u64 {
-    let bytes = side.bytes().chain([0]).chain(entry.bytes());
-    let hash = bytes.fold(0xCBF2_9CE4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01B3)
-    });
-    let mixed = (hash ^ (hash >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    mixed ^ (mixed >> 31)
+    let digest = Sha256::new()
+        .chain_update(side)
+        .chain_update([0])
+        .chain_update(entry)
+        .finalize();
+    let first = digest.iter().take(8).rev();
+    first.fold(0, |hash, byte| hash << 8 | u64::from(*byte))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::weight;
+
+    /// Guards against a change of the hash, by which sides of different builds
+    /// would choose different entries.
+    #[test]
+    fn pinned_weight() {
+        assert_eq!(weight("side-1", "entry-1"), 0x584D_61CD_D609_6038);
+    }
 }
