--- a/crates/hyssopctl/src/losses.rs
+++ b/crates/hyssopctl/src/losses.rs
@@ -47,7 +47,7 @@
         let cause = match line.event.as_str() {
             "refused" if line.get("held_ms") == Some("0") => Cause::RefusedAtOnce,
             "refused" => Cause::RefusedLater,
-            "given_up" => Cause::GivenUp,
+            "given_up" | "forward_lost" => Cause::GivenUp,
             "answered" => match answer_cause(line) {
                 Some(cause) => cause,
                 None => return,
--- a/crates/hyssopctl/src/model/product.rs
+++ b/crates/hyssopctl/src/model/product.rs
@@ -271,6 +271,10 @@
                             self.ends[job] = end(&answer, at);
                         }
                     }
+                    // The entries state no processor, so none forwards jobs.
+                    dispatch::Action::Respond(..)
+                    | dispatch::Action::Reply(..)
+                    | dispatch::Action::Serve(..) => {}
                 }
             }
         }
@@ -379,6 +383,7 @@
         domain: format!("d{}", index % 3),
         rack: String::new(),
         address: String::new(),
+        processor: 0,
         number: 0,
         nonce: 0,
     }
--- a/crates/hyssopctl/src/trace.rs
+++ b/crates/hyssopctl/src/trace.rs
@@ -68,10 +68,22 @@
 /// Returns the cause of a job's outcome, from its lines in order of time.
 pub fn cause(lines: &[Line]) -> String {
     let last = |event: &str| lines.iter().rev().find(|line| line.event == event);
-    if let Some(line) = last("refused") {
-        return refusal(line);
+    let forwarded = lines.iter().rposition(|line| line.event == "job_forwarded");
+    // What an entry refuses to which a job was forwarded may be forwarded again.
+    let refused = lines.iter().rposition(|line| line.event == "refused");
+    if let Some(index) = refused.filter(|index| Some(*index) >= forwarded) {
+        return refusal(&lines[index]) + &owners(lines);
+    }
+    let delays = owners(lines) + &delays(lines);
+    if let Some(line) = last("forward_lost")
+        && last("answered").is_none()
+    {
+        return format!(
+            "owner {} lost after {} ms; a task may have run{delays}",
+            line.get("peer").unwrap_or("?"),
+            line.number("held_ms")
+        );
     }
-    let delays = delays(lines);
     if let Some(line) = last("given_up") {
         return format!(
             "given up after {} ms with {} tasks unfinished; a task may have run{delays}",
@@ -94,6 +106,18 @@
     format!("no outcome in these logs{delays}")
 }
 
+/// Lists the entries to which a job was forwarded.
+fn owners(lines: &[Line]) -> String {
+    let owners = lines.iter().filter(|line| line.event == "job_taken_over");
+    let owners: Vec<String> = owners
+        .map(|line| {
+            let from = line.get("from").unwrap_or("?");
+            format!("; taken over by {} from {from}", line.process)
+        })
+        .collect();
+    owners.concat()
+}
+
 fn refusal(line: &Line) -> String {
     let held = line.number("held_ms");
     let when = if held == 0 {
--- a/crates/hyssopctl/tests/site_failures.rs
+++ b/crates/hyssopctl/tests/site_failures.rs
@@ -313,6 +313,7 @@
         domain: "nord-a".to_owned(),
         rack: String::new(),
         address: String::new(),
+        processor: 0,
         number: 0,
         nonce: 0,
     };
@@ -406,6 +407,7 @@
         domain: "nord-a".to_owned(),
         rack: String::new(),
         address: String::new(),
+        processor: 0,
         number: 1,
         nonce: 7,
     };
--- a/crates/hyssoppost/src/entry/mod.rs
+++ b/crates/hyssoppost/src/entry/mod.rs
@@ -142,6 +142,7 @@
             region: settings.region.clone(),
             name: settings.common.name.clone(),
             address: advertised.to_string(),
+            processor: 0,
         },
         events.clone(),
     ));
@@ -175,6 +176,7 @@
         domain: common.domain.clone(),
         rack: String::new(),
         address: String::new(),
+        processor: 0,
         number: 0,
         nonce: 0,
     }
--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -4,7 +4,7 @@
 //! Calls per second of one entry: 1 read of the document, 0.5 listings of the
 //! entries with one renewal of the lease each, and 0.1 watches.
 
-use crate::meter;
+use crate::{meter, settings};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
 use store::{
@@ -67,12 +67,17 @@
     pub(crate) region: String,
     pub(crate) name: String,
     pub(crate) address: String,
+    /// Processor in thousandths of a core; 0 if it is unknown.
+    pub(crate) processor: u32,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Registration {
     name: String,
     address: String,
+    /// Absent in the registrations of builds without it.
+    #[serde(default)]
+    processor: u32,
     #[serde(default, rename = "marks")]
     floors: Floors,
 }
@@ -268,10 +273,21 @@
     })
 }
 
-/// Decodes a registration; one that is malformed names no entry.
+/// Decodes a registration; one that is malformed names no entry, and a processor
+/// out of range counts as unknown.
 fn decode(item: &Item) -> Option<Registration> {
-    match serde_json::from_slice(&item.value.bytes) {
-        Ok(registration) => Some(registration),
+    match serde_json::from_slice::<Registration>(&item.value.bytes) {
+        Ok(mut registration) => {
+            if registration.processor > settings::MAX_PROCESSOR {
+                log::warn!(
+                    "event=registration_invalid key={:?} reason=\"processor {} out of range\"",
+                    item.key,
+                    registration.processor
+                );
+                registration.processor = 0;
+            }
+            Some(registration)
+        }
         Err(error) => {
             log::warn!(
                 "event=registration_invalid key={:?} reason=\"{error}\"",
@@ -286,6 +302,7 @@
     let addresses = registrations.into_iter().map(|registration| Endpoint {
         name: registration.name,
         address: registration.address,
+        processor: registration.processor,
     });
     addresses.collect()
 }
@@ -335,6 +352,7 @@
     let registration = Registration {
         name: instance.name.clone(),
         address: instance.address.clone(),
+        processor: instance.processor,
         floors,
     };
     let bytes = serde_json::to_vec(&registration).ok()?;
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -17,8 +17,8 @@
     meter, settings,
 };
 use hashbrown::HashMap;
-use kernel::dispatch::{Action, Answer, Dispatcher};
-use platform::customer::Operation;
+use kernel::dispatch::{Action, Dispatcher, Request};
+use platform::customer::{Operation, Response};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -60,7 +60,13 @@
     let listener = link::listen(settings.links).await?;
     let links = listener.local_addr()?;
     let advertised = settings.advertise.unwrap_or(links);
-    let hello = hello(&settings.common, Role::Entry, advertised.to_string());
+    let processor = processor(&settings);
+    let hello = hello(
+        &settings.common,
+        Role::Entry,
+        advertised.to_string(),
+        processor,
+    );
     let incarnation = hello.incarnation;
     let local = Local::new(hello, settings.common.keys.clone());
     let mut services = JoinSet::new();
@@ -68,26 +74,28 @@
     let (status, watched) = watch::channel(Status::default());
     let admin = admin::bind(&settings.common, dump_requests).await?;
     let metrics = admin::bind_metrics(&settings.common).await?;
-    let customers = frontend::bind(&settings, events.clone(), watched.clone()).await?;
+    let clock = Clock::default();
+    let customers = frontend::bind(&settings, clock, events.clone(), watched.clone()).await?;
     let readiness = frontend::bind_readiness(lease.readiness, watched.clone()).await?;
     let store = platform::store::Client::open(settings.store)?;
     services.spawn(rules::follow(store.clone(), events.clone()));
     let (floors, floor_updates) = watch::channel(registry::Floors::new());
     services.spawn(keep_registered(
         store,
-        instance(&settings, advertised),
+        instance(&settings, advertised, processor),
         floor_updates,
         events.clone(),
     ));
     let seed = settings.seed.unwrap_or_else(rand::random);
-    let clock = Clock::default();
     let domain = &settings.common.domain;
     let mut kernel = Dispatcher::new(clock.now(), domain, timing(lease), seed);
     kernel.set_remote_factor(lease.remote_factor);
+    kernel.set_processor(&settings.common.name, processor);
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
         published_at: Duration::ZERO,
         rules_read_at: None,
+        clock,
         kernel,
         mesh: Mesh::new(local, events.clone(), settings.peers.clone()),
         floors,
@@ -96,7 +104,8 @@
     };
     let process = tokio::spawn(event_loop::run(process, clock, event_queue, dump_queue));
     log::info!(
-        "event=entry_started name={} incarnation={incarnation} customers={} links={links} readiness={} admin={}",
+        "event=entry_started name={} incarnation={incarnation} customers={} links={links} readiness={} admin={} \
+         processor_mcpu={processor}",
         settings.common.name,
         customers.address(),
         readiness.address(),
@@ -114,12 +123,29 @@
     })
 }
 
-fn instance(settings: &settings::Entry, advertised: SocketAddr) -> registry::Instance {
+/// Returns the processor available to the process, in thousandths of a core; 0 if it
+/// is unknown. A value out of range is reported and counts as unknown.
+fn processor(settings: &settings::Entry) -> u32 {
+    let Some(cores) = settings.processor else {
+        return 0;
+    };
+    settings::thousandths(cores).unwrap_or_else(|| {
+        log::warn!("event=setting_ignored section=limits key=processor value={cores}");
+        0
+    })
+}
+
+fn instance(
+    settings: &settings::Entry,
+    advertised: SocketAddr,
+    processor: u32,
+) -> registry::Instance {
     registry::Instance {
         environment: settings.common.environment.clone(),
         region: settings.region.clone(),
         name: settings.common.name.clone(),
         address: advertised.to_string(),
+        processor,
     }
 }
 
@@ -201,12 +227,13 @@
     published_at: Duration,
     /// When the store last returned the rules.
     rules_read_at: Option<Duration>,
+    clock: Clock,
     kernel: Dispatcher,
     mesh: Mesh<Event>,
     /// Patience floors to write to the store.
     floors: watch::Sender<registry::Floors>,
     status: watch::Sender<Status>,
-    customers: HashMap<u64, oneshot::Sender<Answer>>,
+    customers: HashMap<u64, oneshot::Sender<Response>>,
 }
 
 impl event_loop::Process for Process {
@@ -249,6 +276,29 @@
                     Operation::Count => self.kernel.count_pending(customer, &host, &path),
                 }
             }
+            Event::Request {
+                customer,
+                job,
+                host,
+                path,
+                patience,
+                arrived,
+                body,
+                reply,
+            } => {
+                self.customers.insert(customer, reply);
+                let request = Request {
+                    job,
+                    host,
+                    path,
+                    patience,
+                    arrived,
+                    body,
+                };
+                if let Some(request) = self.kernel.forward(now, customer, request) {
+                    self.serve(now, customer, &request);
+                }
+            }
             Event::Disconnected { job, customer } => {
                 self.customers.remove(&customer);
                 self.kernel.remove_customer(now, job, customer);
@@ -286,12 +336,18 @@
     fn remove_peer(&mut self, peer: &Hello) {
         match peer.role {
             Role::Side => self.kernel.lose_side(peer.incarnation),
-            Role::Entry => self.kernel.lose_entry(peer.incarnation),
+            Role::Entry => {
+                let now = self.clock.now();
+                self.kernel.lose_entry(now, peer.incarnation);
+            }
         }
     }
 
     fn frame(&mut self, now: Duration, from: Incarnation, frame: lease::Frame) {
-        self.kernel.frame(now, from, frame);
+        match frame {
+            lease::Frame::Forward(forward) => self.take_over(now, from, &forward),
+            other => self.kernel.frame(now, from, other),
+        }
     }
 
     fn record_bytes(&mut self, now: Duration, from: Incarnation) {
@@ -316,27 +372,105 @@
         for event in self.kernel.take_events() {
             self.recorder.observe(&event);
         }
+        let mut unserved = Vec::new();
         for action in self.kernel.take_actions() {
             match action {
                 Action::Send((to, frame)) => self.mesh.send(to, Frame::Lease(frame)),
                 Action::Answer(customer, answer) => {
-                    if let Some(reply) = self.customers.remove(&customer) {
-                        // The send fails if the customer has disconnected.
-                        let _ = reply.send(answer);
-                    }
+                    self.respond(customer, platform::customer::encode(&answer));
+                }
+                Action::Respond(customer, reply) => {
+                    let response = Response {
+                        status: reply.status,
+                        retry_after: reply.retry_after,
+                        body: reply.body,
+                    };
+                    self.respond(customer, response);
                 }
+                Action::Reply(to, call, answer) => {
+                    let elsewhere = answer.may_succeed_elsewhere();
+                    let response = platform::customer::encode(&answer);
+                    self.send_reply(to, call, response, elsewhere);
+                }
+                Action::Serve(customer, request) => unserved.push((customer, request)),
+            }
+        }
+        if !unserved.is_empty() {
+            let now = self.clock.now();
+            for (customer, request) in unserved {
+                self.serve(now, customer, &request);
             }
+            // Serving a request causes no further action of this kind.
+            self.execute_actions();
+            return;
         }
         self.publish_status();
     }
 }
 
 impl Process {
+    fn respond(&mut self, customer: u64, response: Response) {
+        if let Some(reply) = self.customers.remove(&customer) {
+            // The send fails if the customer has disconnected.
+            let _ = reply.send(response);
+        }
+    }
+
+    fn send_reply(&mut self, to: Incarnation, call: u64, response: Response, elsewhere: bool) {
+        let reply = lease::Reply {
+            status: response.status,
+            retry_after: response.retry_after,
+            body: response.body,
+            elsewhere,
+        };
+        let forwarded = lease::Forwarded { call, reply };
+        let frame = lease::Frame::Forwarded(forwarded);
+        self.mesh.send(to, Frame::Lease(frame));
+    }
+
+    /// Serves a customer's request at this entry.
+    fn serve(&mut self, now: Duration, customer: u64, request: &Request) {
+        let (path, arrived) = (&request.path, request.arrived);
+        let body = request.body.as_bytes();
+        match platform::customer::decode_submission(path, request.patience, body) {
+            Ok(submission) => {
+                let (host, prefix) = (&request.host, platform::customer::split(path).0);
+                self.kernel
+                    .submit_arrived(now, arrived, customer, host, prefix, submission);
+            }
+            Err(rejection) => {
+                log::info!("event=request_rejected path={path:?} reason=\"{rejection}\"");
+                self.respond(customer, platform::customer::reject(&rejection));
+            }
+        }
+    }
+
+    /// Takes over a job that another entry has forwarded.
+    fn take_over(&mut self, now: Duration, from: Incarnation, forward: &lease::Forward) {
+        let path = &forward.path;
+        let patience = Duration::from_millis(forward.patience_ms);
+        match platform::customer::decode_submission(path, patience, forward.body.as_bytes()) {
+            Ok(submission) => {
+                let prefix = platform::customer::split(path).0;
+                self.kernel
+                    .take_over(now, from, forward, prefix, submission);
+            }
+            Err(rejection) => {
+                log::info!(
+                    "event=request_rejected path={path:?} from={from} reason=\"{rejection}\""
+                );
+                let response = platform::customer::reject(&rejection);
+                self.send_reply(from, forward.call, response, false);
+            }
+        }
+    }
+
     fn publish_status(&self) {
         let status = Status {
             ready: self.kernel.is_ready(),
+            wants_requests: self.kernel.wants_requests(self.clock.now()),
             leaving: self.kernel.is_leaving(),
-            idle: self.kernel.open_jobs() == 0,
+            idle: self.kernel.open_jobs() == 0 && self.kernel.open_forwards() == 0,
         };
         self.status.send_if_modified(|current| {
             let changed = *current != status;
--- a/crates/hyssoppost/src/leased/event.rs
+++ b/crates/hyssoppost/src/leased/event.rs
@@ -2,10 +2,10 @@
 
 use super::{Seeds, rules};
 use crate::{entry::registry, link};
-use kernel::dispatch::Answer;
-use platform::customer::Operation;
+use platform::customer::{Operation, Response};
 use std::time::Duration;
 use tokio::sync::oneshot;
+use wire::Payload;
 
 /// An event that the process handles.
 #[derive(Debug)]
@@ -18,7 +18,19 @@
         host: String,
         path: String,
         operation: Operation,
-        reply: oneshot::Sender<Answer>,
+        reply: oneshot::Sender<Response>,
+    },
+    /// A submission with its body as received.
+    Request {
+        customer: u64,
+        job: u64,
+        host: String,
+        path: String,
+        patience: Duration,
+        /// When the request's body had arrived.
+        arrived: Duration,
+        body: Payload,
+        reply: oneshot::Sender<Response>,
     },
     /// A customer disconnected before its answer.
     Disconnected {
@@ -59,8 +71,14 @@
 
 /// The process's state as the HTTP interfaces and [`Handle`] see it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent conditions, which different interfaces read"
+)]
 pub(super) struct Status {
     pub(super) ready: bool,
+    /// Whether submissions are passed on with their bodies as received.
+    pub(super) wants_requests: bool,
     pub(super) leaving: bool,
     pub(super) idle: bool,
 }
--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -1,7 +1,8 @@
 //! HTTP interfaces of an entry for customers and for the load balancer.
 
 use super::event::{Event, Status};
-use crate::{Error, http, settings};
+use crate::{Error, clock::Clock, http, settings};
+use bytes::Bytes;
 use platform::customer::Operation;
 use poem::{Body, EndpointExt, Request, Response, endpoint::make, http::StatusCode};
 use std::{
@@ -12,11 +13,13 @@
     time::Duration,
 };
 use tokio::sync::{mpsc, oneshot, watch};
+use wire::Payload;
 
 #[derive(Debug)]
 struct Shared {
     events: mpsc::Sender<Event>,
     status: watch::Receiver<Status>,
+    clock: Clock,
     body_bytes: usize,
     next_customer: AtomicU64,
 }
@@ -41,12 +44,14 @@
 /// Binds the customers' interface and starts it.
 pub(super) async fn bind(
     settings: &settings::Entry,
+    clock: Clock,
     events: mpsc::Sender<Event>,
     status: watch::Receiver<Status>,
 ) -> Result<http::Handle, Error> {
     let shared = Arc::new(Shared {
         events,
         status,
+        clock,
         body_bytes: settings.body_bytes,
         next_customer: AtomicU64::new(0),
     });
@@ -78,9 +83,15 @@
 }
 
 async fn handle(shared: &Shared, mut request: Request) -> Response {
-    let mut response = match parse(shared, &mut request).await {
-        Ok(operation) => shared.execute(&request, operation).await,
-        Err(response) => response,
+    let wants_requests = shared.status.borrow().wants_requests;
+    let path = request.uri().path();
+    let submitted = platform::customer::submitted_job(request.method().as_str(), path);
+    let mut response = match (wants_requests, submitted) {
+        (true, Some(job)) => shared.pass_on(&mut request, job).await,
+        _ => match parse(shared, &mut request).await {
+            Ok(operation) => shared.execute(&request, operation).await,
+            Err(response) => response,
+        },
     };
     if shared.status.borrow().leaving {
         // The customer sends its next request through another entry.
@@ -91,11 +102,13 @@
     response
 }
 
-async fn parse(shared: &Shared, request: &mut Request) -> Result<Operation, Response> {
+async fn read_body(shared: &Shared, request: &mut Request) -> Result<Bytes, Response> {
     let body = request.take_body().into_bytes_limit(shared.body_bytes);
-    let Ok(body) = body.await else {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
-    };
+    body.await.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE.into())
+}
+
+async fn parse(shared: &Shared, request: &mut Request) -> Result<Operation, Response> {
+    let body = read_body(shared, request).await?;
     let patience = request.header(platform::customer::PATIENCE_HEADER);
     let method = request.method().as_str();
     let path = request.uri().path();
@@ -106,32 +119,64 @@
 }
 
 impl Shared {
+    /// Passes a submission on with its body as received.
+    async fn pass_on(&self, request: &mut Request, job: u64) -> Response {
+        let body = match read_body(self, request).await {
+            Ok(body) => Payload(body),
+            Err(response) => return response,
+        };
+        let customer = self.next_customer.fetch_add(1, Ordering::Relaxed);
+        let (reply, response) = oneshot::channel();
+        let patience = request.header(platform::customer::PATIENCE_HEADER);
+        let event = Event::Request {
+            customer,
+            job,
+            host: request.header("host").unwrap_or_default().to_owned(),
+            path: request.uri().path().to_owned(),
+            patience: platform::customer::patience(patience),
+            arrived: self.clock.now(),
+            body,
+            reply,
+        };
+        self.call(event, response, Some((job, customer))).await
+    }
+
     async fn execute(&self, request: &Request, operation: Operation) -> Response {
         let customer = self.next_customer.fetch_add(1, Ordering::Relaxed);
-        let host = request.header("host").unwrap_or_default().to_owned();
-        let path = platform::customer::split(request.uri().path()).0.to_owned();
-        let (reply, answer) = oneshot::channel();
-        let mut disconnect_guard = DisconnectGuard {
-            events: &self.events,
-            unanswered: match &operation {
-                Operation::Submit(submission) => Some((submission.job, customer)),
-                Operation::Inspect(_) | Operation::Cancel(_) | Operation::Count => None,
-            },
+        let (reply, response) = oneshot::channel();
+        let submitted = match &operation {
+            Operation::Submit(submission) => Some((submission.job, customer)),
+            Operation::Inspect(_) | Operation::Cancel(_) | Operation::Count => None,
         };
         let event = Event::Call {
             customer,
-            host,
-            path,
+            host: request.header("host").unwrap_or_default().to_owned(),
+            path: platform::customer::split(request.uri().path()).0.to_owned(),
             operation,
             reply,
         };
+        self.call(event, response, submitted).await
+    }
+
+    /// Sends a customer's request to the process and returns the response.
+    /// `submitted` is the job that it submits and the customer's number.
+    async fn call(
+        &self,
+        event: Event,
+        response: oneshot::Receiver<platform::customer::Response>,
+        submitted: Option<(u64, u64)>,
+    ) -> Response {
+        let mut disconnect_guard = DisconnectGuard {
+            events: &self.events,
+            unanswered: submitted,
+        };
         if self.events.send(event).await.is_err() {
             return StatusCode::SERVICE_UNAVAILABLE.into();
         }
-        let answer = answer.await;
+        let response = response.await;
         disconnect_guard.unanswered = None;
-        match answer {
-            Ok(answer) => respond(platform::customer::encode(&answer)),
+        match response {
+            Ok(response) => respond(response),
             // The process stopped before it answered; the job may have run.
             Err(_) => StatusCode::BAD_GATEWAY.into(),
         }
--- a/crates/hyssoppost/src/leased/mod.rs
+++ b/crates/hyssoppost/src/leased/mod.rs
@@ -52,7 +52,7 @@
     Timing::new(lease.max_lease, lease.resubmit_after, lease.stop_timeout)
 }
 
-fn hello(common: &settings::Common, role: Role, address: String) -> Hello {
+fn hello(common: &settings::Common, role: Role, address: String, processor: u32) -> Hello {
     Hello {
         version: VERSION,
         role,
@@ -61,6 +61,7 @@
         domain: common.domain.clone(),
         rack: String::new(),
         address,
+        processor,
         number: 0,
         nonce: 0,
     }
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -17,7 +17,7 @@
 };
 use kernel::{
     guard::{Action, Admission, Guard, Inventory},
-    neighbourhood,
+    neighbourhood::Neighbours,
 };
 use platform::upstream::{Client, Failure, Report};
 use poem::{EndpointExt, Request, Response, endpoint::make, http::StatusCode};
@@ -92,7 +92,7 @@
 pub async fn spawn(settings: settings::Side, leased: &settings::Leased) -> Result<Handle, Error> {
     let (events, event_queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let (dump_requests, dump_queue) = mpsc::channel(1);
-    let hello = hello(&settings.common, Role::Side, String::new());
+    let hello = hello(&settings.common, Role::Side, String::new(), 0);
     let incarnation = hello.incarnation;
     let local = Local::new(hello, settings.common.keys.clone());
     let admin = admin::bind(&settings.common, dump_requests).await?;
@@ -118,6 +118,7 @@
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
         published_at: Duration::ZERO,
+        neighbours: Neighbours::new(&settings.common.name, clock.now()),
         surplus_checked_at: Duration::ZERO,
         kernel,
         mesh: Mesh::new(local, events.clone(), settings.entries.clone()),
@@ -223,6 +224,7 @@
 struct Process {
     recorder: Recorder,
     published_at: Duration,
+    neighbours: Neighbours,
     surplus_checked_at: Duration,
     kernel: Guard,
     mesh: Mesh<Event>,
@@ -296,6 +298,10 @@
     }
 
     fn tick(&mut self, now: Duration) {
+        if self.neighbours.update(now, self.mesh.peer_names()) {
+            log::info!("event=neighbours weak={}", self.neighbours.includes_weak());
+            self.mesh.set_registered(self.neighbours.chosen());
+        }
         self.release_surplus(now);
         self.kernel.tick(now);
         if now.saturating_sub(self.published_at) >= meter::PUBLISH_INTERVAL {
@@ -353,9 +359,8 @@
 impl Process {
     /// Connects to this side's choice of the entries.
     fn set_entries(&mut self, entries: &[Endpoint]) {
-        let name = &self.mesh.local().hello.name;
-        let chosen = neighbourhood::choose(name, entries);
-        self.mesh.set_registered(chosen);
+        self.neighbours.set_entries(entries);
+        self.mesh.set_registered(self.neighbours.chosen());
     }
 
     /// Ends the connections to entries that this side would no longer choose, once
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -117,6 +117,12 @@
             counter!("hyssoppost_jobs_given_up_total", "queue" => queue.clone()).increment(1);
         }
         Event::Abandoned { .. } => counter!("hyssoppost_jobs_abandoned_total").increment(1),
+        Event::JobForwarded { .. } => counter!("hyssoppost_jobs_forwarded_total").increment(1),
+        Event::JobTakenOver { .. } => counter!("hyssoppost_jobs_taken_over_total").increment(1),
+        Event::ForwardLost { .. } => counter!("hyssoppost_forwards_lost_total").increment(1),
+        Event::ForwarderLost { jobs, .. } => {
+            counter!("hyssoppost_forwarded_jobs_dropped_total").increment(u64::from(*jobs));
+        }
         _ => update_run_metrics(event),
     }
 }
@@ -166,6 +172,7 @@
 ) {
     meter::publish(&local.hello.name, local);
     publish_logging();
+    gauge!("hyssoppost_forwards_open").set(meter::count(kernel.open_forwards()));
     gauge!("hyssoppost_jobs_open").set(meter::count(kernel.open_jobs()));
     gauge!("hyssoppost_tasks_waiting").set(meter::count(kernel.backlog()));
     let (open, ejected) = kernel.sides(now);
--- a/crates/hyssoppost/src/mesh.rs
+++ b/crates/hyssoppost/src/mesh.rs
@@ -145,6 +145,12 @@
         !self.connections.is_empty()
     }
 
+    /// Returns the names of the connected peers.
+    pub(crate) fn peer_names(&self) -> impl Iterator<Item = &str> {
+        let connections = self.connections.values();
+        connections.map(|connection| connection.peer.name.as_str())
+    }
+
     /// Records that a frame of a connection is handled; returns its peer if the
     /// connection is in use.
     pub(crate) fn receive(&self, number: u64) -> Option<Incarnation> {
@@ -250,6 +256,7 @@
                 endpoints.push(Endpoint {
                     name: peer.name.clone(),
                     address: peer.address.clone(),
+                    processor: peer.processor,
                 });
             }
         }
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -16,8 +16,12 @@
 // Descriptions of valid values, which reports of faults contain.
 const EXPECTED_ADDRESS: &str = "an address as IP:port";
 const EXPECTED_REGION: &str = "the region's name";
+const EXPECTED_PROCESSOR: &str = "a number of processor cores";
 const EXPECTED_FACTOR: &str = "a factor of 1 or more";
 
+/// Largest processor of one process, in thousandths of a core; more is an error.
+pub const MAX_PROCESSOR: u32 = 1_024_000;
+
 /// Settings that entries and sides share.
 #[derive(Debug, Clone)]
 pub struct Common {
@@ -66,6 +70,8 @@
     pub body_bytes: usize,
     /// Most memory for the answers of ended jobs, in bytes.
     pub archive_bytes: usize,
+    /// Processor available to the process, in cores, as the file states it.
+    pub processor: Option<f64>,
     /// Seed of the placement's random choices; random if absent.
     pub seed: Option<u64>,
     /// Settings for leased tasks; `None` where upstreams answer a call per task.
@@ -177,6 +183,7 @@
         let policy = read_policy(&mut reader);
         let body_bytes = reader.optional("limits", "body_bytes", EXPECTED_BYTES);
         let archive_bytes = reader.optional("limits", "archive_bytes", EXPECTED_BYTES);
+        let processor = reader.optional("limits", "processor", EXPECTED_PROCESSOR);
         let seed = reader.optional("policy", "seed", "a number");
         let lease = read_lease(&mut reader, true);
         reader.finish()?;
@@ -192,12 +199,26 @@
             policy: policy.ok_or_else(missing)?,
             body_bytes: body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
             archive_bytes: archive_bytes.unwrap_or(DEFAULT_ARCHIVE_BYTES),
+            processor,
             seed,
             lease,
         })
     }
 }
 
+/// Returns a number of cores in thousandths, or `None` if it is out of range.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "checked against the range"
+)]
+pub fn thousandths(cores: f64) -> Option<u32> {
+    let thousandths = (cores * 1e3).round();
+    (1.0..=f64::from(MAX_PROCESSOR))
+        .contains(&thousandths)
+        .then_some(thousandths as u32)
+}
+
 impl Side {
     /// Reads and validates a settings file.
     pub fn open(path: &Path) -> Result<Self, Error> {
--- a/crates/hyssoppost/src/side/mod.rs
+++ b/crates/hyssoppost/src/side/mod.rs
@@ -75,6 +75,7 @@
         domain: common.domain.clone(),
         rack: settings.rack.clone(),
         address: String::new(),
+        processor: 0,
         number: 0,
         nonce: 0,
     };
--- a/crates/hyssoppost/tests/reconnect_backoff.rs
+++ b/crates/hyssoppost/tests/reconnect_backoff.rs
@@ -26,6 +26,7 @@
         domain: String::new(),
         rack: String::new(),
         address: String::new(),
+        processor: 0,
         number: 0,
         nonce: 0,
     };
--- a/crates/kernel/benches/decisions.rs
+++ b/crates/kernel/benches/decisions.rs
@@ -73,6 +73,7 @@
         domain: "d".to_owned(),
         rack: format!("rack-{}", side / 3),
         address: String::new(),
+        processor: 0,
         number: 1,
         nonce: 0,
     };
--- a/crates/kernel/src/dispatch/admission.rs
+++ b/crates/kernel/src/dispatch/admission.rs
@@ -23,11 +23,22 @@
     parked: Vec<Parked>,
 }
 
+/// How a job arrived at the entry.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Arrival {
+    /// Number of the customer.
+    pub(super) customer: u64,
+    /// When the customer's request arrived, possibly at another entry.
+    pub(super) at: Duration,
+    /// Exit of the entry that forwarded the job, if it is shutting down: it could not
+    /// deliver a later answer.
+    pub(super) forwarder_exit: Option<Duration>,
+}
+
 /// A submission that waits for the rules.
 #[derive(Debug)]
 pub(super) struct Parked {
-    pub(super) submitted_at: Duration,
-    pub(super) customer: u64,
+    pub(super) arrival: Arrival,
     pub(super) host: String,
     pub(super) path: String,
     pub(super) submission: Submission,
@@ -73,9 +84,9 @@
     }
 
     /// Counts the work of an accepted job.
-    pub(super) fn record_arrival(&mut self, job: &Job) {
+    pub(super) fn record_arrival(&mut self, now: Duration, job: &Job) {
         let work = job.submission.work();
-        self.arrivals.add(job.accepted, job.rank.level(), work);
+        self.arrivals.add(now, job.rank.level(), work);
     }
 
     /// Returns the rate of arriving work, in core-milliseconds per second, by
@@ -127,6 +138,7 @@
 
     /// Removes a parked job whose customer has disconnected.
     pub(super) fn remove_parked(&mut self, customer: u64) {
-        self.parked.retain(|parked| parked.customer != customer);
+        self.parked
+            .retain(|parked| parked.arrival.customer != customer);
     }
 }
--- a/crates/kernel/src/dispatch/answer.rs
+++ b/crates/kernel/src/dispatch/answer.rs
@@ -19,6 +19,8 @@
     /// The job was given up after a task may have started; its outcome is
     /// unknown.
     Expired,
+    /// The entry that owned the job is lost; the job's outcome is unknown.
+    Unknown,
     /// No queue matches the request's host name and path.
     NoQueue,
     /// The job is unknown here and, for a cancellation, at the other entries
@@ -28,6 +30,20 @@
     Pending(u32),
 }
 
+impl Answer {
+    /// Returns whether the job has not run for a reason that concerns only this
+    /// entry.
+    pub fn may_succeed_elsewhere(&self) -> bool {
+        match self {
+            Self::Refused { reason, .. } => match reason {
+                Reason::NoRules | Reason::Leaving | Reason::NoUpstream | Reason::Stale => true,
+                Reason::Overload => false,
+            },
+            _ => false,
+        }
+    }
+}
+
 /// A side's state as last reported to this entry.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct View<'a> {
@@ -71,6 +87,14 @@
     pub rejected: u64,
     /// Slow or stalled runs stopped so that they can start on another host.
     pub moved: u64,
+    /// Jobs forwarded to other entries.
+    pub forwarded: u64,
+    /// Jobs taken over from other entries.
+    pub taken_over: u64,
+    /// Jobs taken over and dropped, since the entry that forwarded them was lost.
+    pub forwarder_lost: u64,
+    /// Forwarded jobs whose owners were lost before they replied.
+    pub owner_lost: u64,
     /// Runs at sides that stayed disconnected until the runs' leases had expired.
     pub lost: u64,
 }
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -14,6 +14,8 @@
     /// entry has none.
     pub fn join_entry(&mut self, now: Duration, hello: &Hello) {
         self.peers.join(now, hello.incarnation);
+        self.forwarding.join(now, hello);
+        self.apply_forwarding(now);
         if self.rules.get().is_none() {
             self.pull(now, hello.incarnation);
         }
@@ -27,8 +29,10 @@
     }
 
     /// Records that the connection to another entry is lost.
-    pub fn lose_entry(&mut self, entry: Incarnation) {
+    pub fn lose_entry(&mut self, now: Duration, entry: Incarnation) {
         self.peers.lose(entry);
+        self.forwarding.lose(now, entry);
+        self.apply_forwarding(now);
     }
 
     /// Returns the entries whose connections must be replaced, since no message
@@ -40,6 +44,7 @@
     /// Sets the list of entries; all sides get it soon if it changed.
     pub fn set_entries(&mut self, entries: &[Endpoint]) {
         self.peers.set_listed(entries);
+        self.forwarding.set_entries(entries);
     }
 
     /// Sends the list of entries to all sides if it changed and is due.
@@ -85,8 +90,12 @@
     }
 
     pub(super) fn peer_frame(&mut self, now: Duration, from: Incarnation, frame: Frame) {
+        self.forwarding.hear(now, from);
         match frame {
-            Frame::Heartbeat(heartbeat) => self.record_heartbeat(now, from, heartbeat),
+            Frame::Heartbeat(heartbeat) => {
+                self.forwarding.record_heartbeat(now, from, &heartbeat);
+                self.record_heartbeat(now, from, heartbeat);
+            }
             Frame::Pull => {
                 if let Some(rules) = self.rules.get().cloned() {
                     self.send(from, Frame::Rules(rules));
@@ -105,8 +114,12 @@
                     self.answer(customer, answer);
                 }
             }
+            Frame::Forwarded(reply) => self.forwarding.record_reply(now, from, reply),
+            Frame::Withdraw(withdraw) => self.forwarding.record_withdrawal(from, withdraw),
+            Frame::Pulse(pulse) => self.forwarding.record_pulse(now, from, pulse),
             _ => log::debug!("event=frame_ignored peer={from}"),
         }
+        self.apply_forwarding(now);
     }
 
     fn record_heartbeat(&mut self, now: Duration, from: Incarnation, heartbeat: Heartbeat) {
@@ -128,6 +141,7 @@
                     echo,
                     ..heartbeat.clone()
                 };
+                self.forwarding.record_heartbeat_sent(now, entry);
                 self.send(entry, Frame::Heartbeat(heartbeat));
             }
         }
@@ -155,6 +169,7 @@
             waiting: self.placement.backlog().levels().collect(),
             arriving: self.admission.arriving(now).collect(),
             shares: self.shares(now),
+            leaving: self.admission.is_leaving(),
         }
     }
 
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod follow;
 mod forecast;
+mod forward;
 mod history;
 mod job;
 mod park;
@@ -24,10 +25,12 @@
 mod resubmission;
 mod rules;
 mod serve;
+mod takeover;
 
 pub use crate::outcome::{Phase, Reason};
 pub use answer::{Answer, Stats, View};
 pub use fleet::{Fleet, Key};
+pub use forward::Request;
 pub use job::{Job, Step, Submission};
 pub use rules::route;
 
@@ -38,6 +41,7 @@
 };
 use admission::Admission;
 use fleet::{Link, Side};
+use forward::Forwarding;
 use history::History;
 use peers::Peers;
 use placement::Placement;
@@ -46,7 +50,7 @@
 use wire::{
     frame::Hello,
     id::Incarnation,
-    lease::{Addressed, Echo, End, Ending, Frame, Rules, Run},
+    lease::{Addressed, Echo, End, Ending, Frame, Reply, Rules, Run},
 };
 
 /// Pause before a task that a side refused is placed again.
@@ -59,6 +63,13 @@
     Send(Addressed),
     /// Answer the customer with this number.
     Answer(u64, Answer),
+    /// Send an owner's reply to the customer with this number.
+    Respond(u64, Reply),
+    /// Send the answer to a forwarded job, with its call, to the entry that
+    /// forwarded it.
+    Reply(Incarnation, u64, Answer),
+    /// Decode a customer's request and submit it here: no peer is usable.
+    Serve(u64, Request),
 }
 
 /// State machine of an entry. Times are durations since the Unix epoch.
@@ -69,6 +80,7 @@
     peers: Peers,
     admission: Admission,
     placement: Placement,
+    forwarding: Forwarding,
     fleet: Fleet,
     jobs: BTreeMap<u64, Job>,
     history: History,
@@ -80,12 +92,15 @@
 impl Dispatcher {
     /// Makes a dispatcher without rules, sides or jobs.
     pub fn new(now: Duration, domain: &str, timing: Timing, seed: u64) -> Self {
+        let admission = Admission::new(now);
+        let startup_ends = now + admission.startup_left(now);
         Self {
             timing,
             rules: ActiveRules::new(),
             peers: Peers::new(),
-            admission: Admission::new(now),
+            admission,
             placement: Placement::new(domain, seed),
+            forwarding: Forwarding::new(timing, domain, startup_ends, seed),
             fleet: Fleet::default(),
             jobs: BTreeMap::new(),
             history: History::default(),
@@ -150,11 +165,11 @@
         (ejected.len() + used.len(), ejected.len())
     }
 
-    /// Returns whether jobs can be served: rules are in force and a side is
-    /// connected.
+    /// Returns whether jobs can be served: rules are in force, and a side or, for a
+    /// weak entry, a stronger entry is connected.
     pub fn is_ready(&self) -> bool {
-        let connected = self.fleet.iter().any(|(_, side)| side.link == Link::Up);
-        self.rules.get().is_some() && connected && !self.admission.is_leaving()
+        let forwards = self.rules.get().is_some() && self.forwarding.has_owner();
+        (self.can_serve() || forwards) && !self.admission.is_leaving()
     }
 
     /// Sets the factor on the run time of a task on another rack than its data;
@@ -178,6 +193,8 @@
     /// are accepted.
     pub fn leave(&mut self, end: Duration) {
         self.admission.leave(end);
+        self.forwarding.leave(end);
+        self.peers.expedite_heartbeats();
     }
 
     /// Returns whether the entry is shutting down.
@@ -232,6 +249,7 @@
         if let Some(side) = self.fleet.get_mut(from) {
             side.liveness.record_frame(now);
         }
+        self.expire_forwarders(now);
         match frame {
             Frame::Upstream(upstream) => {
                 if let Some(side) = self.fleet.get_mut(from) {
@@ -250,6 +268,7 @@
 
     /// Does the periodic work; the runtime calls it at a fixed interval.
     pub fn tick(&mut self, now: Duration) {
+        self.expire_forwarders(now);
         self.expire_sides(now);
         self.unpark(now);
         self.expire(now);
@@ -258,11 +277,13 @@
         self.send_echoes(now);
         self.announce_entries(now);
         self.send_heartbeats(now);
+        self.tick_forwarding(now);
         self.history.expire(now);
     }
 
     /// Places waiting tasks if a change since the last call may let them start.
     pub fn place_if_changed(&mut self, now: Duration) {
+        self.expire_forwarders(now);
         if self.placement.take_round_request() {
             self.place(now);
         }
@@ -335,6 +356,7 @@
     }
 
     fn answer(&mut self, customer: u64, answer: Answer) {
-        self.actions.push(Action::Answer(customer, answer));
+        let action = self.answer_action(customer, answer);
+        self.actions.extend(action);
     }
 }
--- a/crates/kernel/src/dispatch/park.rs
+++ b/crates/kernel/src/dispatch/park.rs
@@ -1,6 +1,9 @@
 //! Jobs that arrive before the entry has rules.
 
-use super::{Dispatcher, Event, Reason, Submission, admission::Parked};
+use super::{
+    Dispatcher, Event, Reason, Submission,
+    admission::{Arrival, Parked},
+};
 use std::time::Duration;
 
 impl Dispatcher {
@@ -9,14 +12,13 @@
     pub(super) fn park(
         &mut self,
         now: Duration,
-        customer: u64,
+        arrival: Arrival,
         host: &str,
         path: &str,
         submission: Submission,
     ) {
         let parked = Parked {
-            submitted_at: now,
-            customer,
+            arrival,
             host: host.to_owned(),
             path: path.to_owned(),
             submission,
@@ -41,13 +43,13 @@
                 continue;
             }
             let Parked {
-                customer,
+                arrival,
                 host,
                 path,
                 submission,
-                ..
             } = parked;
-            self.submit(now, customer, &host, &path, submission);
+            let arrival = Arrival { at: now, ..arrival };
+            self.submit_at(now, arrival, &host, &path, submission);
         }
     }
 
@@ -58,8 +60,8 @@
             reason: Reason::NoRules,
             wait: Duration::ZERO,
             useful_for: parked.submission.patience,
-            age: now.saturating_sub(parked.submitted_at),
+            age: now.saturating_sub(parked.arrival.at),
         });
-        self.refuse(parked.customer, Reason::NoRules);
+        self.refuse(parked.arrival.customer, Reason::NoRules);
     }
 }
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -138,6 +138,13 @@
             .collect()
     }
 
+    /// Makes the heartbeats to all entries due.
+    pub(super) fn expedite_heartbeats(&mut self) {
+        for peer in self.connected.values_mut() {
+            peer.last_sent = Duration::ZERO;
+        }
+    }
+
     /// Returns the number of a queue's jobs of which no task has started, at all
     /// connected entries.
     pub(super) fn pending_of(&self, queue: &str) -> u32 {
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -1,15 +1,15 @@
 //! Customers' requests: jobs are submitted, inspected, cancelled and answered.
 
 use super::{
-    Answer, Dispatcher, Event, Job, Phase, Reason, Submission, backlog::LATE_LEVEL,
-    forecast::Forecast, route,
+    Answer, Dispatcher, Event, Job, Phase, Reason, Submission, admission::Arrival,
+    backlog::LATE_LEVEL, forecast::Forecast, route,
 };
 use crate::mutation::{Mutant, is_seeded};
 use std::{collections::BTreeMap, time::Duration};
 use wire::lease::{Ending, Frame, Run, Step, Task};
 
 /// Least pause before a refused customer may submit its job again.
-const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Factor on a job's expected run time with which it must end before the entry's
 /// exit: covers a rough estimate and one failed run.
@@ -34,6 +34,36 @@
         path: &str,
         submission: Submission,
     ) {
+        self.submit_arrived(now, now, customer, host, path, submission);
+    }
+
+    /// Does what [`Dispatcher::submit`] does, for a request that arrived at `at`.
+    pub fn submit_arrived(
+        &mut self,
+        now: Duration,
+        at: Duration,
+        customer: u64,
+        host: &str,
+        path: &str,
+        submission: Submission,
+    ) {
+        let arrival = Arrival {
+            customer,
+            at,
+            forwarder_exit: None,
+        };
+        self.submit_at(now, arrival, host, path, submission);
+    }
+
+    pub(super) fn submit_at(
+        &mut self,
+        now: Duration,
+        arrival: Arrival,
+        host: &str,
+        path: &str,
+        submission: Submission,
+    ) {
+        let customer = arrival.customer;
         if let Some(state) = self.history.get(submission.job) {
             self.answer(customer, Answer::State(state));
             return;
@@ -43,7 +73,7 @@
             return;
         }
         let Some(rules) = self.rules.get() else {
-            self.park(now, customer, host, path, submission);
+            self.park(now, arrival, host, path, submission);
             return;
         };
         let Some((queue, _)) = route(rules, host, path) else {
@@ -54,15 +84,15 @@
         let waited =
             self.admission
                 .learn_patience(&queue.name, submission.patience, resubmit_after);
-        let job = Job::new(now, waited, customer, queue, submission);
-        self.admit(now, customer, job);
+        let job = Job::new(arrival.at, waited, customer, queue, submission);
+        self.admit(now, arrival, job);
     }
 
     /// Accepts a job, or refuses it if it can't be served.
-    fn admit(&mut self, now: Duration, customer: u64, job: Job) {
+    fn admit(&mut self, now: Duration, arrival: Arrival, job: Job) {
         let forecast = self.forecast(now, &job.service, job.rank.level());
         let wait = forecast.wait(job.submission.work());
-        let reason = if self.may_run_past_exit(now + wait, &job) {
+        let reason = if self.may_run_past_exit(now + wait, arrival.forwarder_exit, &job) {
             Some(Reason::Leaving)
         } else {
             self.refusal_reason(now, &job, wait)
@@ -70,25 +100,25 @@
         match reason {
             Some(reason) => {
                 self.log_refusal(now, &job, reason, wait);
-                self.refuse(customer, reason);
+                self.refuse(arrival.customer, reason);
             }
-            None => self.accept(job, wait),
+            None => self.accept(now, job, wait),
         }
     }
 
-    fn accept(&mut self, mut job: Job, wait: Duration) {
+    fn accept(&mut self, now: Duration, mut job: Job, wait: Duration) {
         self.stats.accepted += 1;
         self.events.push(Event::Accepted {
             job: job.submission.job,
             queue: job.queue.clone(),
             tasks: job.unfinished(),
             wait,
-            objective: job.due.saturating_sub(job.accepted),
+            objective: job.due.saturating_sub(now),
             patience: job.submission.patience,
             resubmitted: !job.waited.is_zero(),
         });
-        self.admission.record_arrival(&job);
-        self.delay_for_earlier_runs(&mut job);
+        self.admission.record_arrival(now, &job);
+        self.delay_for_earlier_runs(now, &mut job);
         let tasks = job.unblock();
         self.jobs.insert(job.submission.job, job);
         for task in tasks {
@@ -98,11 +128,11 @@
 
     /// Delays tasks of a resubmitted job whose earlier runs may continue, until
     /// these have ended or must have ended.
-    fn delay_for_earlier_runs(&self, job: &mut Job) {
+    fn delay_for_earlier_runs(&self, now: Duration, job: &mut Job) {
         if is_seeded(Mutant::AgainAtOnce) {
             return;
         }
-        let expiry = job.accepted + self.timing.run_expiry();
+        let expiry = now + self.timing.run_expiry();
         let earlier: Vec<Task> = self
             .fleet
             .iter()
@@ -134,14 +164,21 @@
             && !sides.any(|(key, _)| self.fleet.service(key) == Some(service))
     }
 
-    /// Returns whether a job that starts at `start` may run past the entry's exit.
-    fn may_run_past_exit(&self, start: Duration, job: &Job) -> bool {
+    /// Returns whether a job that starts at `start` may run past the exit of this entry
+    /// or of the one that forwarded it.
+    fn may_run_past_exit(
+        &self,
+        start: Duration,
+        forwarder_exit: Option<Duration>,
+        job: &Job,
+    ) -> bool {
         let mean_slowness = self.fleet.mean_slowness.max(1.0);
         let run = job
             .submission
             .critical_path()
             .mul_f64(mean_slowness * EXIT_SAFETY_FACTOR);
-        self.admission.has_exited_by(start + run)
+        let end = start + run;
+        self.admission.has_exited_by(end) || forwarder_exit.is_some_and(|exit| end > exit)
     }
 
     /// Returns whether a job that starts at `start` may end before its answer has
@@ -195,6 +232,8 @@
     /// stopped.
     pub fn remove_customer(&mut self, now: Duration, job: u64, customer: u64) {
         self.admission.remove_parked(customer);
+        self.forwarding.remove_customer(job, customer);
+        self.apply_forwarding(now);
         let Some(open_job) = self.jobs.get_mut(&job) else {
             return;
         };
@@ -322,6 +361,8 @@
     pub fn give_up_all(&mut self, now: Duration) {
         let all: Vec<u64> = self.jobs.keys().copied().collect();
         self.give_up(now, &all);
+        self.forwarding.give_up_all(now);
+        self.apply_forwarding(now);
     }
 
     /// Removes jobs that can't be completed here, and answers their customers.
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -145,6 +145,39 @@
         /// Whether a task may have started.
         started: bool,
     },
+    /// A weak entry forwarded a job, which the receiver owns from then on.
+    JobForwarded {
+        /// Identifier that its customer chose.
+        job: u64,
+        /// Incarnation of the entry that received it.
+        peer: Incarnation,
+    },
+    /// This entry owns a job that another one forwarded.
+    JobTakenOver {
+        /// Identifier that its customer chose.
+        job: u64,
+        /// Incarnation of the entry that forwarded it.
+        from: Incarnation,
+    },
+    /// The owner of a forwarded job is lost; the customer is told that the job's
+    /// outcome is unknown.
+    ForwardLost {
+        /// Identifier that its customer chose.
+        job: u64,
+        /// Incarnation of the owner.
+        peer: Incarnation,
+        /// Time since the job was submitted.
+        age: Duration,
+    },
+    /// An entry that forwarded jobs to this one is lost; they are dropped.
+    ForwarderLost {
+        /// Incarnation of the entry.
+        peer: Incarnation,
+        /// Number of its jobs.
+        jobs: u32,
+        /// Time since the last contact with it.
+        silent: Duration,
+    },
     /// An upstream is ejected: no tasks are placed there for a while.
     Ejected {
         /// Incarnation of its side.
@@ -280,7 +313,10 @@
             | Self::Refused { job, .. }
             | Self::Answered { job, .. }
             | Self::GivenUp { job, .. }
-            | Self::Abandoned { job, .. } => Some(*job),
+            | Self::Abandoned { job, .. }
+            | Self::JobForwarded { job, .. }
+            | Self::JobTakenOver { job, .. }
+            | Self::ForwardLost { job, .. } => Some(*job),
             Self::Placed { run, .. }
             | Self::Ended { run, .. }
             | Self::Moved { run, .. }
@@ -291,7 +327,8 @@
             | Self::RunOrphaned { run, .. }
             | Self::RunEnded { run, .. }
             | Self::RunForeign { run } => Some(run.task.job),
-            Self::Readmitted { .. }
+            Self::ForwarderLost { .. }
+            | Self::Readmitted { .. }
             | Self::SideUp { .. }
             | Self::SideGone { .. }
             | Self::Rules { .. }
@@ -311,7 +348,9 @@
                 refusal: Refusal::Room,
                 ..
             }
-            | Self::Abandoned { .. } => Severity::Routine,
+            | Self::Abandoned { .. }
+            | Self::JobForwarded { .. }
+            | Self::JobTakenOver { .. } => Severity::Routine,
             Self::Ended { ending, .. } | Self::RunEnded { ending, .. } => match ending {
                 Ending::Done | Ending::Stopped | Ending::NotRun(Refusal::Room) => Severity::Routine,
                 Ending::Failed | Ending::Lapsed | Ending::NotRun(_) => Severity::Notable,
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -76,6 +76,28 @@
                 "event=abandoned job={job:016x} held_ms={} started={started}",
                 millis(*age)
             ),
+            _ => self.write_forwarding(to),
+        }
+    }
+
+    fn write_forwarding(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::JobForwarded { job, peer } => {
+                write!(to, "event=job_forwarded job={job:016x} peer={peer}")
+            }
+            Self::JobTakenOver { job, from } => {
+                write!(to, "event=job_taken_over job={job:016x} from={from}")
+            }
+            Self::ForwardLost { job, peer, age } => write!(
+                to,
+                "event=forward_lost job={job:016x} peer={peer} held_ms={} ran=maybe",
+                millis(*age)
+            ),
+            Self::ForwarderLost { peer, jobs, silent } => write!(
+                to,
+                "event=forwarder_lost peer={peer} jobs={jobs} silent_ms={}",
+                millis(*silent)
+            ),
             _ => self.write_run(to),
         }
     }
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -48,6 +48,14 @@
     RepeatTrusted,
     /// A side takes tasks from an entry that it has released.
     ReleasedEntry,
+    /// A forwarded job whose owner is lost is forwarded to another entry at once, so
+    /// that both run it.
+    ForwardedTwice,
+    /// The owner of forwarded jobs keeps them although it has lost the entry that
+    /// forwarded them.
+    KeptForward,
+    /// A forwarded job is taken over however old its frame is.
+    StaleForward,
 }
 
 #[cfg(feature = "mutation")]
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -40,6 +40,8 @@
     Overload,
     /// No upstream of the service is in use.
     NoUpstream,
+    /// The job was forwarded by another entry and took too long to arrive.
+    Stale,
 }
 
 impl fmt::Display for Reason {
@@ -49,6 +51,7 @@
             Self::Leaving => "leaving",
             Self::Overload => "overload",
             Self::NoUpstream => "no_upstream",
+            Self::Stale => "stale",
         })
     }
 }
--- a/crates/kernel/src/timing.rs
+++ b/crates/kernel/src/timing.rs
@@ -18,6 +18,16 @@
 /// Orphan timeout as a share of the resubmission time.
 const ORPHAN_TIMEOUT_PERCENT: u32 = 49;
 
+/// Time without contact between two entries after which the owner of a forwarded
+/// job drops it, as a share of the resubmission time. With
+/// [`ORPHAN_TIMEOUT_PERCENT`] it leaves a tenth for a stop: the owner may fail just
+/// before it would have dropped the job.
+const FORWARD_TIMEOUT_PERCENT: u32 = 40;
+
+/// Longest age at which a forwarded job is taken over. Heartbeats between entries
+/// are 200 ms apart.
+const MAX_FORWARD_AGE: Duration = Duration::from_millis(500);
+
 /// Longest time that a hold call waits at the upstream for a run to end. No end
 /// arrives while a call goes unanswered, so the wait is short compared with a
 /// short task. An idle upstream gets 25 calls a second, within its own host.
@@ -73,6 +83,17 @@
         self.orphan_timeout + self.real_lease() + self.stop_timeout
     }
 
+    /// Returns the time without contact after which a forwarded job is over: its
+    /// owner drops it, and the entry that forwarded it no longer waits.
+    pub fn forward_timeout(&self) -> Duration {
+        self.resubmit_after * FORWARD_TIMEOUT_PERCENT / 100
+    }
+
+    /// Returns the age beyond which an entry refuses a forwarded job as stale.
+    pub fn max_forward_age(&self) -> Duration {
+        MAX_FORWARD_AGE.min(self.forward_timeout())
+    }
+
     /// Returns the limits of a connection between an entry and a side; both ends
     /// use the same.
     ///
--- a/crates/kernel/tests/fleet_shares.rs
+++ b/crates/kernel/tests/fleet_shares.rs
@@ -31,6 +31,7 @@
         domain: "d0".to_owned(),
         rack: String::new(),
         address: String::new(),
+        processor: 0,
         number: 0,
         nonce: 0,
     }
@@ -79,6 +80,7 @@
         waiting: vec![(0, 8_000)],
         arriving: Vec::new(),
         shares: vec![(SERVICE.to_owned(), share)],
+        leaving: false,
     };
     entry.frame(NOW, PEER, Frame::Heartbeat(heartbeat));
     entry.submit(NOW, 1, HOST, PATH, job(1, 1, 1_000, RUN));
@@ -106,6 +108,7 @@
         entries.push(Endpoint {
             name: format!("e{index:02}"),
             address: format!("10.0.0.{index}:7100"),
+            processor: 0,
         });
         entry.set_entries(&entries);
         now += Duration::from_millis(20);
--- a/crates/kernel/tests/neighbourhoods.rs
+++ b/crates/kernel/tests/neighbourhoods.rs
@@ -6,7 +6,7 @@
 
 use kernel::{
     dispatch::Phase,
-    neighbourhood::{MAX_ENTRIES, choose},
+    neighbourhood::{MAX_ENTRIES, Neighbours, choose, weak},
 };
 use site::{Site, job};
 use std::{collections::BTreeMap, time::Duration};
@@ -18,6 +18,7 @@
     let entries = (0..count).map(|index| Endpoint {
         name: format!("edge-nord-{}-{index}", index % 5),
         address: format!("10.0.{}.{}:8166", index / 200, index % 200),
+        processor: 0,
     });
     entries.collect()
 }
@@ -150,3 +151,125 @@
     site.run(Duration::from_millis(400));
     assert_eq!(site.state(customer), Some(Phase::Completed));
 }
+
+/// Makes entries with these processors.
+fn with_processors(processors: &[u32]) -> Vec<Endpoint> {
+    let mut all = entries(processors.len());
+    for (entry, processor) in all.iter_mut().zip(processors) {
+        entry.processor = *processor;
+    }
+    all
+}
+
+/// Returns which entries are weak, in the order of the list.
+fn weak_flags(processors: &[u32]) -> Vec<bool> {
+    let all = with_processors(processors);
+    let weak = weak(&all);
+    all.iter()
+        .map(|entry| weak.contains(entry.name.as_str()))
+        .collect()
+}
+
+/// Guards against weak entries where shares are unknown or near each other, and where
+/// the others could not do the work of all.
+#[test]
+fn weak_entries() {
+    assert_eq!(weak_flags(&[]), [false; 0]);
+    assert_eq!(weak_flags(&[0, 0]), [false; 2]);
+    assert_eq!(weak_flags(&[120]), [false]);
+    assert_eq!(weak_flags(&[500, 120]), [false, true]);
+    assert_eq!(weak_flags(&[500, 167]), [false; 2], "a third is enough");
+    assert_eq!(weak_flags(&[500, 166]), [false, true]);
+    assert_eq!(
+        weak_flags(&[500, 0, 90]),
+        [false, false, true],
+        "0 is unknown"
+    );
+    // The strong ones hold 500 of 1,200 and of 1,300.
+    assert_eq!(
+        weak_flags(&[500, 140, 140, 140, 140, 140]),
+        [false, true, true, true, true, true]
+    );
+    assert_eq!(weak_flags(&[500, 160, 160, 160, 160, 160]), [false; 6]);
+    let mixed = [90, 120, 300, 500, 120, 300, 500, 300, 500, 90];
+    let expected = mixed.map(|processor| processor < 166);
+    assert_eq!(weak_flags(&mixed), expected);
+}
+
+/// Guards against sides that connect to weak entries, and against shares of sides that
+/// do not follow the processors.
+#[test]
+fn shares_by_processor() {
+    let processors: Vec<u32> = (0..40)
+        .map(|index| [1_000, 500, 500, 120][index % 4])
+        .collect();
+    let all = with_processors(&processors);
+    let mut sides = vec![0_u32; all.len()];
+    for index in 0..2_000 {
+        for name in names(&choose(&side(index), &all)) {
+            sides[all.iter().position(|entry| entry.name == name).unwrap()] += 1;
+        }
+    }
+    let sum = |processor: u32| -> u32 {
+        let matching = sides.iter().zip(&processors);
+        matching
+            .filter(|(_, own)| **own == processor)
+            .map(|(count, _)| count)
+            .sum()
+    };
+    assert_eq!(sum(120), 0);
+    // 10 entries of 1,000 and 20 of 500: their shares are equal but for the bound of
+    // 8 distinct entries a side.
+    let ratio = f64::from(sum(1_000)) / f64::from(sum(500));
+    assert!((0.75..=1.0).contains(&ratio), "{ratio}");
+}
+
+/// Guards against more than the links of one entry moving when a weighted list
+/// changes.
+#[test]
+fn few_weighted_links_move() {
+    let processors: Vec<u32> = (0..35).map(|index| 300 + 100 * (index % 5)).collect();
+    let all = with_processors(&processors);
+    let fewer: Vec<Endpoint> = all.iter().skip(1).cloned().collect();
+    for index in 0..160 {
+        let before = names(&choose(&side(index), &all));
+        let after = names(&choose(&side(index), &fewer));
+        let new = after.iter().filter(|name| !before.contains(name)).count();
+        assert_eq!(new, usize::from(before.contains(&all[0].name)));
+    }
+}
+
+/// Guards against a change of all links where processors are stated and equal.
+#[test]
+fn equal_processors_without_effect() {
+    let stated = with_processors(&[500; 35]);
+    for index in 0..50 {
+        let name = side(index);
+        assert_eq!(
+            names(&choose(&name, &stated)),
+            names(&choose(&name, &entries(35)))
+        );
+    }
+}
+
+/// Guards against sides without entries when all strong ones are lost, and against
+/// sides that keep weak ones when one is back.
+#[test]
+fn weak_entries_after_a_second() {
+    let all = with_processors(&[1_000, 1_000, 120]);
+    let strong = all[0].name.as_str();
+    let weak = all[2].name.as_str();
+    let at = |millis| Duration::from_secs(1_000) + Duration::from_millis(millis);
+    let mut neighbours = Neighbours::new("s", at(0));
+    neighbours.set_entries(&all);
+    assert!(!neighbours.update(at(900), std::iter::empty()));
+    assert_eq!(neighbours.chosen(), all[..2]);
+    assert!(neighbours.update(at(1_000), std::iter::empty()));
+    assert_eq!(neighbours.chosen(), all);
+    assert!(!neighbours.update(at(1_100), [weak].into_iter()));
+    assert!(neighbours.update(at(1_200), [weak, strong].into_iter()));
+    assert_eq!(neighbours.chosen(), all[..2]);
+    assert!(!neighbours.update(at(2_000), [weak].into_iter()));
+    assert!(!neighbours.update(at(2_900), [weak].into_iter()));
+    assert!(neighbours.update(at(3_000), [weak].into_iter()));
+}
--- a/crates/kernel/tests/room_refusals.rs
+++ b/crates/kernel/tests/room_refusals.rs
@@ -44,6 +44,7 @@
                 domain: "d0".to_owned(),
                 rack: String::new(),
                 address: String::new(),
+                processor: 0,
                 number: 0,
                 nonce: 0,
             },
--- a/crates/kernel/tests/rules_exchange.rs
+++ b/crates/kernel/tests/rules_exchange.rs
@@ -36,6 +36,7 @@
         domain: "d0".to_owned(),
         rack: String::new(),
         address: String::new(),
+        processor: 0,
         number: 0,
         nonce: 0,
     }
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 pub mod make;
+mod peers;
 pub mod upstream;
 
 use make::announcement;
@@ -87,6 +88,8 @@
     pub handling_delay: Duration,
     /// Number of connections established so far.
     pub connections: u64,
+    /// Connections between the entries, if they are connected.
+    peers: Option<peers::Peers>,
 }
 
 impl Site {
@@ -112,6 +115,7 @@
             join_delay: Duration::ZERO,
             handling_delay: Duration::ZERO,
             connections: 0,
+            peers: None,
         };
         for index in 0..sides {
             site.sides.push(None);
@@ -161,11 +165,13 @@
         for side in 0..self.sides.len() {
             self.reset_link(index, side);
         }
+        self.introduce_entry(index);
     }
 
     /// Ends an entry; unless `observed`, its connections stay open without messages.
     pub fn kill_entry(&mut self, index: usize, observed: bool) {
         self.entries[index] = None;
+        self.kill_peer(index, observed);
         for side in 0..self.sides.len() {
             if observed {
                 self.disconnect_at_side(index, side);
@@ -230,7 +236,8 @@
             let link = self.links[&(entry, side)];
             let due = self.now.saturating_sub(link.since) >= RECONNECT_INTERVAL;
             let frozen = self.frozen_sides[side] || self.frozen_entries[entry];
-            if (link.entry_up && link.side_up) || link.cut || !due || frozen {
+            let chosen = self.is_neighbour(side, entry);
+            if (link.entry_up && link.side_up) || link.cut || !due || frozen || !chosen {
                 continue;
             }
             let (Some(dispatcher), Some(guard)) = (&mut self.entries[entry], &mut self.sides[side])
@@ -245,6 +252,7 @@
                 domain: format!("d{}", side % 3),
                 rack: String::new(),
                 address: String::new(),
+                processor: 0,
                 number: 0,
                 nonce: 0,
             };
@@ -266,6 +274,10 @@
     pub fn submit_to(&mut self, entry: usize, path: &str, submission: Submission) -> u64 {
         self.next_id += 1;
         let customer = self.next_id;
+        let Some(submission) = self.submit_request(entry, customer, path, submission) else {
+            self.process_actions();
+            return customer;
+        };
         if let Some(dispatcher) = &mut self.entries[entry] {
             dispatcher.submit(self.now, customer, HOST, path, submission);
         }
@@ -297,7 +309,9 @@
         self.check_single_runs();
         // A resumed process first reads the messages buffered on its connections.
         self.deliver();
+        self.deliver_to_entries();
         self.connect();
+        self.connect_entries();
         self.call_upstreams();
         let now_ms = u64::try_from(now.as_millis()).expect("fits into 64 bits");
         let tick_ms = u64::try_from(TICK_INTERVAL.as_millis()).expect("fits into 64 bits");
@@ -330,6 +344,8 @@
         }
         if now_ms % tick_ms == 0 {
             self.disconnect_silent();
+            self.disconnect_silent_entries();
+            self.update_neighbours();
         }
         self.process_actions();
     }
@@ -491,26 +507,42 @@
             }
         }
         for index in 0..self.entries.len() {
-            let Some(entry) = &mut self.entries[index] else {
-                continue;
-            };
-            for action in entry.take_actions() {
-                match action {
-                    Entry::Send((to, frame)) => {
-                        let side = self.side_ids.iter().position(|id| *id == to);
-                        if let Some(side) = side {
-                            self.send_message(index, side, false, frame);
-                        }
-                    }
-                    Entry::Answer(customer, answer) => {
-                        let previous = self.answers.insert(customer, (self.now, answer));
-                        assert!(previous.is_none(), "customer {customer} was answered twice");
-                    }
+            while let Some(entry) = &mut self.entries[index] {
+                let actions = entry.take_actions();
+                if actions.is_empty() {
+                    break;
+                }
+                for action in actions {
+                    self.execute(index, action);
                 }
             }
         }
     }
 
+    fn execute(&mut self, index: usize, action: Entry) {
+        match action {
+            Entry::Send((to, frame)) => {
+                let side = self.side_ids.iter().position(|id| *id == to);
+                match side {
+                    Some(side) => self.send_message(index, side, false, frame),
+                    None => self.send_to_entry(index, to, frame),
+                }
+            }
+            Entry::Answer(customer, answer) => self.record_answer(customer, answer),
+            Entry::Respond(customer, reply) => {
+                let answer = self.replied(&reply);
+                self.record_answer(customer, answer);
+            }
+            Entry::Reply(to, call, answer) => self.send_reply(index, to, call, answer),
+            Entry::Serve(customer, request) => self.serve(index, customer, &request),
+        }
+    }
+
+    fn record_answer(&mut self, customer: u64, answer: Answer) {
+        let previous = self.answers.insert(customer, (self.now, answer));
+        assert!(previous.is_none(), "customer {customer} was answered twice");
+    }
+
     fn send_message(&mut self, entry: usize, side: usize, to_entry: bool, frame: Frame) {
         let link = self.links[&(entry, side)];
         let connected = if to_entry {
--- a/crates/kernel/tests/slow_connections.rs
+++ b/crates/kernel/tests/slow_connections.rs
@@ -65,6 +65,7 @@
         domain: "d".to_owned(),
         rack: String::new(),
         address: String::new(),
+        processor: 0,
         number: 0,
         nonce: 0,
     };
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -248,6 +248,7 @@
             .map(|index| Endpoint {
                 name: format!("entry-{index}"),
                 address: format!("127.0.0.1:{}", 7000 + index),
+                processor: 0,
             })
             .collect()
     }
--- a/crates/kernel/tests/world/network.rs
+++ b/crates/kernel/tests/world/network.rs
@@ -178,6 +178,7 @@
             domain: domain.to_owned(),
             rack: String::new(),
             address: String::new(),
+            processor: 0,
             number: 0,
             nonce: 0,
         })
--- a/crates/wire/src/endpoint.rs
+++ b/crates/wire/src/endpoint.rs
@@ -9,4 +9,7 @@
     pub name: String,
     /// Address at which the entry accepts connections, `IP:port`.
     pub address: String,
+    /// Processor available to the entry, in thousandths of a core; 0 if it is
+    /// unknown.
+    pub processor: u32,
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 /// Version of the frame format; a peer with another version is refused.
-pub const VERSION: u16 = 3;
+pub const VERSION: u16 = 4;
 
 /// The role of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -38,6 +38,9 @@
     pub rack: String,
     /// Address at which entries accept connections; empty for sides.
     pub address: String,
+    /// Processor available to the sender, in thousandths of a core; 0 if it is
+    /// unknown, and for sides.
+    pub processor: u32,
     /// Number of the connection, counted by the sender; a later connection has a
     /// higher one.
     pub number: u64,
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -2,7 +2,7 @@
 //! it needs, runs under a lease at an upstream, and may be started once more
 //! when its previous run is proved to have ended.
 
-use crate::{endpoint::Endpoint, id::Incarnation};
+use crate::{Payload, endpoint::Endpoint, id::Incarnation};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
@@ -291,6 +291,8 @@
     pub arriving: Vec<(u8, u64)>,
     /// The sender's shares of the hosts that it uses, by service.
     pub shares: Vec<(String, Share)>,
+    /// Whether the sender is shutting down and should get no new jobs.
+    pub leaving: bool,
 }
 
 /// An entry's share of the processors of its sides' hosts. Every host counts as
@@ -384,6 +386,73 @@
     pub found: bool,
 }
 
+/// Entry to entry: run a customer's job and reply with the response. The receiver
+/// owns the job from then on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Forward {
+    /// Number that matches the reply to the request; unique in the sender.
+    pub call: u64,
+    /// The receiver's clock as last received, in milliseconds; bounds the age of
+    /// the frame.
+    pub clock: u64,
+    /// Identifier of the job, given by its customer.
+    pub job: u64,
+    /// Host name that the customer's request names.
+    pub host: String,
+    /// Path of the request.
+    pub path: String,
+    /// Time that the customer waits for the answer from its request on, in
+    /// milliseconds.
+    pub patience_ms: u64,
+    /// Time since the request arrived at the sender, in milliseconds.
+    pub waited_ms: u32,
+    /// Time until the sender exits, in milliseconds, if it is shutting down: it can
+    /// deliver no later answer.
+    pub exit_ms: Option<u32>,
+    /// Body of the request, as received.
+    pub body: Payload,
+}
+
+/// Entry to entry: the response to a forwarded job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Forwarded {
+    /// The `call` of the request.
+    pub call: u64,
+    /// The response.
+    pub reply: Reply,
+}
+
+/// The response to a customer's request for a forwarded job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// HTTP status code.
+    pub status: u16,
+    /// Value of the `Retry-After` header, in seconds.
+    pub retry_after: Option<u64>,
+    /// JSON document.
+    pub body: String,
+    /// Whether the job has not run for a reason that concerns only the sender of
+    /// the reply, so that another entry may serve it.
+    pub elsewhere: bool,
+}
+
+/// Entry to entry: the customer of a forwarded job has disconnected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Withdraw {
+    /// The `call` of the request.
+    pub call: u64,
+}
+
+/// Entry to entry: shows both ends of a connection with forwarded jobs that the
+/// other is alive and receives their frames.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// The sender's clock, in milliseconds.
+    pub clock: u64,
+    /// The receiver's clock as last received, in milliseconds.
+    pub echo: u64,
+}
+
 /// All frames of leased tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -424,6 +493,14 @@
     Cancel(Cancel),
     /// See [`Cancelled`].
     Cancelled(Cancelled),
+    /// See [`Forward`].
+    Forward(Forward),
+    /// See [`Forwarded`].
+    Forwarded(Forwarded),
+    /// See [`Withdraw`].
+    Withdraw(Withdraw),
+    /// See [`Pulse`].
+    Pulse(Pulse),
 }
 
 /// A frame and the incarnation of its receiver.
--- a/crates/wire/tests/ticket_signatures.rs
+++ b/crates/wire/tests/ticket_signatures.rs
@@ -33,6 +33,7 @@
         domain: "d".to_owned(),
         rack: String::new(),
         address: String::new(),
+        processor: 0,
         number: 0,
         nonce: 0,
     }
