--- a/crates/hyssopctl/tests/explain_trace.rs
+++ b/crates/hyssopctl/tests/explain_trace.rs
@@ -69,3 +69,43 @@
     );
     assert!(parse_matching("time=T event=x job=1", JOB, "f").is_none());
 }
+
+/// Guards against the refusal of one owner taken for the outcome of a job that was
+/// then forwarded to another.
+#[test]
+fn forwarded_job() {
+    let forwarded = |at: u32, peer: &str| {
+        format!("2.0 e0 time=T{at} level=INFO event=job_forwarded job={JOB} peer={peer}")
+    };
+    let taken = |at: u32, entry: &str| {
+        format!("2.1 {entry} time=T{at} level=INFO event=job_taken_over job={JOB} from=0a")
+    };
+    let refused = format!(
+        "2.2 e1 time=T3 level=WARN event=refused job={JOB} reason=leaving wait_ms=0 \
+         useful_ms=300 held_ms=0 ran=no"
+    );
+    let answered = format!(
+        "2.3 e2 time=T6 level=INFO event=answered job={JOB} state=completed took_ms=90 \
+         objective_ms=200"
+    );
+    let (first, second) = (forwarded(1, "1b"), forwarded(4, "2c"));
+    let (by_first, by_second) = (taken(2, "e1"), taken(5, "e2"));
+    let all = [&first, &by_first, &refused, &second, &by_second, &answered];
+    assert_eq!(
+        outcome_cause(&all.map(String::as_str)),
+        "completed in time: 90 ms of 200 ms; taken over by e1 from 0a; taken over by e2 from 0a"
+    );
+    let text = outcome_cause(&all.map(String::as_str)[..3]);
+    assert!(
+        text.starts_with("refused at once, not run: leaving"),
+        "{text}"
+    );
+    let lost = format!(
+        "2.4 e0 time=T6 level=WARN event=forward_lost job={JOB} peer=2c held_ms=540 ran=maybe"
+    );
+    let lines = [&second, &by_second, &lost].map(String::as_str);
+    assert_eq!(
+        outcome_cause(&lines),
+        "owner 2c lost after 540 ms; a task may have run; taken over by e2 from 0a"
+    );
+}
--- a/crates/hyssoppost/tests/settings_faults.rs
+++ b/crates/hyssoppost/tests/settings_faults.rs
@@ -128,6 +128,31 @@
     assert!(found.iter().any(names_key), "{found:?}");
 }
 
+/// Guards against a process that refuses to start, or forwards all its jobs, for a
+/// processor out of range: it counts as unknown.
+#[test]
+fn processor_out_of_range() {
+    let entry = settings::Entry::parse(ENTRY).unwrap();
+    assert_eq!(entry.processor, None);
+    let cases = [
+        ("0.12", Some(120)),
+        ("2", Some(2_000)),
+        ("0", None),
+        ("-1", None),
+        ("0.0001", None),
+        ("inf", None),
+        ("NaN", None),
+        ("1e9", None),
+    ];
+    for (text, expected) in cases {
+        let text = format!("{ENTRY}\n[limits]\nprocessor = {text}\n");
+        let entry = settings::Entry::parse(&text).unwrap();
+        assert_eq!(settings::thousandths(entry.processor.unwrap()), expected);
+    }
+    let found = entry_faults(&format!("{ENTRY}\n[limits]\nprocessor = much\n"));
+    assert!(found[0].contains(r#"key="processor""#), "{found:?}");
+}
+
 #[test]
 fn unknown_policy() {
     let found = entry_faults(&format!("{ENTRY}\n[policy]\nname = best\n"));
--- a/crates/hyssoppost/tests/soak/mod.rs
+++ b/crates/hyssoppost/tests/soak/mod.rs
@@ -67,6 +67,8 @@
     exclusions: Vec<Exclusion>,
     store_healthy: bool,
     version: u64,
+    /// Processor that each entry states, in cores; none if empty.
+    processors: &'static [f64],
 }
 
 fn rules(version: u64) -> serde_json::Value {
@@ -98,6 +100,8 @@
             exclusions: Vec::new(),
             store_healthy: true,
             version: 1,
+            // With odd seeds the first entry forwards its jobs to the others.
+            processors: if seed % 2 == 1 { &[0.1, 1.0, 0.7] } else { &[] },
         };
         site.shared.lock().entries = vec![None; ENTRIES];
         site.shared.lock().draining = vec![false; ENTRIES];
@@ -137,12 +141,16 @@
     }
 
     fn entry_settings(&self, index: usize, advertised: SocketAddr) -> PathBuf {
+        let processor = self.processors.get(index);
+        let limits = processor.map_or_else(String::new, |processor| {
+            format!("[limits]\nprocessor = {processor}\n")
+        });
         let text = format!(
             "[entry]\nname = e{index}\nenvironment = soak\ndomain = d{index}\ndrain_s = 6\n\
              [listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\nlinks = 127.0.0.1:0\n\
              advertise = {advertised}\nadmin = 127.0.0.1:0\n\
              [store]\naddress = {}\n[lease]\nlongest_ms = 1000\nresend_ms = 1300\nstop_ms = 50\n\
-             [security]\nkey = soak-soak-soak-soak\nadmin_token = soak\n",
+             [security]\nkey = soak-soak-soak-soak\nadmin_token = soak\n{limits}",
             self.store.server.address
         );
         write_ini(&self.folder, &format!("e{index}"), &text)
--- a/crates/kernel/tests/lease_histories.rs
+++ b/crates/kernel/tests/lease_histories.rs
@@ -1,6 +1,7 @@
 //! Random histories of faults. In each, no task has two runs at a time, no host
 //! exceeds its capacity, every customer gets one answer, and jobs complete once
-//! the faults have ended.
+//! the faults have ended. Half of the histories have weak entries, which forward
+//! their jobs, and faults between entries.
 //!
 //! `HISTORY_SEED=N` runs the history of one seed; `HISTORIES=N` sets the number
 //! of histories.
@@ -8,7 +9,7 @@
 mod site;
 
 use kernel::{
-    dispatch::Phase,
+    dispatch::{Answer, Phase},
     mutation::{self, Mutant},
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -16,7 +17,11 @@
     Site, job, rules,
     upstream::{Fault, Holds},
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
 
 const DEFAULT_HISTORIES: u64 = 120;
 const RESUBMIT_AFTER: Duration = Duration::from_millis(1_300);
@@ -28,6 +33,9 @@
     tasks: u16,
 }
 
+/// Number of jobs that histories have forwarded.
+static FORWARDED: AtomicUsize = AtomicUsize::new(0);
+
 struct History {
     site: Site,
     random: SmallRng,
@@ -39,6 +47,12 @@
     next_job: u64,
     /// Version of the rules in force.
     version: u64,
+    /// Run time that customers estimate.
+    estimate: Duration,
+    /// Whether weak entries forward their jobs.
+    forwards: bool,
+    /// Customers that were told that the outcome is unknown, and have resubmitted.
+    told: BTreeSet<u64>,
 }
 
 impl History {
@@ -56,6 +70,78 @@
             resubmissions: Vec::new(),
             next_job: 0,
             version: 1,
+            estimate: Duration::from_millis(200),
+            forwards: false,
+            told: BTreeSet::new(),
+        }
+    }
+
+    /// Makes a history with weak entries.
+    fn with_forwarding(seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let processors = [
+            &[1_000, 120][..],
+            &[1_000, 700, 120],
+            &[1_000, 90, 120],
+            &[1_000, 1_000, 90, 120],
+        ][random.random_range(0..4)];
+        let mut history = Self::new(seed);
+        // With the larger factor runs last beyond the resubmission, so that those left
+        // behind show.
+        let factor = random.random_range(1..4);
+        let run_times = history.site.upstreams.iter().map(|stub| stub.run_time);
+        let run_times: Vec<Duration> = run_times.map(|time| time * factor).collect();
+        history.site = Site::with_processors(processors, run_times.len());
+        for (stub, run_time) in history.site.upstreams.iter_mut().zip(run_times) {
+            stub.run_time = run_time;
+        }
+        history.estimate *= factor;
+        history.forwards = true;
+        history
+    }
+
+    /// Injects a random fault of an entry or between entries, or repairs one.
+    fn random_entry_fault(&mut self) {
+        let entries = self.site.entries.len();
+        let (from, to) = (
+            self.random.random_range(0..entries),
+            self.random.random_range(0..entries),
+        );
+        if from == to {
+            return;
+        }
+        match self.random.random_range(0..8) {
+            0 => self.site.cut_entries(from, to, true),
+            1 | 2 => self.site.cut_entries(from, to, false),
+            3 => {
+                let noticed = [self.random.random_bool(0.7), self.random.random_bool(0.7)];
+                self.site.break_entries(from, to, noticed);
+            }
+            4 => self.site.frozen_entries[from] = true,
+            5 | 6 => self.site.frozen_entries[from] = false,
+            _ => {
+                // All that two entries exchange is lost, in both directions.
+                self.site.cut_entries(from, to, true);
+                self.site.cut_entries(to, from, true);
+            }
+        }
+    }
+
+    /// Has customers whose jobs have an unknown outcome resubmit them.
+    fn resubmit_unknown(&mut self) {
+        let now = self.site.now;
+        for (customer, (_, id, tasks)) in &self.open {
+            let Some((at, answer)) = self.site.answers.get(customer) else {
+                continue;
+            };
+            let unknown = matches!(answer, Answer::Unknown | Answer::Expired);
+            if unknown && self.told.insert(*customer) {
+                self.resubmissions.push(Resubmission {
+                    at: now.min(*at) + RESUBMIT_AFTER,
+                    id: *id,
+                    tasks: *tasks,
+                });
+            }
         }
     }
 
@@ -65,7 +151,7 @@
         if self.site.entries[entry].is_none() || self.site.frozen_entries[entry] {
             return;
         }
-        let submission = job(id, tasks, 1_000, Duration::from_millis(200));
+        let submission = job(id, tasks, 1_000, self.estimate);
         let customer = self.site.submit(entry, submission);
         self.open.insert(customer, (entry, id, tasks));
     }
@@ -137,6 +223,13 @@
         let Some((customer, (entry, id, tasks))) = self.open.pop_first() else {
             return;
         };
+        // A frozen process learns of it when it resumes; without forwards, entries
+        // are never frozen. One that has an answer does not resubmit.
+        let answered = self.site.answers.contains_key(&customer);
+        if self.forwards && (self.site.frozen_entries[entry] || answered) {
+            self.open.insert(customer, (entry, id, tasks));
+            return;
+        }
         if let Some(dispatcher) = &mut self.site.entries[entry]
             && !self.site.frozen_entries[entry]
         {
@@ -184,6 +277,10 @@
             for side in 0..self.site.sides.len() {
                 self.site.cut(index, side, false);
             }
+            self.site.frozen_entries[index] = false;
+            for other in 0..self.site.entries.len() {
+                self.site.cut_entries(index, other, false);
+            }
         }
         for side in 0..self.site.sides.len() {
             self.site.frozen_sides[side] = false;
@@ -205,9 +302,20 @@
 }
 
 fn check_history(seed: u64) {
-    let mut history = History::new(seed);
+    check(seed, History::new(seed));
+}
+
+fn check_forwarding(seed: u64) {
+    check(seed, History::with_forwarding(seed));
+}
+
+fn check(seed: u64, mut history: History) {
     for _ in 0..120 {
         history.random_action();
+        if history.forwards {
+            history.random_entry_fault();
+            history.resubmit_unknown();
+        }
         let pause = history.random.random_range(1..120);
         history.site.run(Duration::from_millis(pause));
         history.resubmit_due();
@@ -220,13 +328,19 @@
     assert!(!older_adopted, "seed {seed}: older rules were adopted");
     history.repair();
     history.site.run(Duration::from_secs(12));
+    if history.forwards {
+        // Counted after the run, so that forwards during all of it count.
+        FORWARDED.fetch_add(history.site.forwarded(), Ordering::Relaxed);
+    }
     for (customer, (_, id, _)) in &history.open {
         let answered = history.site.answers.contains_key(customer);
         assert!(answered, "seed {seed}: job {id} has no answer");
     }
     // No resources have leaked: as many tasks as there are cores run at once.
     let capacity = u16::try_from(history.site.sides.len() * 4).expect("at most 20");
-    let longest = Duration::from_millis(700);
+    let run_times = history.site.upstreams.iter().map(|stub| stub.run_time);
+    let longest = run_times.max().unwrap_or_default();
+    let longest = longest.max(Duration::from_millis(700));
     let last = history
         .site
         .submit(0, job(1_000_000, capacity, 1_000, longest));
@@ -244,12 +358,18 @@
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
     if let Some(seed) = number("HISTORY_SEED") {
         check_history(seed);
+        check_forwarding(seed);
         return;
     }
     for seed in 0..number("HISTORIES").unwrap_or(DEFAULT_HISTORIES) {
         let outcome = std::panic::catch_unwind(|| check_history(seed));
         assert!(outcome.is_ok(), "history of seed {seed} failed");
+        let outcome = std::panic::catch_unwind(|| check_forwarding(seed));
+        assert!(outcome.is_ok(), "forwarding history of seed {seed} failed");
     }
+    let forwarded = FORWARDED.load(Ordering::Relaxed);
+    println!("{forwarded} jobs were forwarded");
+    assert!(forwarded > 0, "the histories test forwarding");
 }
 
 /// Guards against starting an order that a side reads long after it was sent,
@@ -376,6 +496,13 @@
             None => missed.push(mutant),
         }
     }
+    // `forwarding.rs` has the directed tests of the other faults in forwarding.
+    let mutant = Mutant::ForwardedTwice;
+    mutation::seed(Some(mutant));
+    match (0..MUTANT_HISTORIES).find(|seed| fails(&|| check_forwarding(*seed))) {
+        Some(seed) => println!("{mutant:?}: found by forwarding history {seed}"),
+        None => missed.push(mutant),
+    }
     let directed: [(Mutant, &dyn Fn()); 4] = [
         (Mutant::ReleasedEntry, &order_to_released_side),
         (Mutant::RepeatTrusted, &order_repeated_after_end),
--- a/crates/wire/tests/frame_codec.rs
+++ b/crates/wire/tests/frame_codec.rs
@@ -9,6 +9,7 @@
     codec::{Codec, MAX_FRAME_BYTES},
     frame::{Done, Handover, Item, Kept, Load, Outcome, Refuse, Run, Void},
     id::{Incarnation, Job},
+    lease,
 };
 
 /// Generates the same cases in every run.
@@ -106,10 +107,58 @@
     })
 }
 
+fn forwarding() -> impl Strategy<Value = Frame> {
+    let times = (
+        any::<u64>(),
+        any::<u32>(),
+        proptest::option::of(any::<u32>()),
+    );
+    let target = ("[a-z.]{0,12}", "[a-z/]{0,12}", payload());
+    let forward = (any::<u64>(), any::<u64>(), any::<u64>(), times, target).prop_map(
+        |(call, clock, job, (patience_ms, waited_ms, exit_ms), (host, path, body))| {
+            lease::Frame::Forward(lease::Forward {
+                call,
+                clock,
+                job,
+                host,
+                path,
+                patience_ms,
+                waited_ms,
+                exit_ms,
+                body,
+            })
+        },
+    );
+    let retry_after = proptest::option::of(any::<u64>());
+    let reply = (any::<u16>(), retry_after, "[a-z{}]{0,12}", any::<bool>());
+    let forwarded =
+        (any::<u64>(), reply).prop_map(|(call, (status, retry_after, body, elsewhere))| {
+            let reply = lease::Reply {
+                status,
+                retry_after,
+                body,
+                elsewhere,
+            };
+            lease::Frame::Forwarded(lease::Forwarded { call, reply })
+        });
+    let withdraw = any::<u64>().prop_map(|call| lease::Frame::Withdraw(lease::Withdraw { call }));
+    let pulse = (any::<u64>(), any::<u64>())
+        .prop_map(|(clock, echo)| lease::Frame::Pulse(lease::Pulse { clock, echo }));
+    prop_oneof![forward, forwarded, withdraw, pulse].prop_map(Frame::Lease)
+}
+
 fn frame() -> impl Strategy<Value = Frame> {
     let void = (job(), vec(any::<u16>(), 0..8))
         .prop_map(|(job, indices)| Frame::Void(Void { job, indices }));
-    prop_oneof![run(), done(), refuse(), handover(), void, Just(Frame::Pull)]
+    prop_oneof![
+        run(),
+        done(),
+        refuse(),
+        handover(),
+        void,
+        Just(Frame::Pull),
+        forwarding()
+    ]
 }
 
 fn encode(frame: &Frame) -> BytesMut {
