Kernel module for the learnt rate of a host; sides learn and report it

Hosts run the same work at speeds that differ by a factor of two, and no process knows which is slow. A side now learns its upstream's speed relative to what is usual: an entry states with a start order how long the run usually takes at a host of usual speed, of its queue and away from its data, and the side averages the logarithm of that time over the measured one with bounded influence of each run. Of a job the first run ordered at the host counts, short runs count less, and the rate is discarded when the upstream restarts. Status carries it. Entries state nothing yet, so all rates are 1,000.

--- /dev/null
+++ b/crates/kernel/src/dispatch/lateness.rs
@@ -0,0 +1,47 @@
+//! Evidence that an upstream has become slower than its rate explains.
+
+use std::collections::VecDeque;
+
+/// Run time, as a multiple of the one expected at the host, above which a run is
+/// late.
+const LATE_FACTOR: f64 = 2.5;
+
+/// Time, in milliseconds, by which a run must also be late: short runs take as long
+/// for reasons of the network.
+const LATE_MARGIN_MS: f64 = 20.0;
+
+/// Number of jobs, one after the other, whose runs must all be late. One task in
+/// thirty takes seven times as long: with 2,000 pairs of job and host a second, three
+/// such in a row occur every 20 s, and four every ten minutes.
+const JOBS: usize = 4;
+
+/// Returns whether a run is late that was expected to take `expected_ms` at its host.
+pub(super) fn is_late(expected_ms: f64, spent_ms: f64) -> bool {
+    spent_ms > expected_ms * LATE_FACTOR + LATE_MARGIN_MS
+}
+
+/// The last jobs with runs at one upstream.
+#[derive(Debug, Default)]
+pub(super) struct Lateness {
+    /// Jobs, oldest first, and whether all of their runs were late.
+    jobs: VecDeque<(u64, bool)>,
+}
+
+impl Lateness {
+    /// Records a run.
+    pub(super) fn record(&mut self, job: u64, late: bool) {
+        if let Some((_, all_late)) = self.jobs.iter_mut().find(|(known, _)| *known == job) {
+            *all_late &= late;
+            return;
+        }
+        if self.jobs.len() == JOBS {
+            self.jobs.pop_front();
+        }
+        self.jobs.push_back((job, late));
+    }
+
+    /// Returns whether the last jobs were all late.
+    pub(super) fn is_slow(&self) -> bool {
+        self.jobs.len() == JOBS && self.jobs.iter().all(|(_, late)| *late)
+    }
+}
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -244,6 +244,7 @@
             input: job.submission.input.clone(),
             need: step.need,
             estimate: u32::try_from(millis(step.estimate)).unwrap_or(u32::MAX),
+            usual: 0,
             runs,
         };
         self.send(key, Frame::Start(start));
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -5,6 +5,7 @@
     event::Event,
     millis,
     mutation::{Mutant, is_seeded},
+    rate::Rate,
 };
 use std::time::Duration;
 use wire::lease::{Ending, Frame, Progress, Refusal, Run, Task};
@@ -161,6 +162,9 @@
             runs: u32::try_from(self.runs.len()).unwrap_or(u32::MAX),
         });
         self.stats.restarts += 1;
+        if !is_seeded(Mutant::KeptRate) {
+            self.rate = Rate::default();
+        }
         self.started_at = started_at;
         self.token = (self.token + 1).max(millis(now));
         self.clock = None;
@@ -184,6 +188,7 @@
             if let Some(slot) = self.runs.get_mut(&task) {
                 slot.phase = Phase::Unknown;
                 slot.revoked_at = None;
+                slot.usual = 0;
                 slot.lease = NO_EXPIRY;
                 if slot.stop_sent_at.is_none() {
                     self.leases_end = self.leases_end.max(now + self.timing.real_max_lease());
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -24,6 +24,7 @@
     liveness::Liveness,
     millis,
     mutation::{Mutant, is_seeded},
+    rate::Rate,
 };
 use queue::Queue;
 use std::{
@@ -69,6 +70,9 @@
     revoked_at: Option<u64>,
     /// Estimated duration, in milliseconds.
     estimate: u32,
+    /// Usual duration at a host of usual speed, in milliseconds; 0 if the run does
+    /// not count for the host's rate.
+    usual: u32,
     percent: u8,
     progressed_at: Duration,
     progress_sent_at: Duration,
@@ -140,6 +144,8 @@
     last_end: u64,
     runs: BTreeMap<Task, Slot>,
     queue: Queue,
+    /// Speed of the upstream's present process.
+    rate: Rate,
     peers: BTreeMap<Incarnation, Peer>,
     /// Fencing token of the hold call in progress.
     hold_token: Option<u64>,
@@ -175,6 +181,7 @@
             last_end: 0,
             runs: BTreeMap::new(),
             queue: Queue::default(),
+            rate: Rate::default(),
             peers: BTreeMap::new(),
             hold_token: None,
             hold_sent_at: Duration::ZERO,
@@ -209,6 +216,11 @@
         self.runs.len()
     }
 
+    /// Returns the upstream's learnt rate, per mille of the usual speed.
+    pub fn rate(&self) -> u16 {
+        self.rate.per_mille()
+    }
+
     /// Returns the upstream's last announcement.
     pub fn announced(&self) -> Option<&Announcement> {
         self.announced.as_ref()
@@ -407,10 +419,14 @@
             return;
         };
         self.dirty = true;
+        let spent = u32::try_from(millis(now.saturating_sub(run.ordered_at))).unwrap_or(u32::MAX);
+        if ending == Ending::Done && run.stop_sent_at.is_none() {
+            self.rate.record(run.usual, spent);
+        }
         let end = End {
             run: run.id(task),
             ending,
-            spent: u32::try_from(millis(now.saturating_sub(run.ordered_at))).unwrap_or(u32::MAX),
+            spent,
         };
         self.events.push(Event::RunEnded {
             run: end.run,
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -145,6 +145,7 @@
             upstream: upstream.cloned().unwrap_or_default(),
         };
         let deadline = self.send_start(now, order.clone());
+        let counts = start.usual > 0 && self.rate.select(run.task.job);
         let slot = Slot {
             attempt: run.attempt,
             entry,
@@ -157,6 +158,7 @@
             stop_sent_at: None,
             revoked_at: None,
             estimate: start.estimate,
+            usual: if counts { start.usual } else { 0 },
             percent: 0,
             progressed_at: now,
             progress_sent_at: now,
@@ -194,6 +196,8 @@
         let deadline = self.send_start(now, order);
         if let Some(slot) = self.runs.get_mut(&task) {
             slot.lease = deadline;
+            // Its time would include that of the lost order.
+            slot.usual = 0;
         }
         true
     }
--- a/crates/kernel/src/guard/report.rs
+++ b/crates/kernel/src/guard/report.rs
@@ -36,6 +36,7 @@
                 silent: now.saturating_sub(self.last_received),
             });
         }
+        let rate = self.rate();
         let runs = u16::try_from(self.runs.len()).unwrap_or(u16::MAX);
         let connected = self.peers.iter().filter(|(_, peer)| peer.connected);
         let (released, used): (Vec<_>, Vec<_>) =
@@ -54,6 +55,7 @@
                     accepting: accepting && is_used,
                     runs,
                     entries,
+                    rate,
                 };
                 Action::Send((*entry, Frame::Status(status)))
             })
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod outcome;
 pub mod policy;
 pub mod queue;
+pub mod rate;
 pub mod reconnect;
 pub mod side;
 pub mod timing;
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -48,6 +48,8 @@
     RepeatTrusted,
     /// A side takes tasks from an entry that it has released.
     ReleasedEntry,
+    /// The rate learnt of an upstream is kept over its restart.
+    KeptRate,
 }
 
 #[cfg(feature = "mutation")]
--- a/crates/kernel/tests/fleet_shares.rs
+++ b/crates/kernel/tests/fleet_shares.rs
@@ -54,6 +54,7 @@
         accepting: true,
         runs: 4,
         entries: 2,
+        rate: 1_000,
     };
     entry.frame(NOW, SIDE, Frame::Upstream(Some(upstream)));
     entry.frame(NOW, SIDE, Frame::OpenRuns(Vec::new()));
--- a/crates/kernel/tests/room_refusals.rs
+++ b/crates/kernel/tests/room_refusals.rs
@@ -70,6 +70,7 @@
         self.now += pause;
         let status = Status {
             entries: 1,
+            rate: 1_000,
             clock: u64::try_from(self.now.as_millis()).unwrap(),
             received: self.received,
             free: CAPACITY,
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -176,6 +176,8 @@
     pub runs: u16,
     /// Number of entries that the side takes tasks from, the receiver included.
     pub entries: u16,
+    /// Learnt speed of the host, per mille of the usual; 1,000 while it is unknown.
+    pub rate: u16,
 }
 
 /// Entry to side: heartbeat and acknowledgement.
@@ -199,6 +201,9 @@
     pub need: Need,
     /// Estimated duration of each run, in milliseconds.
     pub estimate: u32,
+    /// Duration, in milliseconds, that is usual for these runs at a host of usual
+    /// speed, as far from their data as this one; 0 while it is unknown.
+    pub usual: u32,
     /// Runs to start, one for each task.
     pub runs: Vec<Run>,
 }
