Benchmark of the placement of leased tasks

cargo bench measured only the entry for called upstreams. The new group places and completes jobs of eight leased tasks on 62, 250 and 2,200 sides that all have room.

--- a/crates/kernel/benches/decisions.rs
+++ b/crates/kernel/benches/decisions.rs
@@ -1,15 +1,19 @@
 //! Benchmarks of the entry's state machine, without I/O: time per task, document
-//! and heartbeat, and memory per side and job, for three numbers of sides.
+//! and heartbeat, and memory per side and job, for three numbers of sides; and time
+//! per leased task.
 //!
 //! Run with `cargo bench -p hyssop-kernel`.
 
 use criterion::{BatchSize, Criterion, Throughput};
 use kernel::{
+    dispatch::{self, Dispatcher, Step},
     entry::{Action, Entry, Identity},
+    guard::Timing,
     policy::Plugin,
     work::Customer,
 };
 use std::{
+    collections::BTreeMap,
     fmt::Write,
     fs,
     hint::black_box,
@@ -22,9 +26,11 @@
         VERSION,
     },
     id::Incarnation,
+    lease::{self, Queue, Rules},
 };
 
 const FLEET_SIZES: [u64; 3] = [12, 2_200, 13_000];
+const LEASED_FLEET_SIZES: [u64; 3] = [62, 250, 2_200];
 const TEAMS: usize = 400;
 const TASKS_PER_JOB: u16 = 110;
 const SLOTS_PER_SIDE: u16 = 32;
@@ -206,6 +212,152 @@
     group.finish();
 }
 
+const LEASED_TASKS: u16 = 8;
+const LEASED_RUN: Duration = Duration::from_millis(100);
+
+/// Makes an entry for leased tasks whose sides have room for eight tasks each.
+fn leased_entry(sides: u64) -> Dispatcher {
+    let timing = Timing::new(
+        Duration::from_secs(1),
+        Duration::from_millis(1_300),
+        Duration::from_millis(50),
+    );
+    let mut entry = Dispatcher::new(NOW, "d", timing, 1);
+    let queue = Queue {
+        name: "q".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        service: "s".to_owned(),
+        priority: 0,
+        attempts: 3,
+        objective_factor: 1.6,
+        target: 60,
+    };
+    let rules = Rules {
+        revision: 1,
+        version: 1,
+        queues: vec![queue],
+        out: Vec::new(),
+    };
+    entry.adopt(NOW, &rules, None);
+    for side in 0..sides {
+        let incarnation = Incarnation(1_000 + side);
+        let hello = Hello {
+            version: VERSION,
+            role: Role::Side,
+            name: format!("side-{side}"),
+            incarnation,
+            domain: "d".to_owned(),
+            rack: String::new(),
+            address: String::new(),
+            number: 1,
+            nonce: 0,
+        };
+        entry.join_side(NOW, &hello);
+        let upstream = lease::Upstream {
+            id: format!("u-{side}"),
+            service: "s".to_owned(),
+            labels: Vec::new(),
+            capacity: LEASED_CAPACITY,
+        };
+        entry.frame(NOW, incarnation, lease::Frame::Upstream(Some(upstream)));
+        entry.frame(NOW, incarnation, lease::Frame::OpenRuns(Vec::new()));
+        // Rates of 0.8 to 1.2 of the usual speed.
+        let rate = 800 + u16::try_from(side % 5).unwrap() * 100;
+        entry.frame(NOW, incarnation, leased_status(0, rate));
+    }
+    entry.take_actions();
+    entry
+}
+
+const LEASED_CAPACITY: lease::Need = lease::Need {
+    cpu: 8_000,
+    memory: 65_536,
+    accelerators: 0,
+};
+
+fn leased_status(received: u32, rate: u16) -> lease::Frame {
+    lease::Frame::Status(lease::Status {
+        clock: kernel::millis(NOW),
+        received,
+        free: LEASED_CAPACITY,
+        accepting: true,
+        runs: 0,
+        entries: 8,
+        rate,
+    })
+}
+
+/// Places and completes one job of leased tasks; returns the number of runs.
+fn run_leased_job(
+    entry: &mut Dispatcher,
+    job: u64,
+    progress: &mut BTreeMap<Incarnation, (u32, u64)>,
+) -> usize {
+    let step = Step {
+        count: LEASED_TASKS,
+        need: lease::Need {
+            cpu: 1_000,
+            memory: 64,
+            accelerators: 0,
+        },
+        estimate: LEASED_RUN,
+        ..Step::default()
+    };
+    let submission = dispatch::Submission {
+        job,
+        input: "input".to_owned(),
+        steps: vec![step],
+        patience: Duration::from_secs(10),
+    };
+    entry.submit(NOW, job, "h", "/", submission);
+    entry.place_if_changed(NOW);
+    let mut count = 0;
+    for action in entry.take_actions() {
+        let dispatch::Action::Send((side, lease::Frame::Start(start))) = action else {
+            continue;
+        };
+        count += start.runs.len();
+        let (received, last_end) = progress.entry(side).or_default();
+        let first = *last_end + 1;
+        *received += u32::try_from(start.runs.len()).unwrap();
+        *last_end += start.runs.len() as u64;
+        let ended = |run| lease::End {
+            run,
+            ending: lease::Ending::Done,
+            spent: 100,
+        };
+        let ends = start.runs.into_iter().map(ended).collect();
+        let rate = 800 + u16::try_from((side.0 - 1_000) % 5).unwrap() * 100;
+        entry.frame(NOW, side, leased_status(*received, rate));
+        entry.frame(NOW, side, lease::Frame::Ends(lease::Ends { first, ends }));
+    }
+    entry.take_actions();
+    entry.take_events();
+    count
+}
+
+fn bench_leased(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("leased-task");
+    group.throughput(Throughput::Elements(LEASED_TASKS.into()));
+    group.measurement_time(Duration::from_secs(2));
+    group.warm_up_time(Duration::from_millis(500));
+    group.sample_size(20);
+    for sides in LEASED_FLEET_SIZES {
+        let mut entry = leased_entry(sides);
+        let mut progress = BTreeMap::new();
+        let mut job = 0;
+        group.bench_function(format!("place-and-complete/{sides}"), |bencher| {
+            bencher.iter(|| {
+                job += 1;
+                let runs = run_leased_job(&mut entry, job, &mut progress);
+                assert_eq!(runs, usize::from(LEASED_TASKS));
+            });
+        });
+    }
+    group.finish();
+}
+
 fn resident_bytes() -> u64 {
     let status = fs::read_to_string("/proc/self/status").unwrap();
     let line = status
@@ -274,5 +426,6 @@
     measure_heartbeats();
     let mut criterion = Criterion::default().configure_from_args();
     bench_decisions(&mut criterion);
+    bench_leased(&mut criterion);
     criterion.final_summary();
 }
