Placement, forecasts and ejection by the hosts' learnt rates

Cause: entries judged a host by an average of the ratio of run time to estimate that a single run moved by 15 %, whatever its kind.

Change: an entry learns the usual ratio by queue, corrected for the rates of the hosts and anchored at their mean, and sends the usual run time with each order. A task goes where its job is expected to end soonest; the longest tasks of a job come first; announcements go last to sides on which a task would miss its objective. Forecasts count processors at their rates. Only four jobs in a row, all of whose runs took over 2.5 times what the rate explains, eject an upstream for slowness; also a slow run that is moved counts as one job and ejects none by itself. An invalid rate is logged once and ignored. Dumps and metrics show rates and usual ratios. Where all rates are equal, hosts cost the same as with equal averages before.

Whether a side may be ejected counts all sides; it is now looked at for late runs only.

--- a/crates/hyssoppost/src/leased/dump.rs
+++ b/crates/hyssoppost/src/leased/dump.rs
@@ -8,7 +8,7 @@
     millis,
 };
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 /// Returns an entry's state as JSON.
 pub(super) fn entry(kernel: &Dispatcher, local: &Local, now: Duration) -> Value {
@@ -35,6 +35,7 @@
         "configuration": configuration,
         "queued_tasks": kernel.backlog(),
         "open_jobs": kernel.open_jobs(),
+        "usual_ratios": kernel.usual_ratios().collect::<BTreeMap<_, _>>(),
         "sides": sides,
         "counts": {
             "accepted": stats.accepted,
@@ -62,6 +63,7 @@
         "room_mcpu": side.room.cpu,
         "runs": side.runs,
         "slowness": side.slowness,
+        "rate": side.rate,
     })
 }
 
@@ -80,6 +82,7 @@
             "id": announcement.map(|announcement| &announcement.upstream.id),
             "service": announcement.map(|announcement| &announcement.upstream.service),
             "room_mcpu": kernel.free().cpu,
+            "rate": kernel.rate(),
         },
         "running": kernel.runs(),
         "counts": {
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -137,6 +137,7 @@
         Event::RunEnded { ending, spent, .. } => record_run_end(*ending, *spent),
         Event::Moved { .. } => counter!("hyssoppost_runs_moved_total").increment(1),
         Event::Ejected { .. } => counter!("hyssoppost_upstreams_aside_total").increment(1),
+        Event::RateInvalid { .. } => counter!("hyssoppost_rates_invalid_total").increment(1),
         Event::RunUnanswered { .. } => counter!("hyssoppost_orders_unanswered_total").increment(1),
         Event::RunOrphaned { .. } => counter!("hyssoppost_runs_orphaned_total").increment(1),
         _ => {}
@@ -184,6 +185,7 @@
     meter::publish(&local.hello.name, local);
     publish_logging();
     gauge!("hyssoppost_runs_here").set(meter::count(kernel.runs()));
+    gauge!("hyssoppost_upstream_rate").set(f64::from(kernel.rate()) / 1e3);
     gauge!("hyssoppost_room_mcpu").set(f64::from(kernel.free().cpu));
     counter!("hyssoppost_upstream_lives_total").absolute(kernel.stats().restarts);
     counter!("hyssoppost_runs_foreign_total").absolute(kernel.stats().foreign);
--- a/crates/kernel/src/dispatch/answer.rs
+++ b/crates/kernel/src/dispatch/answer.rs
@@ -47,6 +47,8 @@
     pub runs: usize,
     /// Run time relative to the mean of all sides; 1 is average.
     pub slowness: f64,
+    /// Learnt speed of its host, per mille of the usual.
+    pub rate: u16,
 }
 
 /// Counts since the entry's start.
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -1,7 +1,12 @@
 //! The entry's view of its sides: connections, free resources, runs, and the
 //! health of their upstreams.
 
-use crate::{liveness::Liveness, timing::MAX_REPORT_INTERVAL};
+use super::lateness::Lateness;
+use crate::{
+    liveness::Liveness,
+    rate::{USUAL_RATE, is_valid},
+    timing::MAX_REPORT_INTERVAL,
+};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
@@ -33,8 +38,8 @@
 /// Weight of one run in the moving average of a side's slowness.
 const RUN_WEIGHT: f64 = 0.15;
 
-/// Slowness, as a multiple of the mean, above which an upstream is ejected.
-const SLOWNESS_TO_EJECT: f64 = 2.5;
+/// Interval at which the rates of all sides are summed up.
+const RATE_REVIEW_INTERVAL: Duration = MAX_REPORT_INTERVAL;
 
 /// State of the connection to a side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,6 +74,11 @@
     pub(super) last_echo_at: Duration,
     /// Moving average of run time divided by estimate.
     pub(super) slowness: f64,
+    /// Last valid rate that the side has reported, per mille of the usual speed.
+    pub(super) rate: u16,
+    /// Whether the last report had an invalid rate.
+    rate_invalid: bool,
+    lateness: Lateness,
     failures: u32,
     unanswered: u32,
     ejection: Option<Ejection>,
@@ -99,6 +109,9 @@
             echoed: 0,
             last_echo_at: Duration::ZERO,
             slowness: 1.0,
+            rate: USUAL_RATE,
+            rate_invalid: false,
+            lateness: Lateness::default(),
             failures: 0,
             unanswered: 0,
             ejection: None,
@@ -121,13 +134,50 @@
         upstream.map_or_else(Need::default, |declared| declared.capacity)
     }
 
-    /// Returns this entry's share of the host.
+    /// Returns the host's processors and the free part, each counted at its rate.
+    pub(super) fn processors(&self) -> Share {
+        let at_rate = |cpu: u32| u64::from(cpu) * u64::from(self.rate) / u64::from(USUAL_RATE);
+        Share {
+            total: at_rate(self.capacity().cpu),
+            free: at_rate(self.room().cpu),
+        }
+    }
+
+    /// Returns this entry's share of [`Side::processors`].
     pub(super) fn share(&self) -> Share {
-        let entries = self.status.map_or(1, |status| status.entries.max(1));
+        let entries = u64::from(self.status.map_or(1, |status| status.entries.max(1)));
+        let all = self.processors();
         Share {
-            total: u64::from(self.capacity().cpu) / u64::from(entries),
-            free: u64::from(self.room().cpu) / u64::from(entries),
+            total: all.total / entries,
+            free: all.free / entries,
+        }
+    }
+
+    /// Returns the rate as a multiple of the usual speed.
+    pub(super) fn speed(&self) -> f64 {
+        f64::from(self.rate) / f64::from(USUAL_RATE)
+    }
+
+    /// Records the side's upstream. What was learnt of an earlier process is
+    /// discarded.
+    pub(super) fn set_upstream(&mut self, upstream: Option<Upstream>) {
+        let id = |upstream: &Option<Upstream>| upstream.as_ref().map(|known| known.id.clone());
+        if upstream.is_some() && id(&upstream) != id(&self.upstream) {
+            self.rate = USUAL_RATE;
+            self.lateness = Lateness::default();
+        }
+        self.upstream = upstream;
+    }
+
+    /// Takes the rate of a report. Returns false for the first of several reports
+    /// with an invalid one; the last valid one remains.
+    pub(super) fn set_rate(&mut self, rate: u16) -> bool {
+        let was_invalid = self.rate_invalid;
+        self.rate_invalid = !is_valid(rate);
+        if !self.rate_invalid {
+            self.rate = rate;
         }
+        was_invalid || !self.rate_invalid
     }
 
     /// Returns whether the side is connected, accepts tasks and has reported
@@ -264,6 +314,41 @@
     pub(super) mean_slowness: f64,
     /// Moving average of the run time over all sides, in milliseconds.
     pub(super) mean_run_ms: f64,
+    speeds: BTreeMap<String, Speeds>,
+    speeds_reviewed_at: Duration,
+}
+
+/// Speeds of a service's hosts, as multiples of the usual.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Speeds {
+    /// Mean of the available hosts, weighted by their processors.
+    pub(super) mean: f64,
+    /// Highest.
+    pub(super) fastest: f64,
+    /// Whether all are equal, so that speed decides nothing.
+    pub(super) uniform: bool,
+}
+
+impl Default for Speeds {
+    fn default() -> Self {
+        Self {
+            mean: 1.0,
+            fastest: 1.0,
+            uniform: true,
+        }
+    }
+}
+
+/// The end of a run, as far as it says something about the host's speed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Timed {
+    pub(super) job: u64,
+    /// Run time divided by estimate.
+    pub(super) ratio: f64,
+    /// Run time, in milliseconds.
+    pub(super) spent: u32,
+    /// Whether the run was late; `None` if that is not the host's doing.
+    pub(super) late: Option<bool>,
 }
 
 impl Fleet {
@@ -316,33 +401,87 @@
         Some(&upstream.service)
     }
 
-    /// Updates the averages with a successful run of `spent` milliseconds, which
-    /// took `ratio` times its estimate.
-    pub(super) fn record_run(
-        &mut self,
-        now: Duration,
-        key: Key,
-        ratio: f64,
-        spent: u32,
-    ) -> Transition {
+    /// Updates the averages with a successful run.
+    pub(super) fn record_run(&mut self, now: Duration, key: Key, run: Timed) -> Transition {
+        let speed = self.get(key).map_or(1.0, Side::speed);
+        let (ratio, spent) = (run.ratio, run.spent);
         if self.mean_slowness == 0.0 {
-            self.mean_slowness = ratio;
+            self.mean_slowness = ratio * speed;
             self.mean_run_ms = spent.into();
         }
         self.mean_run_ms += (f64::from(spent) - self.mean_run_ms) * RUN_WEIGHT / 4.0;
-        self.mean_slowness += (ratio - self.mean_slowness) * RUN_WEIGHT / 4.0;
-        let mean_slowness = self.mean_slowness;
-        let allowed = self.may_eject(now, key);
+        self.mean_slowness += (ratio * speed - self.mean_slowness) * RUN_WEIGHT / 4.0;
         let Some(side) = self.get_mut(key) else {
             return Transition::default();
         };
         let readmitted = side.record_success(ratio);
-        let ejected = side.slowness > mean_slowness * SLOWNESS_TO_EJECT && side.eject(now, allowed);
+        let ejected = self.record_lateness(now, key, run.job, run.late);
         Transition {
             ejected,
             readmitted: readmitted && !ejected,
         }
     }
+
+    /// Records whether a run was late; returns whether the upstream is newly ejected
+    /// for its slowness.
+    pub(super) fn record_lateness(
+        &mut self,
+        now: Duration,
+        key: Key,
+        job: u64,
+        late: Option<bool>,
+    ) -> bool {
+        let (Some(late), Some(side)) = (late, self.get_mut(key)) else {
+            return false;
+        };
+        side.lateness.record(job, late);
+        if !late || !side.lateness.is_slow() {
+            return false;
+        }
+        let allowed = self.may_eject(now, key);
+        self.get_mut(key)
+            .is_some_and(|side| side.eject(now, allowed))
+    }
+
+    /// Sums up the rates of all sides, if that is due.
+    pub(super) fn review_speeds(&mut self, now: Duration) {
+        if now.saturating_sub(self.speeds_reviewed_at) < RATE_REVIEW_INTERVAL {
+            return;
+        }
+        self.speeds_reviewed_at = now;
+        // By service: processors, processors at their rates, lowest and highest rate.
+        let mut sums: BTreeMap<&str, (f64, f64, u16, u16)> = BTreeMap::new();
+        for side in self.sides.values().filter(|side| side.is_available(now)) {
+            let Some(upstream) = &side.upstream else {
+                continue;
+            };
+            let cpu = f64::from(upstream.capacity.cpu);
+            let rate = side.rate;
+            let sum = sums
+                .entry(&upstream.service)
+                .or_insert((0.0, 0.0, rate, rate));
+            sum.0 += cpu;
+            sum.1 += cpu * side.speed();
+            sum.2 = sum.2.min(rate);
+            sum.3 = sum.3.max(rate);
+        }
+        let speeds = sums
+            .into_iter()
+            .map(|(service, (cpu, at_rate, least, most))| {
+                let speeds = Speeds {
+                    mean: if cpu > 0.0 { at_rate / cpu } else { 1.0 },
+                    fastest: f64::from(most) / f64::from(USUAL_RATE),
+                    uniform: least == most,
+                };
+                (service.to_owned(), speeds)
+            });
+        self.speeds = speeds.collect();
+    }
+
+    /// Returns the speeds of a service's hosts.
+    pub(super) fn speeds(&self, service: &str) -> Speeds {
+        self.speeds.get(service).copied().unwrap_or_default()
+    }
 }
 
 /// Longest interval between two echoes: a third of the shortest time without
--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -1,8 +1,14 @@
 //! Handles reports from sides: load, ends of runs and progress of runs.
 
-use super::{Dispatcher, Event, Key, REFUSAL_BACKOFF, fleet::Link, job::State};
+use super::{
+    Dispatcher, Event, Key, REFUSAL_BACKOFF,
+    fleet::{Link, Timed},
+    job::State,
+    lateness::is_late,
+    place::is_stalled,
+};
 use std::time::Duration;
-use wire::lease::{End, Ending, Ends, Frame, Progress, Refusal, Run};
+use wire::lease::{End, Ending, Ends, Frame, Progress, Refusal, Run, Task};
 
 /// Time for which a task that was refused for lack of room is placed only on a
 /// side that claims it: many one-way delays between processes. Load reports are
@@ -17,6 +23,10 @@
         };
         let before = (side.is_available(now), side.room());
         side.report(now, status);
+        if !side.set_rate(status.rate) {
+            let (name, rate) = (side.name.clone(), status.rate);
+            self.events.push(Event::RateInvalid { name, rate });
+        }
         let after = (side.is_available(now), side.room());
         if after.0 && (!before.0 || !after.1.fits(before.1)) {
             self.placement.request_round();
@@ -119,7 +129,7 @@
             }
             return;
         }
-        let (estimate, cpu) = (job.step(task).estimate, job.step(task).need.cpu);
+        let cpu = job.step(task).need.cpu;
         job.has_run |= !matches!(end.ending, Ending::NotRun(_));
         let Some(slot) = job.slot(task) else { return };
         match end.ending {
@@ -143,17 +153,19 @@
             spent: Duration::from_millis(end.spent.into()),
             cpu,
         });
-        self.update_health(now, from, end, estimate);
+        self.update_health(now, from, end);
         self.rerank(now, task.job);
         self.continue_job(now, task, end.ending);
     }
 
     /// Updates the upstream's health after the end of a run.
-    fn update_health(&mut self, now: Duration, from: Key, end: End, estimate: Duration) {
+    fn update_health(&mut self, now: Duration, from: Key, end: End) {
         let ejected = match end.ending {
             Ending::Done => {
-                let ratio = f64::from(end.spent.max(1)) / estimate.as_secs_f64().max(1e-3) / 1e3;
-                let transition = self.fleet.record_run(now, from, ratio, end.spent);
+                let transition = self
+                    .time_run(end)
+                    .map(|run| self.fleet.record_run(now, from, run))
+                    .unwrap_or_default();
                 if transition.readmitted {
                     self.events.push(Event::Readmitted { side: from });
                 }
@@ -189,6 +201,50 @@
         }
     }
 
+    /// Updates what is usual for the queue of a run that has succeeded, and compares
+    /// the run with it.
+    fn time_run(&mut self, end: End) -> Option<Timed> {
+        let task = end.run.task;
+        let late = self.judge_lateness(task, f64::from(end.spent));
+        let job = self.jobs.get(&task.job)?;
+        let estimate = job.step(task).estimate;
+        let ratio = f64::from(end.spent.max(1)) / estimate.as_secs_f64().max(1e-3) / 1e3;
+        let plan = job.tasks[usize::from(task.step)][usize::from(task.index)].plan;
+        let at_usual_speed = ratio * plan.rate / self.fleet.speeds(&job.service).mean;
+        let usual_ratio = at_usual_speed / plan.distance;
+        if usual_ratio.is_finite() && usual_ratio > 0.0 {
+            let count = job.task_count();
+            self.usual.record(&job.queue, estimate, usual_ratio, count);
+        }
+        Some(Timed {
+            job: task.job,
+            ratio,
+            spent: end.spent,
+            late,
+        })
+    }
+
+    /// Returns whether a run of `spent_ms` was later than its host's rate explains;
+    /// `None` while it is unknown what is usual, or if most runs of the queue are late.
+    fn judge_lateness(&mut self, task: Task, spent_ms: f64) -> Option<bool> {
+        let job = self.jobs.get(&task.job)?;
+        let plan = job.tasks[usize::from(task.step)][usize::from(task.index)].plan;
+        let expected_ms = plan.usual?.as_secs_f64() * 1e3 / plan.rate;
+        let late = is_late(expected_ms, spent_ms);
+        self.usual.record_late(&job.queue, late, job.task_count());
+        self.usual.is_late_rare(&job.queue).then_some(late)
+    }
+
+    /// Records that a run is stopped because it is slow; returns whether its upstream
+    /// is newly ejected.
+    fn record_slow_run(&mut self, now: Duration, from: Key, progress: Progress) -> bool {
+        let percent = f64::from(progress.percent.max(1));
+        let total_ms = f64::from(progress.elapsed) * 100.0 / percent;
+        let task = progress.run.task;
+        let late = self.judge_lateness(task, total_ms);
+        self.fleet.record_lateness(now, from, task.job, late)
+    }
+
     /// Stops a run that progresses too slowly, so that it starts elsewhere.
     pub(super) fn review_progress(&mut self, now: Duration, from: Key, progress: Progress) {
         if !self.should_move(now, progress) {
@@ -202,11 +258,14 @@
             percent: progress.percent,
             stalled: Duration::from_millis(progress.stalled.into()),
         });
-        let allowed = self.fleet.may_eject(now, from);
-        let ejected = self
-            .fleet
-            .get_mut(from)
-            .is_some_and(|side| side.eject(now, allowed));
+        let ejected = if is_stalled(progress) {
+            let allowed = self.fleet.may_eject(now, from);
+            self.fleet
+                .get_mut(from)
+                .is_some_and(|side| side.eject(now, allowed))
+        } else {
+            self.record_slow_run(now, from, progress)
+        };
         if ejected {
             self.report_ejection(from, progress.run);
         }
--- a/crates/kernel/src/dispatch/forecast.rs
+++ b/crates/kernel/src/dispatch/forecast.rs
@@ -47,16 +47,14 @@
         }
     }
 
-    /// Returns the processors of a service's usable hosts, and the free part. Where
+    /// Returns the processors of a service's usable hosts at their rates, and the free
+    /// part. Where
     /// each side takes tasks from some entries only, the shares of all entries add
     /// up to more than this one sees.
     fn fleet_share(&self, now: Duration, service: &str) -> Share {
         let (mut seen, mut share) = (Share::default(), Share::default());
         for (_, side) in self.rules.usable(now, &self.fleet, service) {
-            seen = seen.plus(Share {
-                total: side.capacity().cpu.into(),
-                free: side.room().cpu.into(),
-            });
+            seen = seen.plus(side.processors());
             share = share.plus(side.share());
         }
         let all = self.peers.shares(service).fold(share, Share::plus);
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -77,6 +77,22 @@
     pub(super) claim_only_until: Duration,
     /// Run time of the successful run.
     pub(super) spent: Duration,
+    /// What was expected of the last run.
+    pub(super) plan: Plan,
+}
+
+/// What an entry expects of a run.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Plan {
+    /// Usual run time at a host of usual speed, as far from the task's data as this
+    /// one; `None` while it is unknown.
+    pub(super) usual: Option<Duration>,
+    /// Factor for the distance from the task's data.
+    pub(super) distance: f64,
+    /// The host's rate.
+    pub(super) rate: f64,
+    /// Expected end.
+    pub(super) ends_at: Duration,
 }
 
 /// A job that has not ended.
@@ -107,6 +123,8 @@
     pub(super) deadline: Duration,
     /// Tasks, by step.
     pub(super) tasks: Vec<Vec<Slot>>,
+    /// [`Submission::tails`].
+    pub(super) tails: Vec<Duration>,
     /// Whether any run has started, so that the job can't be reported as not run.
     pub(super) has_run: bool,
     /// Steps with waiting tasks, and the sides to which they were announced.
@@ -141,6 +159,7 @@
             useful_until: now,
             deadline: now + submission.patience,
             tasks: submission.slots(),
+            tails: submission.tails(),
             has_run: false,
             reserved: Vec::new(),
             customers: vec![customer],
@@ -262,6 +281,12 @@
         tasks
     }
 
+    /// Returns the number of all tasks.
+    pub(super) fn task_count(&self) -> u32 {
+        let count = self.tasks.iter().map(Vec::len).sum::<usize>();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     /// Returns the number of tasks that have not succeeded.
     pub(super) fn unfinished(&self) -> u32 {
         let open = |slot: &&Slot| slot.state != State::Done;
@@ -344,6 +369,20 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Returns the estimated run time of the longest chain of steps that depend on
+    /// each step.
+    pub(super) fn tails(&self) -> Vec<Duration> {
+        let mut tails = vec![Duration::ZERO; self.steps.len()];
+        for (number, step) in self.steps.iter().enumerate().rev() {
+            let chain = step.estimate + tails[number];
+            for before in &step.depends_on {
+                let tail = &mut tails[usize::from(*before)];
+                *tail = chain.max(*tail);
+            }
+        }
+        tails
+    }
+
     /// Returns the processor time of all tasks, in core-milliseconds.
     pub(super) fn work(&self) -> u64 {
         let steps = self.steps.iter();
@@ -360,6 +399,7 @@
             not_before: Duration::ZERO,
             claim_only_until: Duration::ZERO,
             spent: Duration::ZERO,
+            plan: Plan::default(),
         };
         self.steps
             .iter()
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod forecast;
 mod history;
 mod job;
+mod lateness;
 mod park;
 mod peers;
 mod place;
@@ -24,6 +25,7 @@
 mod resubmission;
 mod rules;
 mod serve;
+mod usual;
 
 pub use crate::outcome::{Phase, Reason};
 pub use answer::{Answer, Stats, View};
@@ -43,6 +45,7 @@
 use placement::Placement;
 use rules::ActiveRules;
 use std::{collections::BTreeMap, time::Duration};
+use usual::Usual;
 use wire::{
     frame::Hello,
     id::Incarnation,
@@ -70,6 +73,7 @@
     admission: Admission,
     placement: Placement,
     fleet: Fleet,
+    usual: Usual,
     jobs: BTreeMap<u64, Job>,
     history: History,
     stats: Stats,
@@ -87,6 +91,7 @@
             admission: Admission::new(now),
             placement: Placement::new(domain, seed),
             fleet: Fleet::default(),
+            usual: Usual::default(),
             jobs: BTreeMap::new(),
             history: History::default(),
             stats: Stats::default(),
@@ -136,9 +141,16 @@
             room: side.room(),
             runs: side.runs.len(),
             slowness: side.slowness / self.fleet.mean_slowness.max(1e-3),
+            rate: side.rate,
         })
     }
 
+    /// Returns the usual ratio of run time to estimate at a host of usual speed, by
+    /// queue.
+    pub fn usual_ratios(&self) -> impl Iterator<Item = (&str, f64)> {
+        self.usual.ratios()
+    }
+
     /// Returns the number of available sides, and how many of them have ejected
     /// upstreams.
     pub fn sides(&self, now: Duration) -> (usize, usize) {
@@ -235,7 +247,7 @@
         match frame {
             Frame::Upstream(upstream) => {
                 if let Some(side) = self.fleet.get_mut(from) {
-                    side.upstream = upstream;
+                    side.set_upstream(upstream);
                     self.placement.request_round();
                 }
             }
@@ -251,6 +263,7 @@
     /// Does the periodic work; the runtime calls it at a fixed interval.
     pub fn tick(&mut self, now: Duration) {
         self.expire_sides(now);
+        self.fleet.review_speeds(now);
         self.unpark(now);
         self.expire(now);
         self.demote_late(now);
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -1,6 +1,12 @@
 //! Placement: which waiting task is next, and on which side it runs.
 
-use super::{Dispatcher, Event, Key, Way, job::State, placement::is_at_host_limit};
+use super::{
+    Dispatcher, Event, Key, Way,
+    backlog::Rank,
+    fleet::Side,
+    job::{Plan, State},
+    placement::{is_at_host_limit, predict_run},
+};
 use crate::millis;
 use std::{collections::BTreeMap, time::Duration};
 use wire::lease::{Frame, Progress, Reserve, Run, Start, Step, Task};
@@ -28,18 +34,21 @@
             let Some((rank, task)) = self.placement.backlog().next(last) else {
                 break;
             };
-            last = Some((rank, task));
-            match self.place_task(now, task) {
-                Attempt::Placed(side, run) => {
-                    let key = (side, task.job, task.step);
-                    let runs = orders.entry(key).or_insert_with(|| {
-                        sequence.push(key);
-                        Vec::new()
-                    });
-                    runs.push(run);
+            let group = self.next_group(rank, task);
+            last = group.last().map(|task| (rank, *task));
+            for task in self.longest_first(group) {
+                match self.place_task(now, task) {
+                    Attempt::Placed(side, run) => {
+                        let key = (side, task.job, task.step);
+                        let runs = orders.entry(key).or_insert_with(|| {
+                            sequence.push(key);
+                            Vec::new()
+                        });
+                        runs.push(run);
+                    }
+                    Attempt::NoRoom => misses += 1,
+                    Attempt::Deferred => {}
                 }
-                Attempt::NoRoom => misses += 1,
-                Attempt::Deferred => {}
             }
         }
         for key in sequence {
@@ -89,9 +98,14 @@
             return;
         }
         let step = &job.submission.steps[usize::from(number)];
-        let sides =
-            self.placement
-                .choose_announced(now, &self.rules, &self.fleet, job, (number, count));
+        let sides = self.placement.choose_announced(
+            now,
+            &self.rules,
+            &self.fleet,
+            &self.usual,
+            job,
+            (number, count),
+        );
         let reserve = |clock| Reserve {
             clock,
             step: Step { job: id, number },
@@ -218,6 +232,8 @@
             attempt: slot.attempt,
         };
         let waited = now.saturating_sub(job.accepted);
+        let plan = self.plan(now, task, key)?;
+        self.jobs.get_mut(&task.job)?.slot(task)?.plan = plan;
         let side = self.fleet.get_mut(key)?;
         self.events.push(Event::Placed {
             run,
@@ -238,13 +254,15 @@
             return;
         };
         self.stats.runs += runs.len() as u64;
+        let task = job.id(step, 0);
+        let usual = self.placement.usual_run(&self.usual, side, job, task);
         let step = &job.submission.steps[usize::from(step)];
         let start = Start {
             clock: side.status.map_or(0, |status| status.clock),
             input: job.submission.input.clone(),
             need: step.need,
             estimate: u32::try_from(millis(step.estimate)).unwrap_or(u32::MAX),
-            usual: 0,
+            usual: usual.map_or(0, |usual| u32::try_from(millis(usual)).unwrap_or(u32::MAX)),
             runs,
         };
         self.send(key, Frame::Start(start));
@@ -253,8 +271,52 @@
     /// Returns the side with room for a task on which it costs least.
     fn choose_side(&self, now: Duration, task: Task) -> Option<Key> {
         let job = self.jobs.get(&task.job)?;
-        let (rules, fleet) = (&self.rules, &self.fleet);
-        self.placement.choose_side(now, rules, fleet, job, task)
+        let (rules, fleet, usual) = (&self.rules, &self.fleet, &self.usual);
+        self.placement
+            .choose_side(now, rules, fleet, usual, job, task)
+    }
+
+    /// Returns what is expected of a run that starts at a side now.
+    fn plan(&self, now: Duration, task: Task, key: Key) -> Option<Plan> {
+        let job = self.jobs.get(&task.job)?;
+        let side = self.fleet.get(key)?;
+        let step = job.step(task);
+        let distance = self.placement.distance(side, step.rack.as_deref());
+        let run = predict_run(&self.fleet, &self.usual, job, step.estimate);
+        Some(Plan {
+            usual: self.placement.usual_run(&self.usual, side, job, task),
+            distance,
+            rate: side.speed(),
+            ends_at: now + run.mul_f64(distance / side.speed()),
+        })
+    }
+
+    /// Returns the waiting tasks of a job from the first one on. While hosts are
+    /// equally fast, the order within a job does not matter: only the first then.
+    fn next_group(&self, rank: Rank, first: Task) -> Vec<Task> {
+        let uniform = self
+            .jobs
+            .get(&first.job)
+            .is_none_or(|job| self.fleet.speeds(&job.service).uniform);
+        let mut group = vec![first];
+        while !uniform
+            && let Some(last) = group.last()
+            && let Some((_, next)) = self.placement.backlog().next(Some((rank, *last)))
+            && next.job == first.job
+        {
+            group.push(next);
+        }
+        group
+    }
+
+    /// Sorts tasks of one job so that the longest are placed on the fastest hosts.
+    fn longest_first(&self, mut group: Vec<Task>) -> Vec<Task> {
+        if group.len() > 1
+            && let Some(job) = group.first().and_then(|task| self.jobs.get(&task.job))
+        {
+            group.sort_by_key(|task| std::cmp::Reverse(job.step(*task).estimate));
+        }
+        group
     }
 
     /// Adds a waiting task to the backlog.
@@ -287,7 +349,13 @@
         }
         let total = elapsed * 100 / u32::from(progress.percent);
         let left = total.saturating_sub(elapsed);
-        left > typical * 2 + MOVE_COST && self.choose_side(now, task).is_some()
+        let is_sooner = |side: &Side| left > typical.mul_f64(2.0 / side.speed()) + MOVE_COST;
+        let fastest = self.fleet.speeds(&job.service).fastest;
+        left > typical.mul_f64(2.0 / fastest) + MOVE_COST
+            && self
+                .choose_side(now, task)
+                .and_then(|key| self.fleet.get(key))
+                .is_some_and(is_sooner)
     }
 
     /// Returns whether another upstream of the service is in use.
@@ -305,7 +373,7 @@
 }
 
 /// Returns whether a run has stalled for [`STALL_TIME`] and [`STALL_PERCENTS`].
-fn is_stalled(progress: Progress) -> bool {
+pub(super) fn is_stalled(progress: Progress) -> bool {
     let stalled = Duration::from_millis(progress.stalled.into());
     let active = progress.elapsed.saturating_sub(progress.stalled);
     let step = active / u32::from(progress.percent.max(1));
--- a/crates/kernel/src/dispatch/placement.rs
+++ b/crates/kernel/src/dispatch/placement.rs
@@ -6,6 +6,7 @@
     fleet::{Fleet, Key, Side},
     job::{Job, State},
     rules::ActiveRules,
+    usual::Usual,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use std::{collections::BTreeSet, time::Duration};
@@ -16,13 +17,14 @@
 /// The same for each waiting task; the larger number applies.
 const RESERVE_SIDES_PER_TASK: usize = 2;
 
-/// Weight of a host's used share in the placement cost, relative to slowness.
+/// Weight of a host's used share in the placement cost, relative to the run time at
+/// a host of usual speed.
 const LOAD_WEIGHT: f64 = 0.25;
 
 /// Weight of the tie-breaker, which keeps entries from all choosing one side.
 const RANDOM_WEIGHT: f64 = 0.15;
 
-/// Placement cost of another failure domain, relative to slowness.
+/// Placement cost of another failure domain, in the same unit.
 const DOMAIN_COST: f64 = 0.02;
 
 /// Placement state of an entry.
@@ -116,12 +118,14 @@
     }
 
     /// Returns random sides to which a step with `count` waiting tasks is
-    /// announced, with their clocks as last reported.
+    /// announced, with their clocks as last reported. Sides on which a task would miss
+    /// the objective come last.
     pub(super) fn choose_announced(
         &mut self,
         now: Duration,
         rules: &ActiveRules,
         fleet: &Fleet,
+        usual: &Usual,
         job: &Job,
         (number, count): (u16, u16),
     ) -> Vec<(Key, u64)> {
@@ -133,6 +137,12 @@
             .map(|(key, side)| (key, side.status.map_or(0, |status| status.clock)))
             .collect();
         sides.shuffle(&mut self.random);
+        if !fleet.speeds(&job.service).uniform {
+            let left = job.due.saturating_sub(now);
+            let run = predict_run(fleet, usual, job, step.estimate);
+            let is_late = |side: &Side| run.mul_f64(1.0 / side.speed()) > left;
+            sides.sort_by_cached_key(|(key, _)| fleet.get(*key).is_some_and(is_late));
+        }
         sides.truncate(MIN_RESERVE_SIDES.max(usize::from(count) * RESERVE_SIDES_PER_TASK));
         sides
     }
@@ -144,11 +154,13 @@
         now: Duration,
         rules: &ActiveRules,
         fleet: &Fleet,
+        usual: &Usual,
         job: &Job,
         task: Task,
     ) -> Option<Key> {
         let step = job.step(task);
         let avoid = job.tasks[usize::from(task.step)][usize::from(task.index)].avoid;
+        let outlook = Outlook::of(now, fleet, usual, job, task);
         let mut best: Option<(f64, Key)> = None;
         let mut fallback = None;
         for (key, side) in fleet.iter() {
@@ -162,7 +174,7 @@
                 fallback = Some(key);
                 continue;
             }
-            let cost = self.cost(fleet, side, step.rack.as_deref())
+            let cost = self.cost(&outlook, side, step.rack.as_deref())
                 + self.tie_break(key, task) * RANDOM_WEIGHT;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
@@ -171,16 +183,37 @@
         best.map(|(_, key)| key).or(fallback)
     }
 
-    fn cost(&self, fleet: &Fleet, side: &Side, rack: Option<&str>) -> f64 {
-        let capacity = side.capacity().cpu;
-        let used = 1.0 - f64::from(side.room().cpu) / f64::from(capacity.max(1));
+    /// Returns the factor on the run time of a task whose data is on a rack.
+    pub(super) fn distance(&self, side: &Side, rack: Option<&str>) -> f64 {
         let off_rack = rack.is_some_and(|rack| {
             side.upstream
                 .as_ref()
                 .is_none_or(|known| known.labels.iter().all(|own| own != rack))
         });
-        let slowness = side.slowness / fleet.mean_slowness.max(1e-3);
-        slowness * if off_rack { self.remote_factor } else { 1.0 }
+        if off_rack { self.remote_factor } else { 1.0 }
+    }
+
+    /// Returns the run time that is usual for a task at a host of usual speed, as far
+    /// from its data as a side; `None` while it is unknown.
+    pub(super) fn usual_run(
+        &self,
+        usual: &Usual,
+        side: &Side,
+        job: &Job,
+        task: Task,
+    ) -> Option<Duration> {
+        let step = job.step(task);
+        let ratio = usual.ratio(&job.queue)?;
+        let distance = self.distance(side, step.rack.as_deref());
+        Some(step.estimate.mul_f64(ratio * distance))
+    }
+
+    fn cost(&self, outlook: &Outlook, side: &Side, rack: Option<&str>) -> f64 {
+        let capacity = side.capacity().cpu;
+        let used = 1.0 - f64::from(side.room().cpu) / f64::from(capacity.max(1));
+        let distance = self.distance(side, rack);
+        distance
+            + outlook.delay(distance, side)
             + used * LOAD_WEIGHT
             + if side.domain == self.domain {
                 0.0
@@ -203,6 +236,79 @@
     }
 }
 
+/// What a task's end means for its job.
+#[derive(Debug, Default)]
+struct Outlook {
+    /// Whether all hosts are equally fast.
+    uniform: bool,
+    /// Predicted run time at a host of usual speed, in seconds.
+    run: f64,
+    /// Predicted run time of the steps that depend on the task, in seconds.
+    tail: f64,
+    /// Time until the job's other tasks, and what depends on them, may have ended, in
+    /// seconds.
+    others: f64,
+    /// Time in which the delay of the job is measured, in seconds.
+    unit: f64,
+}
+
+impl Outlook {
+    fn of(now: Duration, fleet: &Fleet, usual: &Usual, job: &Job, task: Task) -> Self {
+        let speeds = fleet.speeds(&job.service);
+        if speeds.uniform {
+            return Self {
+                uniform: true,
+                ..Self::default()
+            };
+        }
+        let seconds = |estimate| predict_run(fleet, usual, job, estimate).as_secs_f64();
+        let mut others: f64 = 0.0;
+        for (number, slots) in job.tasks.iter().enumerate() {
+            let step = &job.submission.steps[number];
+            let tail = seconds(job.tails[number]);
+            let (run, own_step) = (seconds(step.estimate), number == usize::from(task.step));
+            for (index, slot) in slots.iter().enumerate() {
+                if own_step && index == usize::from(task.index) {
+                    continue;
+                }
+                let left = match slot.state {
+                    State::Blocked | State::Done => continue,
+                    State::Waiting => run / speeds.fastest,
+                    State::Placed { .. } => slot.plan.ends_at.saturating_sub(now).as_secs_f64(),
+                };
+                others = others.max(left + tail);
+            }
+        }
+        let run = seconds(job.step(task).estimate);
+        Self {
+            uniform: false,
+            run,
+            tail: seconds(job.tails[usize::from(task.step)]),
+            others,
+            // The objective allows a fixed time beside a multiple of the run time, so
+            // a short task loses less by a slow host than a long one.
+            unit: (run + job.target.as_secs_f64()).max(1e-3),
+        }
+    }
+
+    /// Returns by how much a side's speed delays the job, relative to its run time.
+    fn delay(&self, distance: f64, side: &Side) -> f64 {
+        if self.uniform {
+            return 0.0;
+        }
+        let usual = self.run * distance;
+        let end = |run: f64| (run + self.tail).max(self.others);
+        (end(usual / side.speed()) - end(usual)) / self.unit
+    }
+}
+
+/// Predicts the run time of an estimate at a host of usual speed.
+pub(super) fn predict_run(fleet: &Fleet, usual: &Usual, job: &Job, estimate: Duration) -> Duration {
+    let mean = Some(fleet.mean_slowness).filter(|mean| *mean > 0.0);
+    let ratio = usual.ratio(&job.queue).or(mean).unwrap_or(1.0);
+    estimate.mul_f64(ratio)
+}
+
 /// Returns whether a side has as many tasks of the step as one host may run.
 pub(super) fn is_at_host_limit(job: &Job, limit: Option<u16>, task: Task, key: Key) -> bool {
     let Some(most) = limit else { return false };
--- a/crates/kernel/src/dispatch/usual.rs
+++ b/crates/kernel/src/dispatch/usual.rs
@@ -38,14 +38,7 @@
 impl Usual {
     /// Records a run of `estimate`, whose ratio of run time to estimate at a host of
     /// usual speed was `ratio`, and whose job has `tasks` tasks: each job counts once.
-    pub(super) fn record(
-        &mut self,
-        queue: &str,
-        estimate: Duration,
-        ratio: f64,
-        tasks: u32,
-        late: bool,
-    ) {
+    pub(super) fn record(&mut self, queue: &str, estimate: Duration, ratio: f64, tasks: u32) {
         if !self.kinds.contains_key(queue) {
             let kind = Kind {
                 ratio: Tracker::new(PRIOR_JOBS),
@@ -53,14 +46,18 @@
             };
             self.kinds.insert(queue.to_owned(), kind);
         }
-        let Some(kind) = self.kinds.get_mut(queue) else {
-            return;
-        };
-        let part = 1.0 / f64::from(tasks.max(1));
-        let weight = run_weight(estimate.as_secs_f64() * 1e3);
-        kind.ratio.observe(ratio, weight * part);
-        let late = if late { 1.0 } else { 0.0 };
-        kind.late += (late - kind.late) * LATE_WEIGHT * part;
+        if let Some(kind) = self.kinds.get_mut(queue) {
+            let weight = run_weight(estimate.as_secs_f64() * 1e3);
+            kind.ratio.observe(ratio, weight / f64::from(tasks.max(1)));
+        }
+    }
+
+    /// Records whether a run of a job with `tasks` tasks was late.
+    pub(super) fn record_late(&mut self, queue: &str, late: bool, tasks: u32) {
+        if let Some(kind) = self.kinds.get_mut(queue) {
+            let late = if late { 1.0 } else { 0.0 };
+            kind.late += (late - kind.late) * LATE_WEIGHT / f64::from(tasks.max(1));
+        }
     }
 
     /// Returns the usual ratio of run time to estimate, once it is known.
@@ -69,6 +66,12 @@
         (kind.ratio.weight() >= MIN_JOBS).then(|| kind.ratio.ratio())
     }
 
+    /// Returns the ratios that are known, by queue.
+    pub(super) fn ratios(&self) -> impl Iterator<Item = (&str, f64)> {
+        let queues = self.kinds.keys().map(String::as_str);
+        queues.filter_map(|queue| Some((queue, self.ratio(queue)?)))
+    }
+
     /// Returns whether a late run of the queue says something about its host: most
     /// other runs are not late.
     pub(super) fn is_late_rare(&self, queue: &str) -> bool {
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -154,6 +154,13 @@
         /// Its run time relative to the mean of all sides, in percent.
         slowness: u32,
     },
+    /// A side reports a rate outside of the bounds; the last valid one remains in use.
+    RateInvalid {
+        /// Name in its settings.
+        name: String,
+        /// The reported rate, per mille.
+        rate: u16,
+    },
     /// An ejected upstream is in use again.
     Readmitted {
         /// Incarnation of its side.
@@ -291,7 +298,8 @@
             | Self::RunOrphaned { run, .. }
             | Self::RunEnded { run, .. }
             | Self::RunForeign { run } => Some(run.task.job),
-            Self::Readmitted { .. }
+            Self::RateInvalid { .. }
+            | Self::Readmitted { .. }
             | Self::SideUp { .. }
             | Self::SideGone { .. }
             | Self::Rules { .. }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -126,6 +126,9 @@
                 to,
                 "event=aside side={side} run={run} slowness_pct={slowness}"
             ),
+            Self::RateInvalid { name, rate } => {
+                write!(to, "event=rate_invalid name={name} rate={rate}")
+            }
             _ => self.write_order(to),
         }
     }
--- a/crates/kernel/tests/host_rates.rs
+++ b/crates/kernel/tests/host_rates.rs
@@ -1,8 +1,15 @@
 //! Learnt speeds of hosts, and what entries make of them (issue 20: a quarter of the
 //! hosts at 0.55 of the usual speed, the others at 1.2, and 30 of 62 ejected).
 
-use kernel::rate::{MAX_RATE, MIN_RATE, Rate, USUAL_RATE};
+mod site;
+
+use kernel::{
+    event::Event,
+    rate::{MAX_RATE, MIN_RATE, Rate, USUAL_RATE},
+};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use site::{PATH, Site, job, upstream::timed_input};
+use std::time::Duration;
 
 /// Largest factor by which a customer's estimate is off, either way.
 const ESTIMATE_ERROR: f64 = 1.6;
@@ -103,3 +110,139 @@
     learn(&mut rate, &mut random, 600, 0.2);
     assert!(rate.per_mille() <= 260, "{} per mille", rate.per_mille());
 }
+
+/// Speeds of the hosts in percent, and their cores.
+const SPEEDS: [u32; 8] = [55, 120, 120, 120, 55, 120, 120, 120];
+const CORES: [u32; 8] = [4, 4, 6, 4, 6, 4, 4, 6];
+
+/// Customers that send jobs at 60 % of the hosts' capacity, with run times of 9 to
+/// 900 ms. The mean ratio of run time to estimate is 0.8 in one queue, 1.5 in another.
+struct Load {
+    site: Site,
+    random: SmallRng,
+    next_job: u64,
+}
+
+impl Load {
+    fn new(seed: u64) -> Self {
+        let mut site = Site::new(2, SPEEDS.len());
+        for (index, stub) in site.upstreams.iter_mut().enumerate() {
+            stub.speed_percent = SPEEDS[index];
+            stub.capacity.cpu = CORES[index] * 1_000;
+        }
+        for entry in site.entries.iter_mut().flatten() {
+            entry.set_remote_factor(1.5);
+        }
+        site.run(Duration::from_secs(1));
+        Self {
+            site,
+            random: SmallRng::seed_from_u64(seed),
+            next_job: 0,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let until = self.site.now + time;
+        while self.site.now < until {
+            self.next_job += 1;
+            let random = &mut self.random;
+            let run = 9.0 * 100_f64.powf(random.random_range(0.0..1.0));
+            let (path, ratio) = [(PATH, 0.8), ("/slow/", 1.5)][random.random_range(0..2)];
+            let error = ESTIMATE_ERROR.powf(random.random_range(-1.0..1.0));
+            let estimate = Duration::from_secs_f64(run / ratio * error / 1e3);
+            let rack = random.random_range(0..3);
+            let tasks = random.random_range(1..5);
+            let mut job = job(random.random(), tasks, 1_000, estimate);
+            job.input = timed_input(milliseconds(run), rack);
+            job.steps[0].rack = Some(format!("r{rack}"));
+            let entry = random.random_range(0..2);
+            let pause = Duration::from_millis(random.random_range(10..40));
+            self.site.submit_to(entry, path, job);
+            self.site.run(pause);
+        }
+    }
+
+    /// Returns the names of the hosts' sides that were ejected since the last call.
+    fn ejected(&mut self) -> Vec<usize> {
+        let mut ejected = Vec::new();
+        for entry in self.site.entries.iter_mut().flatten() {
+            for event in entry.take_events() {
+                if let Event::Ejected { side, .. } = event {
+                    ejected.extend(self.site.side_ids.iter().position(|id| *id == side));
+                }
+            }
+        }
+        ejected
+    }
+
+    fn rate(&self, index: usize) -> u16 {
+        self.site.sides[index].as_ref().unwrap().rate()
+    }
+}
+
+/// Guards against unequal hosts that are ejected for their speed, and against rates
+/// that follow the mix of queues, the distance to the data or outliers.
+#[test]
+fn unequal_hosts() {
+    let cores: u32 = CORES.iter().sum();
+    let mean = f64::from(
+        SPEEDS
+            .iter()
+            .zip(CORES)
+            .map(|(speed, cores)| speed * cores)
+            .sum::<u32>(),
+    ) / f64::from(cores);
+    for seed in 0..4 {
+        let mut load = Load::new(seed);
+        load.run(Duration::from_secs(25));
+        let errors: Vec<f64> = (0..SPEEDS.len())
+            .map(|index| error(load.rate(index), f64::from(SPEEDS[index]) / mean))
+            .collect();
+        println!("seed {seed}: errors of the rates {errors:.3?}");
+        let ratios: Vec<Vec<f64>> = load
+            .site
+            .entries
+            .iter()
+            .flatten()
+            .map(|entry| entry.usual_ratios().map(|(_, ratio)| ratio).collect())
+            .collect();
+        println!("seed {seed}: usual ratios of two entries {ratios:.3?}");
+        assert_eq!(load.ejected(), Vec::<usize>::new(), "seed {seed}");
+        assert!(errors.iter().all(|error| error.abs() < 0.15), "seed {seed}");
+        let differs = |(one, other): (&f64, &f64)| (one / other - 1.0).abs() > 0.1;
+        assert!(
+            !ratios[0].iter().zip(&ratios[1]).any(differs),
+            "seed {seed}: entries disagree"
+        );
+    }
+}
+
+/// Guards against a host that fails and is excused by its rate.
+#[test]
+fn failing_host_ejected() {
+    let mut load = Load::new(9);
+    load.run(Duration::from_secs(15));
+    assert_eq!(load.ejected(), Vec::<usize>::new());
+    load.site.upstreams[1].speed_percent /= 5;
+    load.run(Duration::from_secs(4));
+    let ejected = load.ejected();
+    assert!(ejected.contains(&1), "ejected: {ejected:?}");
+    assert!(
+        ejected.iter().all(|index| *index == 1),
+        "ejected: {ejected:?}"
+    );
+}
+
+/// Guards against a job with a bad estimate that ejects the hosts of its tasks.
+#[test]
+fn bad_estimate_ejects_none() {
+    let mut load = Load::new(10);
+    load.run(Duration::from_secs(10));
+    for id in 0..2 {
+        let mut bad = job(id + 1, 24, 1_000, Duration::from_millis(20));
+        bad.input = timed_input(300, 0);
+        load.site.submit(0, bad);
+    }
+    load.run(Duration::from_secs(3));
+    assert_eq!(load.ejected(), Vec::<usize>::new());
+}
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -303,7 +303,7 @@
 /// of all entries add up to the fleet.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
-    /// Total, in thousandths of a core.
+    /// Total, in thousandths of a core at usual speed.
     pub total: u64,
     /// Free part of it.
     pub free: u64,
