hyssopctl status shows the rates of hosts

Operators could not tell a slow host from a faulty one without reading dumps. The new column RATE shows the learnt speed of a side's host and, for an entry, the lowest and highest of the sides that it uses; JSON has slowest and fastest. The golden files change by this column, and by a fourth side in the dump from which they are made.

--- a/crates/hyssopctl/src/status.rs
+++ b/crates/hyssopctl/src/status.rs
@@ -27,6 +27,11 @@
     pub sides: Option<usize>,
     /// Number of sides to which an entry sends tasks.
     pub usable: Option<usize>,
+    /// Learnt speed of a side's host, per mille of the usual; of an entry the lowest
+    /// of the sides that it uses.
+    pub slowest: Option<u64>,
+    /// The same; of an entry the highest.
+    pub fastest: Option<u64>,
     /// Names of the sides that an entry has ejected.
     #[serde(rename = "aside")]
     pub ejected: Vec<String>,
@@ -50,6 +55,9 @@
         let text = |key: &str| dump[key].as_str().unwrap_or_default().to_owned();
         let role = text("role");
         let sides = dump["sides"].as_array();
+        let own_rate = dump["upstream"]["rate"].as_u64();
+        let usable = sides.into_iter().flatten().filter(|side| is_usable(side));
+        let rates: Vec<u64> = usable.filter_map(|side| side["rate"].as_u64()).collect();
         let work = if role == "side" {
             "running"
         } else {
@@ -65,6 +73,8 @@
             waiting: dump["queued_tasks"].as_u64().or(dump["queued"].as_u64()),
             sides: sides.map(Vec::len),
             usable: sides.map(|sides| sides.iter().filter(|side| is_usable(side)).count()),
+            slowest: own_rate.or(rates.iter().min().copied()),
+            fastest: own_rate.or(rates.iter().max().copied()),
             ejected: sides
                 .into_iter()
                 .flatten()
@@ -76,12 +86,16 @@
         }
     }
 
-    fn cells(&self) -> [String; 9] {
+    fn cells(&self) -> [String; 10] {
         let number = |value: Option<u64>| value.map_or_else(|| "-".to_owned(), |n| n.to_string());
         let sides = match (self.usable, self.sides) {
             (Some(usable), Some(all)) => format!("{usable}/{all}"),
             _ => "-".to_owned(),
         };
+        let rate = match (self.slowest, self.fastest) {
+            (Some(slowest), Some(fastest)) if slowest != fastest => format!("{slowest}-{fastest}"),
+            (slowest, _) => number(slowest),
+        };
         let ejected = if self.ejected.is_empty() {
             "-".to_owned()
         } else {
@@ -97,6 +111,7 @@
             number(self.work),
             number(self.waiting),
             sides,
+            rate,
             ejected,
         ]
     }
@@ -129,7 +144,7 @@
 /// Formats the processes as a table, with a line of totals at the end.
 pub fn table(rows: &[Row]) -> String {
     let header = [
-        "NAME", "ROLE", "DOMAIN", "STATE", "CONFIG", "WORK", "WAITING", "SIDES", "ASIDE",
+        "NAME", "ROLE", "DOMAIN", "STATE", "CONFIG", "WORK", "WAITING", "SIDES", "RATE", "ASIDE",
     ];
     let mut lines = vec![header.map(str::to_owned)];
     lines.extend(rows.iter().map(Row::cells));
--- a/crates/hyssopctl/tests/command_lines.rs
+++ b/crates/hyssopctl/tests/command_lines.rs
@@ -87,8 +87,9 @@
         "role": "entry", "name": "entry-1", "domain": "nord-a", "ready": true,
         "leaving": false, "configuration": {"revision": 12}, "queued_tasks": 9,
         "open_jobs": 3, "sides": [
-            {"name": "side-1", "open": true, "aside": false},
-            {"name": "side-2", "open": true, "aside": true},
+            {"name": "side-1", "open": true, "aside": false, "rate": 552},
+            {"name": "side-4", "open": true, "aside": false, "rate": 1184},
+            {"name": "side-2", "open": true, "aside": true, "rate": 250},
             {"name": "side-3", "open": false, "aside": false},
         ],
     });
@@ -99,7 +100,7 @@
     });
     let side = json!({
         "role": "side", "name": "side-1", "domain": "nord-a", "leaving": true,
-        "may_start": false, "running": 5,
+        "may_start": false, "running": 5, "upstream": {"rate": 552},
     });
     let unconfigured = json!({"role": "entry", "name": "entry-3", "leaving": false});
     let rows = [
