--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod forward;
 mod history;
 mod job;
+mod lateness;
 mod park;
 mod peers;
 mod place;
@@ -26,6 +27,7 @@
 mod rules;
 mod serve;
 mod takeover;
+mod usual;
 
 pub use crate::outcome::{Phase, Reason};
 pub use answer::{Answer, Stats, View};
@@ -47,6 +49,7 @@
 use placement::Placement;
 use rules::ActiveRules;
 use std::{collections::BTreeMap, time::Duration};
+use usual::Usual;
 use wire::{
     frame::Hello,
     id::Incarnation,
@@ -82,6 +85,7 @@
     placement: Placement,
     forwarding: Forwarding,
     fleet: Fleet,
+    usual: Usual,
     jobs: BTreeMap<u64, Job>,
     history: History,
     stats: Stats,
@@ -102,6 +106,7 @@
             placement: Placement::new(domain, seed),
             forwarding: Forwarding::new(timing, domain, startup_ends, seed),
             fleet: Fleet::default(),
+            usual: Usual::default(),
             jobs: BTreeMap::new(),
             history: History::default(),
             stats: Stats::default(),
@@ -151,9 +156,16 @@
             room: side.room(),
             runs: side.runs.len(),
             slowness: side.slowness / self.fleet.mean_slowness.max(1e-3),
+            rate: side.rate,
         })
     }
 
+    /// Returns the usual ratio of run time to estimate at a host of usual speed, by
+    /// queue.
+    pub fn usual_ratios(&self) -> impl Iterator<Item = (&str, f64)> {
+        self.usual.ratios()
+    }
+
     /// Returns the number of available sides, and how many of them have ejected
     /// upstreams.
     pub fn sides(&self, now: Duration) -> (usize, usize) {
@@ -253,7 +265,7 @@
         match frame {
             Frame::Upstream(upstream) => {
                 if let Some(side) = self.fleet.get_mut(from) {
-                    side.upstream = upstream;
+                    side.set_upstream(upstream);
                     self.placement.request_round();
                 }
             }
@@ -270,6 +282,7 @@
     pub fn tick(&mut self, now: Duration) {
         self.expire_forwarders(now);
         self.expire_sides(now);
+        self.fleet.review_speeds(now);
         self.unpark(now);
         self.expire(now);
         self.demote_late(now);
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -56,6 +56,8 @@
     KeptForward,
     /// A forwarded job is taken over however old its frame is.
     StaleForward,
+    /// The rate learnt of an upstream is kept over its restart.
+    KeptRate,
 }
 
 #[cfg(feature = "mutation")]
