Entries request the pace of reports that their processor can handle

Cause: a side that serves at most six entries sends each of them up to 250 reports a second. With two entries of half a core for 60 sides these are 15,000 reports a second for each entry. Change: an echo states the shortest interval between two reports that the entry can keep up with, from its number of sides and its processor, and a side paces its reports to each entry accordingly. Without a stated processor nothing changes; with 11 sides and a quarter of a core the result is below the present minimum of 4 ms.

--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -247,9 +247,7 @@
     }
 
     fn settle_delay(&self) -> Option<Duration> {
-        self.kernel
-            .is_dirty()
-            .then(|| self.kernel.report_interval())
+        self.kernel.report_delay()
     }
 
     fn dump(&self, now: Duration) -> serde_json::Value {
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -314,6 +314,8 @@
     pub(super) mean_slowness: f64,
     /// Moving average of the run time over all sides, in milliseconds.
     pub(super) mean_run_ms: f64,
+    /// Processor of this entry, in thousandths of a core; 0 if it is unknown.
+    processor: u32,
     speeds: BTreeMap<String, Speeds>,
     speeds_reviewed_at: Duration,
 }
@@ -492,7 +494,29 @@
 /// echoes per second stays constant.
 const SIDES_AT_FULL_RATE: u32 = 100;
 
+/// Processor time that an entry spends on one report, in microseconds.
+const REPORT_COST_US: u32 = 20;
+
+/// Part of an entry's processor that reports may take: one in this many.
+const REPORT_PROCESSOR_PART: u32 = 4;
+
 impl Fleet {
+    /// Sets this entry's processor, in thousandths of a core.
+    pub(super) fn set_processor(&mut self, processor: u32) {
+        self.processor = processor;
+    }
+
+    /// Returns the shortest interval between two reports of the same side that this
+    /// entry can keep up with, in milliseconds; 0 if its processor is unknown.
+    pub(super) fn report_interval_ms(&self) -> u16 {
+        let sides = u32::try_from(self.sides.len()).unwrap_or(u32::MAX);
+        let spent_us = sides.saturating_mul(REPORT_COST_US * REPORT_PROCESSOR_PART);
+        // The processor in thousandths of a core is what it does in a millisecond,
+        // in microseconds.
+        let interval_ms = spent_us.checked_div(self.processor).unwrap_or_default();
+        u16::try_from(interval_ms).unwrap_or(u16::MAX)
+    }
+
     /// Returns the interval between two echoes to the same side.
     pub(super) fn echo_interval(&self) -> Duration {
         let sides = u32::try_from(self.sides.len()).unwrap_or(u32::MAX);
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -347,6 +347,7 @@
     fn send_echoes(&mut self, now: Duration) {
         let mut frames = Vec::new();
         let interval = self.fleet.echo_interval();
+        let report_interval_ms = self.fleet.report_interval_ms();
         for (key, side) in self.fleet.iter_mut() {
             let Some(status) = side.status else { continue };
             let due = now.saturating_sub(side.last_echo_at) >= interval;
@@ -358,6 +359,7 @@
             let echo = Echo {
                 clock: status.clock,
                 acknowledged: side.last_end,
+                report_interval_ms,
             };
             frames.push((key, Frame::Echo(echo)));
         }
--- a/crates/kernel/src/dispatch/takeover.rs
+++ b/crates/kernel/src/dispatch/takeover.rs
@@ -15,6 +15,7 @@
     /// core; 0 if it is unknown.
     pub fn set_processor(&mut self, name: &str, processor: u32) {
         self.forwarding.set_processor(name, processor);
+        self.fleet.set_processor(processor);
     }
 
     /// Returns whether this entry is weak: it forwards its jobs to stronger entries.
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -93,6 +93,12 @@
     next_unsent: u64,
     /// Time since which the side would no longer choose this entry.
     surplus_since: Option<Duration>,
+    /// Time of the last report to the entry.
+    reported_at: Duration,
+    /// Whether there are changes that no report to the entry has included yet.
+    unreported: bool,
+    /// Shortest time between two reports that the entry has requested.
+    requested_interval: Duration,
 }
 
 /// Counters since the start of the process.
@@ -152,8 +158,8 @@
     /// Time at which the last hold call was sent.
     hold_sent_at: Duration,
     leaving: bool,
+    /// Whether there are changes that no peer is marked with yet.
     dirty: bool,
-    reported_at: Duration,
     /// Time for which a surplus entry is kept.
     surplus_time: Duration,
     stats: Stats,
@@ -187,7 +193,6 @@
             hold_sent_at: Duration::ZERO,
             leaving: false,
             dirty: false,
-            reported_at: Duration::ZERO,
             surplus_time: release::MIN_SURPLUS_TIME,
             stats: Stats::default(),
             actions: Vec::new(),
@@ -382,16 +387,12 @@
         });
     }
 
-    /// Returns whether there are changes that no report has included yet.
-    pub fn is_dirty(&self) -> bool {
-        self.dirty
-    }
-
     fn echo(&mut self, from: Incarnation, echo: Echo) {
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
         peer.last_contact = peer.last_contact.max(Duration::from_millis(echo.clock));
+        peer.requested_interval = Duration::from_millis(echo.report_interval_ms.into());
         while peer.first_end <= echo.acknowledged && peer.ends.pop_front().is_some() {
             peer.first_end += 1;
         }
@@ -487,6 +488,9 @@
             first_end: 1,
             next_unsent: 0,
             surplus_since: None,
+            reported_at: Duration::ZERO,
+            unreported: false,
+            requested_interval: Duration::ZERO,
         }
     }
 }
--- a/crates/kernel/src/guard/report.rs
+++ b/crates/kernel/src/guard/report.rs
@@ -1,9 +1,12 @@
 //! Load reports to the connected entries.
 
-use super::{Action, Guard};
+use super::{Action, Guard, Peer};
 use crate::{event::Event, millis, timing::MAX_REPORT_INTERVAL};
 use std::time::Duration;
-use wire::lease::{Frame, Status};
+use wire::{
+    id::Incarnation,
+    lease::{Frame, Status},
+};
 
 /// Shortest time between two [`Status`] frames while a side has at most
 /// [`ENTRIES_AT_FULL_RATE`] entries; it batches changes that occur together.
@@ -18,14 +21,27 @@
 const REPORT_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(5);
 
 impl Guard {
-    /// Sends a status to every connected entry, if one is due.
+    /// Sends a status to every connected entry for which one is due.
     pub fn flush(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.reported_at);
-        if age < self.report_interval() || (age < MAX_REPORT_INTERVAL && !self.dirty) {
-            return;
+        let changed = std::mem::take(&mut self.dirty);
+        let interval = self.min_report_interval();
+        let mut due: Vec<Incarnation> = Vec::new();
+        for (entry, peer) in self.peers.iter_mut().filter(|(_, peer)| peer.connected) {
+            peer.unreported |= changed;
+            let age = now.saturating_sub(peer.reported_at);
+            let is_due = peer.unreported && age >= peer.report_interval(interval);
+            if is_due || age >= MAX_REPORT_INTERVAL {
+                peer.unreported = false;
+                peer.reported_at = now;
+                due.push(*entry);
+            }
         }
-        self.dirty = false;
-        self.reported_at = now;
+        if !due.is_empty() {
+            self.report(now, &due);
+        }
+    }
+
+    fn report(&mut self, now: Duration, entries: &[Incarnation]) {
         let (free, accepting) = (self.free(), self.is_accepting(now));
         if accepting != self.reported_accepting {
             self.reported_accepting = accepting;
@@ -38,34 +54,41 @@
         }
         let rate = self.rate();
         let runs = u16::try_from(self.runs.len()).unwrap_or(u16::MAX);
+        let is_used = |entry: &Incarnation| !self.is_released(now, *entry);
         let connected = self.peers.iter().filter(|(_, peer)| peer.connected);
-        let (released, used): (Vec<_>, Vec<_>) =
-            connected.partition(|(entry, _)| self.is_released(now, **entry));
-        let entries = u16::try_from(used.len()).unwrap_or(u16::MAX);
-        let statuses = used
-            .into_iter()
-            .map(|peer| (peer, true))
-            .chain(released.into_iter().map(|peer| (peer, false)));
-        let frames: Vec<Action> = statuses
-            .map(|((entry, peer), is_used)| {
+        let used = connected.filter(|(entry, _)| is_used(entry)).count();
+        let statuses: Vec<Action> = entries
+            .iter()
+            .map(|entry| {
                 let status = Status {
                     clock: millis(now),
-                    received: peer.received,
+                    received: self.peers[entry].received,
                     free,
-                    accepting: accepting && is_used,
+                    accepting: accepting && is_used(entry),
                     runs,
-                    entries,
+                    entries: u16::try_from(used).unwrap_or(u16::MAX),
                     rate,
                 };
                 Action::Send((*entry, Frame::Status(status)))
             })
             .collect();
-        self.actions.extend(frames);
+        self.actions.extend(statuses);
     }
 
-    /// Returns the shortest time between two reports for the present number of
-    /// connected entries.
-    pub fn report_interval(&self) -> Duration {
+    /// Returns the time after which [`Guard::flush`] should be called for changes
+    /// that are not reported yet; `None` if there are none.
+    pub fn report_delay(&self) -> Option<Duration> {
+        let interval = self.min_report_interval();
+        let connected = self.peers.values().filter(|peer| peer.connected);
+        connected
+            .filter(|peer| peer.unreported || self.dirty)
+            .map(|peer| peer.report_interval(interval))
+            .min()
+    }
+
+    /// Returns the shortest time between two reports to one entry for the present
+    /// number of connected entries.
+    fn min_report_interval(&self) -> Duration {
         let connected = self.peers.values().filter(|peer| peer.connected);
         let entries = u32::try_from(connected.count()).unwrap_or(u32::MAX);
         if entries <= ENTRIES_AT_FULL_RATE {
@@ -76,3 +99,11 @@
             .min(MAX_REPORT_INTERVAL)
     }
 }
+
+impl Peer {
+    /// Returns the shortest time between two reports to this entry. `least` is the
+    /// side's own limit.
+    fn report_interval(&self, least: Duration) -> Duration {
+        self.requested_interval.max(least).min(MAX_REPORT_INTERVAL)
+    }
+}
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -187,6 +187,9 @@
     pub clock: u64,
     /// Number of the last end received; those up to it need not be resent.
     pub acknowledged: u64,
+    /// Shortest time between two load reports that the sender can keep up with, in
+    /// milliseconds; 0 if its processor is unknown.
+    pub report_interval_ms: u16,
 }
 
 /// Entry to side: start these tasks of one step.
