--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -177,6 +177,23 @@
         /// Number of its unfinished runs.
         runs: u32,
     },
+    /// The event loop stays late; new jobs are refused before they are parsed.
+    LoopLate {
+        /// Time by which its recent work has all been late.
+        lateness: Duration,
+    },
+    /// The event loop keeps up again; no job is refused for its lateness.
+    LoopRecovered {
+        /// Time for which jobs were refused.
+        lasted: Duration,
+    },
+    /// Readiness fails or returns because of the event loop's lateness.
+    Readiness {
+        /// Whether readiness checks may succeed.
+        ready: bool,
+        /// Time by which the loop's recent work has all been late.
+        lateness: Duration,
+    },
     /// New rules are in force.
     Rules {
         /// Store revision of the rules.
@@ -294,6 +311,9 @@
             Self::Readmitted { .. }
             | Self::SideUp { .. }
             | Self::SideGone { .. }
+            | Self::LoopLate { .. }
+            | Self::LoopRecovered { .. }
+            | Self::Readiness { .. }
             | Self::Rules { .. }
             | Self::UpstreamRestarted { .. }
             | Self::LeasesLapsed { .. }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -218,6 +218,23 @@
                 "event=accepting value={accepting} leaving={leaving} clean={runs_known} silent_ms={}",
                 millis(*silent)
             ),
+            _ => self.write_loop(to),
+        }
+    }
+
+    fn write_loop(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::LoopLate { lateness } => {
+                write!(to, "event=loop_late lateness_ms={}", millis(*lateness))
+            }
+            Self::LoopRecovered { lasted } => {
+                write!(to, "event=loop_recovered lasted_ms={}", millis(*lasted))
+            }
+            Self::Readiness { ready, lateness } => write!(
+                to,
+                "event=readiness ready={ready} lateness_ms={}",
+                millis(*lateness)
+            ),
             _ => Ok(()),
         }
     }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod neighbourhood;
 pub mod outcome;
 pub mod policy;
+pub mod pressure;
 pub mod queue;
 pub mod reconnect;
 pub mod side;
