Dispatcher: lateness of the entry's loop, jobs counted from their arrival

Cause: a job's objective and patience counted from the moment in which the event loop got to it, so a wait in the entry's own queue was invisible; refused customers were asked to come back after 1 to 2 s whatever the backlog was.

Heartbeats carry the lateness; echoes and heartbeats are less frequent while the loop is late, within 90 % of the silence that replaces a connection. Retry-After of an overload is the expected wait, 1 to 4 s, times 1 to 2. The measure is a rate limit with a credit counter in place of a share of jobs: a share kept refusing jobs after the load had fallen.

--- a/crates/kernel/src/dispatch/admission.rs
+++ b/crates/kernel/src/dispatch/admission.rs
@@ -73,9 +73,9 @@
     }
 
     /// Counts the work of an accepted job.
-    pub(super) fn record_arrival(&mut self, job: &Job) {
+    pub(super) fn record_arrival(&mut self, now: Duration, job: &Job) {
         let work = job.submission.work();
-        self.arrivals.add(job.accepted, job.rank.level(), work);
+        self.arrivals.add(now, job.rank.level(), work);
     }
 
     /// Returns the rate of arriving work, in core-milliseconds per second, by
@@ -125,6 +125,12 @@
         std::mem::take(&mut self.parked)
     }
 
+    /// Returns whether a job is parked.
+    pub(super) fn has_parked(&self, job: u64) -> bool {
+        let mut parked = self.parked.iter();
+        parked.any(|parked| parked.submission.job == job)
+    }
+
     /// Removes a parked job whose customer has disconnected.
     pub(super) fn remove_parked(&mut self, customer: u64) {
         self.parked.retain(|parked| parked.customer != customer);
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -120,7 +120,9 @@
 
     /// Sends due heartbeats, and answers cancellations whose replies are overdue.
     pub(super) fn send_heartbeats(&mut self, now: Duration) {
-        let due = self.peers.take_due_heartbeats(now);
+        let due = self
+            .peers
+            .take_due_heartbeats(now, self.lateness.thin_frames);
         if !due.is_empty() {
             let heartbeat = self.build_heartbeat(now);
             for (entry, echo) in due {
@@ -155,6 +157,7 @@
             waiting: self.placement.backlog().levels().collect(),
             arriving: self.admission.arriving(now).collect(),
             shares: self.shares(now),
+            lateness: u32::try_from(millis(self.lateness())).unwrap_or(u32::MAX),
         }
     }
 
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -353,7 +353,18 @@
 /// echoes per second stays constant.
 const SIDES_AT_FULL_RATE: u32 = 100;
 
+/// Share of the silence after which a connection is replaced that less frequent
+/// echoes and the lateness of the loop may take together, in percent.
+const THIN_ECHO_PERCENT: u32 = 90;
+
 impl Fleet {
+    /// Returns the interval between two echoes to the same side while the loop is
+    /// late by `lateness`. It is never shorter than usual.
+    pub(super) fn thin_echo_interval(&self, max_silence: Duration, lateness: Duration) -> Duration {
+        let left = (max_silence * THIN_ECHO_PERCENT / 100).saturating_sub(lateness);
+        left.min(MAX_ECHO_INTERVAL).max(self.echo_interval())
+    }
+
     /// Returns the interval between two echoes to the same side.
     pub(super) fn echo_interval(&self) -> Duration {
         let sides = u32::try_from(self.sides.len()).unwrap_or(u32::MAX);
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod forecast;
 mod history;
 mod job;
+mod lateness;
 mod park;
 mod peers;
 mod place;
@@ -39,6 +40,7 @@
 use admission::Admission;
 use fleet::{Link, Side};
 use history::History;
+use lateness::Lateness;
 use peers::Peers;
 use placement::Placement;
 use rules::ActiveRules;
@@ -72,6 +74,7 @@
     fleet: Fleet,
     jobs: BTreeMap<u64, Job>,
     history: History,
+    lateness: Lateness,
     stats: Stats,
     actions: Vec<Action>,
     events: Vec<Event>,
@@ -89,6 +92,7 @@
             fleet: Fleet::default(),
             jobs: BTreeMap::new(),
             history: History::default(),
+            lateness: Lateness::default(),
             stats: Stats::default(),
             actions: Vec::new(),
             events: Vec::new(),
@@ -312,7 +316,7 @@
 
     fn send_echoes(&mut self, now: Duration) {
         let mut frames = Vec::new();
-        let interval = self.fleet.echo_interval();
+        let interval = self.echo_interval();
         for (key, side) in self.fleet.iter_mut() {
             let Some(status) = side.status else { continue };
             let due = now.saturating_sub(side.last_echo_at) >= interval;
--- a/crates/kernel/src/dispatch/park.rs
+++ b/crates/kernel/src/dispatch/park.rs
@@ -9,13 +9,14 @@
     pub(super) fn park(
         &mut self,
         now: Duration,
+        arrived: Duration,
         customer: u64,
         host: &str,
         path: &str,
         submission: Submission,
     ) {
         let parked = Parked {
-            submitted_at: now,
+            submitted_at: arrived,
             customer,
             host: host.to_owned(),
             path: path.to_owned(),
@@ -60,6 +61,6 @@
             useful_for: parked.submission.patience,
             age: now.saturating_sub(parked.submitted_at),
         });
-        self.refuse(parked.customer, Reason::NoRules);
+        self.refuse(parked.customer, Reason::NoRules, Duration::ZERO);
     }
 }
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -16,6 +16,10 @@
 /// Interval between heartbeats to another entry.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The same while the own loop is late: with the lateness from which jobs are
+/// refused it stays well within [`MAX_SILENCE`].
+const THIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Time without a message after which an entry's connection is replaced.
 const MAX_SILENCE: Duration = Duration::from_millis(900);
 
@@ -47,6 +51,8 @@
     arriving: Vec<(u8, u64)>,
     /// Its shares of the hosts that it uses, by service.
     shares: BTreeMap<String, Share>,
+    /// Time by which its event loop is late.
+    lateness: Duration,
 }
 
 /// The list of all entries, which the sides get.
@@ -122,15 +128,25 @@
         peer.waiting = heartbeat.waiting;
         peer.arriving = heartbeat.arriving;
         peer.shares = heartbeat.shares.into_iter().collect();
+        peer.lateness = Duration::from_millis(heartbeat.lateness.into());
         true
     }
 
     /// Returns the entries to which a heartbeat is due, with the clock to echo,
-    /// and counts the heartbeats as sent.
-    pub(super) fn take_due_heartbeats(&mut self, now: Duration) -> Vec<(Incarnation, u64)> {
+    /// and counts the heartbeats as sent. They are less frequent if `thin`.
+    pub(super) fn take_due_heartbeats(
+        &mut self,
+        now: Duration,
+        thin: bool,
+    ) -> Vec<(Incarnation, u64)> {
+        let interval = if thin {
+            THIN_HEARTBEAT_INTERVAL
+        } else {
+            HEARTBEAT_INTERVAL
+        };
         self.connected
             .iter_mut()
-            .filter(|(_, peer)| now.saturating_sub(peer.last_sent) >= HEARTBEAT_INTERVAL)
+            .filter(|(_, peer)| now.saturating_sub(peer.last_sent) >= interval)
             .map(|(entry, peer)| {
                 peer.last_sent = now;
                 (*entry, peer.clock)
@@ -138,6 +154,11 @@
             .collect()
     }
 
+    /// Returns the time by which a connected entry's event loop is late.
+    pub(super) fn lateness(&self, entry: Incarnation) -> Option<Duration> {
+        self.connected.get(&entry).map(|peer| peer.lateness)
+    }
+
     /// Returns the number of a queue's jobs of which no task has started, at all
     /// connected entries.
     pub(super) fn pending_of(&self, queue: &str) -> u32 {
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -4,13 +4,13 @@
     Answer, Dispatcher, Event, Job, Phase, Reason, Submission, backlog::LATE_LEVEL,
     forecast::Forecast, route,
 };
-use crate::mutation::{Mutant, is_seeded};
+use crate::{
+    mutation::{Mutant, is_seeded},
+    pressure::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
+};
 use std::{collections::BTreeMap, time::Duration};
 use wire::lease::{Ending, Frame, Run, Step, Task};
 
-/// Least pause before a refused customer may submit its job again.
-const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Factor on a job's expected run time with which it must end before the entry's
 /// exit: covers a rough estimate and one failed run.
 const EXIT_SAFETY_FACTOR: f64 = 2.0;
@@ -33,6 +33,20 @@
         host: &str,
         path: &str,
         submission: Submission,
+    ) {
+        self.submit_arrived(now, now, customer, host, path, submission);
+    }
+
+    /// Submits a job that has waited in the entry's own queue since `arrived`: its
+    /// objective and the customer's patience count from then.
+    pub fn submit_arrived(
+        &mut self,
+        now: Duration,
+        arrived: Duration,
+        customer: u64,
+        host: &str,
+        path: &str,
+        submission: Submission,
     ) {
         if let Some(state) = self.history.get(submission.job) {
             self.answer(customer, Answer::State(state));
@@ -43,7 +57,7 @@
             return;
         }
         let Some(rules) = self.rules.get() else {
-            self.park(now, customer, host, path, submission);
+            self.park(now, arrived, customer, host, path, submission);
             return;
         };
         let Some((queue, _)) = route(rules, host, path) else {
@@ -54,8 +68,11 @@
         let waited =
             self.admission
                 .learn_patience(&queue.name, submission.patience, resubmit_after);
-        let job = Job::new(now, waited, customer, queue, submission);
-        self.admit(now, customer, job);
+        let mut job = Job::new(arrived, waited, customer, queue, submission);
+        job.rank = job.rank_at(now);
+        if let Some(job) = self.refuse_overtaken(now, customer, job) {
+            self.admit(now, customer, job);
+        }
     }
 
     /// Accepts a job, or refuses it if it can't be served.
@@ -70,25 +87,25 @@
         match reason {
             Some(reason) => {
                 self.log_refusal(now, &job, reason, wait);
-                self.refuse(customer, reason);
+                self.refuse(customer, reason, wait);
             }
-            None => self.accept(job, wait),
+            None => self.accept(now, job, wait),
         }
     }
 
-    fn accept(&mut self, mut job: Job, wait: Duration) {
+    fn accept(&mut self, now: Duration, mut job: Job, wait: Duration) {
         self.stats.accepted += 1;
         self.events.push(Event::Accepted {
             job: job.submission.job,
             queue: job.queue.clone(),
             tasks: job.unfinished(),
             wait,
-            objective: job.due.saturating_sub(job.accepted),
+            objective: job.due.saturating_sub(now),
             patience: job.submission.patience,
             resubmitted: !job.waited.is_zero(),
         });
-        self.admission.record_arrival(&job);
-        self.delay_for_earlier_runs(&mut job);
+        self.admission.record_arrival(now, &job);
+        self.delay_for_earlier_runs(now, &mut job);
         let tasks = job.unblock();
         self.jobs.insert(job.submission.job, job);
         for task in tasks {
@@ -98,11 +115,11 @@
 
     /// Delays tasks of a resubmitted job whose earlier runs may continue, until
     /// these have ended or must have ended.
-    fn delay_for_earlier_runs(&self, job: &mut Job) {
+    fn delay_for_earlier_runs(&self, now: Duration, job: &mut Job) {
         if is_seeded(Mutant::AgainAtOnce) {
             return;
         }
-        let expiry = job.accepted + self.timing.run_expiry();
+        let expiry = now + self.timing.run_expiry();
         let earlier: Vec<Task> = self
             .fleet
             .iter()
@@ -146,7 +163,7 @@
 
     /// Returns whether a job that starts at `start` may end before its answer has
     /// lost its value.
-    fn is_useful(&self, start: Duration, job: &Job) -> bool {
+    pub(super) fn is_useful(&self, start: Duration, job: &Job) -> bool {
         start + self.min_run_time(&job.submission) <= job.useful_until
     }
 
@@ -171,7 +188,7 @@
     /// all entries.
     pub fn count_pending(&mut self, customer: u64, host: &str, path: &str) {
         let Some(rules) = self.rules.get() else {
-            self.refuse(customer, Reason::NoRules);
+            self.refuse(customer, Reason::NoRules, Duration::ZERO);
             return;
         };
         let Some((queue, _)) = route(rules, host, path) else {
@@ -337,6 +354,7 @@
             } else {
                 Reason::NoUpstream
             };
+            let mut wait = Duration::ZERO;
             if started {
                 self.events.push(Event::GivenUp {
                     job: id,
@@ -346,14 +364,14 @@
                 });
             } else {
                 let forecast = self.forecast(now, &job.service, LATE_LEVEL);
-                let wait = forecast.wait(job.submission.work());
+                wait = forecast.wait(job.submission.work());
                 self.log_refusal(now, &job, reason, wait);
             }
             for customer in &job.customers {
                 if started {
                     self.answer(*customer, Answer::Expired);
                 } else {
-                    self.refuse(*customer, reason);
+                    self.refuse(*customer, reason, wait);
                 }
             }
         }
@@ -366,7 +384,7 @@
             .mul_f64(self.fleet.mean_slowness.clamp(MIN_RUN_TIME_RATIO, 1.0))
     }
 
-    fn log_refusal(&mut self, now: Duration, job: &Job, reason: Reason, wait: Duration) {
+    pub(super) fn log_refusal(&mut self, now: Duration, job: &Job, reason: Reason, wait: Duration) {
         self.events.push(Event::Refused {
             job: job.submission.job,
             queue: job.queue.clone(),
@@ -377,9 +395,15 @@
         });
     }
 
-    pub(super) fn refuse(&mut self, customer: u64, reason: Reason) {
+    /// Refuses a customer's job whose expected wait is `wait`. The job may be
+    /// submitted again when the work before it has likely been done.
+    pub(super) fn refuse(&mut self, customer: u64, reason: Reason, wait: Duration) {
         self.stats.refused += 1;
-        let retry_after = self.placement.retry_delay(MIN_RETRY_AFTER);
+        let least = match reason {
+            Reason::Overload | Reason::EntryLate => wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            Reason::NoRules | Reason::Leaving | Reason::NoUpstream => MIN_RETRY_AFTER,
+        };
+        let retry_after = self.placement.retry_delay(least);
         self.answer(
             customer,
             Answer::Refused {
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -40,6 +40,8 @@
     Overload,
     /// No upstream of the service is in use.
     NoUpstream,
+    /// The entry's event loop is late.
+    EntryLate,
 }
 
 impl fmt::Display for Reason {
@@ -49,6 +51,7 @@
             Self::Leaving => "leaving",
             Self::Overload => "overload",
             Self::NoUpstream => "no_upstream",
+            Self::EntryLate => "entry_late",
         })
     }
 }
--- a/crates/kernel/src/pressure/gate.rs
+++ b/crates/kernel/src/pressure/gate.rs
@@ -2,16 +2,16 @@
 
 use super::REFUSAL_LATENESS;
 use std::{
-    sync::atomic::{AtomicU32, Ordering},
+    sync::atomic::{AtomicBool, AtomicU32, Ordering},
     time::Duration,
 };
 
 /// Least pause before a refused customer may submit its job again.
-const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Longest such pause, before it is lengthened at random: forecasts average over
 /// about a second and say little about what comes later than this.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
+pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 
 /// Factor up to which the pause is lengthened at random. `Retry-After` has whole
 /// seconds, so a factor of two would give all customers the same two seconds.
@@ -21,6 +21,12 @@
 /// for a claim and for the end of a run.
 const PASSES: u32 = 3;
 
+/// Parts into which the credit for one job is divided.
+const UNITS_PER_JOB: u32 = 1_000;
+
+/// Time for which unused credit is kept.
+const MAX_CREDIT: Duration = Duration::from_millis(200);
+
 /// What is known of a queue while the loop is late.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Lane {
@@ -34,6 +40,17 @@
     pub wait: Duration,
 }
 
+/// What is known of a job before its body is parsed.
+#[derive(Debug, Clone, Copy)]
+pub struct Unread<'a> {
+    /// Host name of the request.
+    pub host: &'a str,
+    /// Path of the request.
+    pub path: &'a str,
+    /// Time that the customer waits for the answer, if it is stated.
+    pub patience: Option<Duration>,
+}
+
 /// A refusal of a job that has not been parsed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Refused {
@@ -55,7 +72,6 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Closed {
     lateness: Duration,
-    admitted_per_mille: u32,
     drained_in: Duration,
     lanes: Vec<Lane>,
 }
@@ -63,16 +79,10 @@
 impl Gate {
     /// Makes a gate that refuses jobs. `drained_in` is the time after which the
     /// present backlog has likely been served.
-    pub fn closed(
-        lateness: Duration,
-        admitted_per_mille: u32,
-        drained_in: Duration,
-        lanes: Vec<Lane>,
-    ) -> Self {
+    pub fn closed(lateness: Duration, drained_in: Duration, lanes: Vec<Lane>) -> Self {
         Self {
             closed: Some(Closed {
                 lateness,
-                admitted_per_mille,
                 drained_in,
                 lanes,
             }),
@@ -84,22 +94,22 @@
         self.closed.is_some()
     }
 
-    /// Decides on a job of which the path and the time that its customer waits are
-    /// known. `jitter` is a random number from 0 to 1.
+    /// Decides on a job of which no more is known than its request's address, and
+    /// that has waited for `waited`. `jitter` is a random number from 0 to 1.
     pub fn refusal(
         &self,
-        host: &str,
-        path: &str,
-        patience: Option<Duration>,
+        request: &Unread<'_>,
+        waited: Duration,
         credit: &Credit,
         jitter: f64,
     ) -> Option<Refused> {
         let closed = self.closed.as_ref()?;
         // Without a queue the dispatcher answers, which needs no further work.
-        let lane = closed.lane(host, path)?;
+        let lane = closed.lane(request.host, request.path)?;
         let wait = lane.wait + closed.lateness * PASSES;
-        let hopeless = patience.is_some_and(|patience| patience <= wait);
-        if !hopeless && credit.take(closed.admitted_per_mille) {
+        let useful = |patience| waited + wait < patience;
+        let hopeless = !request.patience.is_none_or(useful);
+        if !hopeless && waited < REFUSAL_LATENESS && credit.take() {
             return None;
         }
         Some(Refused {
@@ -128,17 +138,48 @@
     least.mul_f64(1.0 + jitter.clamp(0.0, 1.0) * (RETRY_SPREAD - 1.0))
 }
 
-/// Admits a given share of jobs, evenly spread among them.
+/// Jobs that may be admitted while the loop is late.
 #[derive(Debug, Default)]
-pub struct Credit(AtomicU32);
+pub struct Credit {
+    /// In thousandths of a job.
+    jobs: AtomicU32,
+    /// Whether a job was refused for want of credit since this was last asked.
+    short: AtomicBool,
+}
 
 impl Credit {
-    /// Adds the share of one job; returns whether the job is admitted.
-    fn take(&self, per_mille: u32) -> bool {
-        let share = per_mille.min(1_000);
-        // The counter wraps at a multiple of 1,000 only by chance; that misjudges
-        // one job.
-        let before = self.0.fetch_add(share, Ordering::Relaxed);
-        before % 1_000 + share >= 1_000
+    /// Takes the credit for one job; returns whether there was enough.
+    fn take(&self) -> bool {
+        let spend = |jobs: u32| jobs.checked_sub(UNITS_PER_JOB);
+        let (set, fetch) = (Ordering::Relaxed, Ordering::Relaxed);
+        let admitted = self.jobs.fetch_update(set, fetch, spend).is_ok();
+        if !admitted {
+            self.short.store(true, Ordering::Relaxed);
+        }
+        admitted
+    }
+
+    /// Returns whether credit was short since the last call.
+    pub(super) fn take_shortage(&self) -> bool {
+        self.short.swap(false, Ordering::Relaxed)
+    }
+
+    /// Adds the credit of a `passed` time at a `rate` of jobs a second. No more is
+    /// kept than that of [`MAX_CREDIT`], so that a quiet time is no licence for a
+    /// burst.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to the range"
+    )]
+    pub(super) fn refill(&self, rate: f64, passed: Duration) {
+        let units = rate * f64::from(UNITS_PER_JOB);
+        let limit = (units * MAX_CREDIT.as_secs_f64()).clamp(f64::from(UNITS_PER_JOB), 1e9) as u32;
+        let added = (units * passed.as_secs_f64()).clamp(0.0, 1e9) as u32;
+        let add = |jobs: u32| Some(jobs.saturating_add(added).min(limit));
+        // The update never fails, since `add` always returns a value.
+        let _ = self
+            .jobs
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 }
--- a/crates/kernel/src/pressure/mod.rs
+++ b/crates/kernel/src/pressure/mod.rs
@@ -7,23 +7,28 @@
 //! long. The bounds follow from what customers need.
 
 mod gate;
+mod limit;
 mod readiness;
-mod share;
 
-pub use gate::{Credit, Gate, Lane, Refused};
+pub use gate::{Credit, Gate, Lane, MAX_RETRY_AFTER, MIN_RETRY_AFTER, Refused, Unread};
 
 use crate::event::Event;
+use limit::Limit;
 use readiness::Readiness;
-use share::Share;
 use std::time::Duration;
 
 /// Most frames and completions that the event loop handles in one turn.
 pub const MAX_TURN_EVENTS: usize = 128;
 
 /// Most customers' calls that the event loop handles in one turn, after the
-/// frames: a frame that arrives meanwhile waits for these at most.
+/// frames: a frame that arrives meanwhile waits for these at most. No more than
+/// these are parsed ahead; other requests wait unread.
 pub const MAX_TURN_CALLS: usize = 16;
 
+/// The same while more frames wait than one turn handles. Some calls are handled
+/// even then, since their answer may be a refusal.
+pub const MAX_CALLS_BEHIND_FRAMES: usize = 2;
+
 /// Consecutive ticks over which the loop must be late. A pause of the process
 /// makes one tick late and the work that arrived meanwhile, which may take until
 /// the next tick.
@@ -70,12 +75,17 @@
     /// Interval at which the loop's tick is due.
     interval: Duration,
     last_tick: Option<Duration>,
+    /// When the process last went on after a pause; what arrived before does not
+    /// show how the loop keeps up.
+    resumed_at: Duration,
     /// Shortest wait of the calls handled since the last tick.
     least_wait: Option<Duration>,
+    /// Number of these calls.
+    calls: u32,
     /// Lateness of the last ticks and of the calls before each.
     recent: [Duration; TICKS],
     lateness: Duration,
-    share: Share,
+    limit: Limit,
     readiness: Readiness,
     events: Vec<Event>,
 }
@@ -86,34 +96,46 @@
         Self {
             interval,
             last_tick: None,
+            resumed_at: Duration::ZERO,
             least_wait: None,
+            calls: 0,
             recent: [Duration::ZERO; TICKS],
             lateness: Duration::ZERO,
-            share: Share::default(),
+            limit: Limit::default(),
             readiness: Readiness::default(),
             events: Vec::new(),
         }
     }
 
-    /// Records that the loop handles a customer's call that has waited for
-    /// `waited` in its queue.
-    pub fn record_call(&mut self, waited: Duration) {
+    /// Records that the loop handles a customer's call that has waited since
+    /// `arrived`.
+    pub fn record_call(&mut self, now: Duration, arrived: Duration) {
+        self.calls += 1;
+        if arrived < self.resumed_at {
+            return;
+        }
+        let waited = now.saturating_sub(arrived);
         let least = self.least_wait.get_or_insert(waited);
         *least = waited.min(*least);
     }
 
-    /// Records a tick of the loop.
-    pub fn tick(&mut self, now: Duration) {
-        let due = self
-            .last_tick
-            .replace(now)
-            .map_or(now, |last_tick| last_tick + self.interval);
-        let tick_late = now.saturating_sub(due);
+    /// Records a tick of the loop, and adds to the credit by which jobs are
+    /// admitted while the loop is late.
+    pub fn tick(&mut self, now: Duration, credit: &Credit) {
+        let last_tick = self.last_tick.replace(now);
+        let passed = last_tick.map_or(Duration::ZERO, |last_tick| now.saturating_sub(last_tick));
+        let tick_late = passed.saturating_sub(self.interval);
+        let on_time = |late: &Duration| *late < RECOVERED_LATENESS;
+        if tick_late >= REFUSAL_LATENESS && self.recent.iter().all(on_time) {
+            self.resumed_at = now;
+        }
         let call_late = self.least_wait.take().unwrap_or_default();
         self.recent.rotate_left(1);
         self.recent[TICKS - 1] = tick_late.max(call_late);
         self.lateness = self.recent.into_iter().min().unwrap_or_default();
-        if let Some(event) = self.share.update(now, self.lateness) {
+        let calls = std::mem::take(&mut self.calls);
+        let limit = &mut self.limit;
+        if let Some(event) = limit.update(now, passed, self.lateness, calls, credit) {
             self.events.push(event);
         }
         if let Some(event) = self.readiness.update(now, self.lateness) {
@@ -131,14 +153,14 @@
         Measures {
             sample_logs: self.lateness >= SAMPLING_LATENESS,
             thin_frames: self.lateness >= THINNING_LATENESS,
-            refuse: self.share.is_reduced(),
+            refuse: self.limit.rate().is_some(),
         }
     }
 
-    /// Returns the part of new jobs that is admitted, in per mille; 1,000 while
-    /// nothing is refused.
-    pub fn admitted_per_mille(&self) -> u32 {
-        self.share.per_mille()
+    /// Returns the number of new jobs a second that are admitted; `None` while
+    /// there is no limit.
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.limit.rate()
     }
 
     /// Returns whether readiness checks may succeed.
--- a/crates/kernel/tests/fleet_shares.rs
+++ b/crates/kernel/tests/fleet_shares.rs
@@ -71,6 +71,7 @@
         free: 0,
     };
     let heartbeat = Heartbeat {
+        lateness: 0,
         clock: 1,
         echo: 0,
         revision: 1,
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -291,6 +291,8 @@
     pub arriving: Vec<(u8, u64)>,
     /// The sender's shares of the hosts that it uses, by service.
     pub shares: Vec<(String, Share)>,
+    /// Time by which the sender's event loop is late, in milliseconds.
+    pub lateness: u32,
 }
 
 /// An entry's share of the processors of its sides' hosts. Every host counts as
