Entries at their processor limit: frames first, refusals unread, readiness

Cause: an event loop that lacks processor time handled customers' calls and sides' frames in one queue, refused late, and stayed in the load balancer.

Change: a turn of the loop handles frames and completions, then periodic work, then 16 calls at most (2 while more frames wait); calls have a queue of their own of that size, and other requests wait unread. While the loop stays late, the customers' interface refuses jobs by host, path and patience header before the body is parsed, with a credit that the loop refills; a job that the entry knows is never refused so. Routine events are logged for one job in eight times as many. Readiness fails and returns with the lateness. Events loop_late, loop_recovered and readiness; metrics hyssoppost_loop_lateness_seconds and _admission_limit; a section pressure in dumps. A report of a customer's disconnection may now be handled before the call itself; the call's reply is closed first, and such a call is skipped. Handles of event metrics are registered once and kept.

The cost of the registered handles is not measured.

--- a/crates/hyssoppost/src/leased/dump.rs
+++ b/crates/hyssoppost/src/leased/dump.rs
@@ -1,17 +1,25 @@
 //! State dumps of the processes for leased tasks. They share their keys with
 //! the dumps of the other processes where the meaning is the same.
 
+use super::admission::Admission;
 use crate::{entry::process, link::Local};
 use kernel::{
     dispatch::{Dispatcher, View},
     guard::Guard,
     millis,
+    pressure::Pressure,
 };
 use serde_json::{Value, json};
 use std::time::Duration;
 
 /// Returns an entry's state as JSON.
-pub(super) fn entry(kernel: &Dispatcher, local: &Local, now: Duration) -> Value {
+pub(super) fn entry(
+    kernel: &Dispatcher,
+    pressure: &Pressure,
+    admission: &Admission,
+    local: &Local,
+    now: Duration,
+) -> Value {
     let sides: Vec<Value> = kernel
         .side_views(now)
         .map(|view| side_summary(&view))
@@ -30,11 +38,16 @@
         "name": local.hello.name,
         "domain": local.hello.domain,
         "incarnation": local.hello.incarnation.to_string(),
-        "ready": kernel.is_ready(),
+        "ready": kernel.is_ready() && pressure.is_ready(),
         "leaving": kernel.is_leaving(),
         "configuration": configuration,
         "queued_tasks": kernel.backlog(),
         "open_jobs": kernel.open_jobs(),
+        "pressure": {
+            "lateness_ms": millis(pressure.lateness()),
+            "jobs_per_second_limit": pressure.rate_limit(),
+            "refused_unread": admission.refused(),
+        },
         "sides": sides,
         "counts": {
             "accepted": stats.accepted,
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -1,7 +1,9 @@
 //! The entry process for leased tasks: accepts jobs and places their tasks.
 
 use super::{
-    EVENT_QUEUE_CAPACITY, EXIT_MARGIN, SeedSender, Seeds, dump,
+    EVENT_QUEUE_CAPACITY, EXIT_MARGIN, SeedSender, Seeds, TICK_INTERVAL,
+    admission::{Admission, notable_wait},
+    dump,
     event::{Event, Status},
     event_loop, frontend, hello, rules,
     telemetry::{self, Recorder},
@@ -17,9 +19,13 @@
     meter, settings,
 };
 use hashbrown::HashMap;
-use kernel::dispatch::{Action, Answer, Dispatcher};
+use kernel::{
+    dispatch::{Action, Answer, Dispatcher},
+    event::Event as KernelEvent,
+    pressure::{Gate, MAX_TURN_CALLS, Measures, Pressure},
+};
 use platform::customer::Operation;
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::{JoinHandle, JoinSet},
@@ -36,6 +42,9 @@
 /// the entry is leaving, and sends new connections until then.
 const MIN_DRAIN_PERCENT: u32 = 45;
 
+/// Shortest interval at which the forecasts for jobs refused unread are renewed.
+const GATE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time without open jobs after which a leaving entry stops.
 const IDLE_BEFORE_EXIT: Duration = Duration::from_millis(200);
 
@@ -56,6 +65,7 @@
 /// Binds an entry's listeners and starts it.
 pub async fn spawn(settings: settings::Entry, lease: &settings::Lease) -> Result<Handle, Error> {
     let (events, event_queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+    let (call_sender, call_queue) = mpsc::channel(MAX_TURN_CALLS);
     let (dump_requests, dump_queue) = mpsc::channel(1);
     let listener = link::listen(settings.links).await?;
     let links = listener.local_addr()?;
@@ -68,7 +78,19 @@
     let (status, watched) = watch::channel(Status::default());
     let admin = admin::bind(&settings.common, dump_requests).await?;
     let metrics = admin::bind_metrics(&settings.common).await?;
-    let customers = frontend::bind(&settings, events.clone(), watched.clone()).await?;
+    let clock = Clock::default();
+    let admission = Arc::new(Admission::new(Recorder::new(settings.common.sample)));
+    let shared = frontend::Shared::new(
+        frontend::Queues {
+            events: events.clone(),
+            calls: call_sender,
+        },
+        watched.clone(),
+        admission.clone(),
+        clock,
+        settings.body_bytes,
+    );
+    let customers = frontend::bind(&settings, shared).await?;
     let readiness = frontend::bind_readiness(lease.readiness, watched.clone()).await?;
     let store = platform::store::Client::open(settings.store)?;
     services.spawn(rules::follow(store.clone(), events.clone()));
@@ -80,12 +102,14 @@
         events.clone(),
     ));
     let seed = settings.seed.unwrap_or_else(rand::random);
-    let clock = Clock::default();
     let domain = &settings.common.domain;
     let mut kernel = Dispatcher::new(clock.now(), domain, timing(lease), seed);
     kernel.set_remote_factor(lease.remote_factor);
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
+        pressure: Pressure::new(TICK_INTERVAL),
+        admission,
+        gate_set_at: Duration::ZERO,
         published_at: Duration::ZERO,
         rules_read_at: None,
         kernel,
@@ -94,7 +118,13 @@
         status,
         customers: HashMap::new(),
     };
-    let process = tokio::spawn(event_loop::run(process, clock, event_queue, dump_queue));
+    let process = tokio::spawn(event_loop::run(
+        process,
+        clock,
+        event_queue,
+        call_queue,
+        dump_queue,
+    ));
     log::info!(
         "event=entry_started name={} incarnation={incarnation} customers={} links={links} readiness={} admin={}",
         settings.common.name,
@@ -198,6 +228,9 @@
 
 struct Process {
     recorder: Recorder,
+    pressure: Pressure,
+    admission: Arc<Admission>,
+    gate_set_at: Duration,
     published_at: Duration,
     /// When the store last returned the rules.
     rules_read_at: Option<Duration>,
@@ -225,14 +258,23 @@
     }
 
     fn dump(&self, now: Duration) -> serde_json::Value {
-        dump::entry(&self.kernel, self.mesh.local(), now)
+        dump::entry(
+            &self.kernel,
+            &self.pressure,
+            &self.admission,
+            self.mesh.local(),
+            now,
+        )
     }
 
     fn handle(&mut self, now: Duration, event: Event) {
         match event {
             Event::Seeds(Seeds(addresses)) => self.mesh.set_seeds(addresses),
             Event::Link(event) => self.handle_link(now, event),
+            // A customer that has disconnected meanwhile needs no decision.
+            Event::Call { reply, .. } if reply.is_closed() => {}
             Event::Call {
+                arrived,
                 customer,
                 host,
                 path,
@@ -240,9 +282,13 @@
                 reply,
             } => {
                 self.customers.insert(customer, reply);
+                self.pressure.record_call(now, arrived);
                 match operation {
                     Operation::Submit(submission) => {
-                        self.kernel.submit(now, customer, &host, &path, submission);
+                        let waited = notable_wait(now.saturating_sub(arrived));
+                        let arrived = now.saturating_sub(waited);
+                        self.kernel
+                            .submit_arrived(now, arrived, customer, &host, &path, submission);
                     }
                     Operation::Inspect(job) => self.kernel.inspect(customer, job),
                     Operation::Cancel(job) => self.kernel.cancel(now, customer, job),
@@ -304,16 +350,23 @@
     }
 
     fn tick(&mut self, now: Duration) {
+        self.update_pressure(now);
         self.kernel.tick(now);
         if now.saturating_sub(self.published_at) >= meter::PUBLISH_INTERVAL {
             self.published_at = now;
             telemetry::publish_entry(&self.kernel, self.mesh.local(), now, self.rules_read_at);
+            telemetry::publish_pressure(&self.pressure);
+            self.admission
+                .review_jobs(now, |job| self.kernel.knows(job));
             self.floors.send_replace(self.kernel.patience_floors());
         }
     }
 
     fn execute_actions(&mut self) {
         for event in self.kernel.take_events() {
+            if let KernelEvent::Refused { job, .. } = &event {
+                self.admission.forget_job(*job);
+            }
             self.recorder.observe(&event);
         }
         for action in self.kernel.take_actions() {
@@ -332,9 +385,33 @@
 }
 
 impl Process {
+    /// Measures how late the loop is, and takes or ends the measures against it.
+    fn update_pressure(&mut self, now: Duration) {
+        self.pressure.tick(now, &self.admission.credit);
+        for event in self.pressure.take_events() {
+            self.recorder.observe(&event);
+        }
+        let Measures {
+            sample_logs,
+            thin_frames,
+            refuse,
+        } = self.pressure.measures();
+        let lateness = self.pressure.lateness();
+        self.recorder.sample_less(sample_logs);
+        self.kernel.set_lateness(lateness, thin_frames);
+        if !refuse {
+            self.admission.set_gate(Gate::default());
+        } else if now.saturating_sub(self.gate_set_at) >= GATE_INTERVAL {
+            self.gate_set_at = now;
+            let drained_in = self.kernel.drained_in(now);
+            let gate = Gate::closed(lateness, drained_in, self.kernel.lanes(now));
+            self.admission.set_gate(gate);
+        }
+    }
+
     fn publish_status(&self) {
         let status = Status {
-            ready: self.kernel.is_ready(),
+            ready: self.kernel.is_ready() && self.pressure.is_ready(),
             leaving: self.kernel.is_leaving(),
             idle: self.kernel.open_jobs() == 0,
         };
--- a/crates/hyssoppost/src/leased/event.rs
+++ b/crates/hyssoppost/src/leased/event.rs
@@ -14,6 +14,8 @@
     /// The settings file lists other seeds.
     Seeds(Seeds),
     Call {
+        /// When its request arrived.
+        arrived: Duration,
         customer: u64,
         host: String,
         path: String,
--- a/crates/hyssoppost/src/leased/event_loop.rs
+++ b/crates/hyssoppost/src/leased/event_loop.rs
@@ -1,13 +1,16 @@
 //! The event loop that drives a kernel; both processes for leased tasks run it.
 
-use super::{MAX_BATCH_EVENTS, TICK_INTERVAL};
+use super::TICK_INTERVAL;
 use crate::{
     admin,
     clock::Clock,
     link::{self, Joined},
     mesh::Mesh,
 };
-use kernel::liveness::SilenceCheck;
+use kernel::{
+    liveness::SilenceCheck,
+    pressure::{MAX_CALLS_BEHIND_FRAMES, MAX_TURN_CALLS, MAX_TURN_EVENTS},
+};
 use serde_json::Value;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -100,43 +103,79 @@
 }
 
 /// Runs a process until all senders of its events are dropped.
+///
+/// A turn handles frames and completions, then the periodic work if it is due,
+/// then some of the `calls`. Renewals, acknowledgements and results thus never wait
+/// for more new work than [`MAX_TURN_CALLS`], and the periodic work sees what has
+/// arrived while the process was paused.
 pub(super) async fn run<P: Process>(
     mut process: P,
     clock: Clock,
     mut event_queue: mpsc::Receiver<P::Event>,
+    mut calls: mpsc::Receiver<P::Event>,
     mut dump_queue: mpsc::Receiver<admin::Dump>,
 ) {
     let mut tick = tokio::time::interval(TICK_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut check = SilenceCheck::default();
-    let mut batch = Vec::with_capacity(MAX_BATCH_EVENTS);
+    let mut batch = Vec::with_capacity(MAX_TURN_EVENTS);
     process.mesh().update_dialers();
     loop {
         let settle_delay = process.settle_delay();
+        let mut tick_due = false;
+        let mut first_call = None;
         tokio::select! {
-            count = event_queue.recv_many(&mut batch, MAX_BATCH_EVENTS) => {
-                if count == 0 {
-                    return;
-                }
-                let now = clock.now();
-                for event in batch.drain(..) {
-                    process.handle(now, event);
-                }
-                process.settle(now);
-            }
+            biased;
+            _ = tick.tick() => tick_due = true,
             Some(reply) = dump_queue.recv() => {
                 // The send fails if the requester has disconnected.
                 let _ = reply.send(process.dump(clock.now()));
             }
-            () = tokio::time::sleep(settle_delay.unwrap_or_default()), if settle_delay.is_some() => {
-                process.settle(clock.now());
-            }
-            _ = tick.tick() => {
-                let now = clock.now();
-                process.close_silent(now, &mut check);
-                process.tick(now);
-            }
+            event = event_queue.recv() => match event {
+                Some(event) => batch.push(event),
+                None => return,
+            },
+            Some(call) = calls.recv() => first_call = Some(call),
+            () = tokio::time::sleep(settle_delay.unwrap_or_default()), if settle_delay.is_some() => {}
+        }
+        let mut is_full = fill(&mut batch, &mut event_queue, MAX_TURN_EVENTS);
+        let now = clock.now();
+        for event in batch.drain(..) {
+            process.handle(now, event);
+        }
+        if tick_due {
+            let now = clock.now();
+            process.close_silent(now, &mut check);
+            process.tick(now);
         }
+        batch.extend(first_call);
+        let most_calls = if event_queue.is_empty() {
+            MAX_TURN_CALLS
+        } else {
+            MAX_CALLS_BEHIND_FRAMES
+        };
+        is_full |= fill(&mut batch, &mut calls, most_calls);
+        let now = clock.now();
+        for call in batch.drain(..) {
+            process.handle(now, call);
+        }
+        process.settle(now);
         process.execute_actions();
+        if is_full {
+            // Other tasks, such as those that refuse jobs, share the thread.
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// Moves queued events to the batch, up to `limit` in all; returns whether the
+/// limit was reached.
+fn fill<E>(batch: &mut Vec<E>, queue: &mut mpsc::Receiver<E>, limit: usize) -> bool {
+    while batch.len() < limit {
+        let Ok(event) = queue.try_recv() else {
+            return false;
+        };
+        batch.push(event);
     }
+    true
 }
--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -1,7 +1,14 @@
 //! HTTP interfaces of an entry for customers and for the load balancer.
 
-use super::event::{Event, Status};
-use crate::{Error, http, settings};
+use super::{
+    admission::Admission,
+    event::{Event, Status},
+};
+use crate::{Error, clock::Clock, http, settings};
+use kernel::{
+    dispatch::{Answer, Reason},
+    pressure::Unread,
+};
 use platform::customer::Operation;
 use poem::{Body, EndpointExt, Request, Response, endpoint::make, http::StatusCode};
 use std::{
@@ -13,10 +20,19 @@
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
+/// Queues of the process: customers' calls wait behind all other events.
 #[derive(Debug)]
-struct Shared {
-    events: mpsc::Sender<Event>,
+pub(super) struct Queues {
+    pub(super) events: mpsc::Sender<Event>,
+    pub(super) calls: mpsc::Sender<Event>,
+}
+
+#[derive(Debug)]
+pub(super) struct Shared {
+    queues: Queues,
     status: watch::Receiver<Status>,
+    admission: Arc<Admission>,
+    clock: Clock,
     body_bytes: usize,
     next_customer: AtomicU64,
 }
@@ -24,12 +40,15 @@
 /// Reports to the process when a customer disconnects before its answer.
 struct DisconnectGuard<'a> {
     events: &'a mpsc::Sender<Event>,
+    answer: oneshot::Receiver<Answer>,
     /// The job and the customer's number; `None` once there is an answer.
     unanswered: Option<(u64, u64)>,
 }
 
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
+        // Before the report, since the process may handle this before the call.
+        self.answer.close();
         if let Some((job, customer)) = self.unanswered.take()
             && let Err(error) = self.events.try_send(Event::Disconnected { job, customer })
         {
@@ -41,15 +60,9 @@
 /// Binds the customers' interface and starts it.
 pub(super) async fn bind(
     settings: &settings::Entry,
-    events: mpsc::Sender<Event>,
-    status: watch::Receiver<Status>,
+    shared: Shared,
 ) -> Result<http::Handle, Error> {
-    let shared = Arc::new(Shared {
-        events,
-        status,
-        body_bytes: settings.body_bytes,
-        next_customer: AtomicU64::new(0),
-    });
+    let shared = Arc::new(shared);
     let app = make(move |request| {
         let shared = shared.clone();
         async move { Ok::<_, poem::Error>(handle(&shared, request).await) }
@@ -78,10 +91,8 @@
 }
 
 async fn handle(shared: &Shared, mut request: Request) -> Response {
-    let mut response = match parse(shared, &mut request).await {
-        Ok(operation) => shared.execute(&request, operation).await,
-        Err(response) => response,
-    };
+    let result = shared.serve(&mut request).await;
+    let mut response = result.unwrap_or_else(|response| response);
     if shared.status.borrow().leaving {
         // The customer sends its next request through another entry.
         response
@@ -91,45 +102,125 @@
     response
 }
 
-async fn parse(shared: &Shared, request: &mut Request) -> Result<Operation, Response> {
-    let body = request.take_body().into_bytes_limit(shared.body_bytes);
-    let Ok(body) = body.await else {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
-    };
-    let patience = request.header(platform::customer::PATIENCE_HEADER);
-    let method = request.method().as_str();
-    let path = request.uri().path();
-    platform::customer::decode(method, path, patience, &body).map_err(|rejection| {
-        log::info!("event=request_rejected path={path:?} reason=\"{rejection}\"");
-        respond(platform::customer::reject(&rejection))
-    })
-}
-
 impl Shared {
-    async fn execute(&self, request: &Request, operation: Operation) -> Response {
+    pub(super) fn new(
+        queues: Queues,
+        status: watch::Receiver<Status>,
+        admission: Arc<Admission>,
+        clock: Clock,
+        body_bytes: usize,
+    ) -> Self {
+        Self {
+            queues,
+            status,
+            admission,
+            clock,
+            body_bytes,
+            next_customer: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the response to a request; one that says why the request did not reach
+    /// the process is an error.
+    async fn serve(&self, request: &mut Request) -> Result<Response, Response> {
+        // The body is read even if the job is refused: a connection that is closed
+        // with unread bytes may lose its response.
+        let body = request.take_body().into_bytes_limit(self.body_bytes);
+        let Ok(body) = body.await else {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
+        };
+        let arrived = self.clock.now();
+        let place = self.wait_for_place(request, arrived).await?;
+        let patience = request.header(platform::customer::PATIENCE_HEADER);
+        let (method, path) = (request.method().as_str(), request.uri().path());
+        let decoded = platform::customer::decode(method, path, patience, &body);
+        let operation = decoded.map_err(|rejection| {
+            log::info!("event=request_rejected path={path:?} reason=\"{rejection}\"");
+            respond(platform::customer::reject(&rejection))
+        })?;
+        Ok(self.execute(request, arrived, operation, place).await)
+    }
+
+    /// Waits for a place in the queue of calls. If the event loop stays late, a new
+    /// job may be refused instead; its body has not been parsed then.
+    async fn wait_for_place(
+        &self,
+        request: &Request,
+        arrived: Duration,
+    ) -> Result<mpsc::Permit<'_, Event>, Response> {
+        let (method, path) = (request.method().as_str(), request.uri().path());
+        let job = platform::customer::submitted_job(method, path);
+        let unread = Unread {
+            host: request.header("host").unwrap_or_default(),
+            path: platform::customer::split(path).0,
+            patience: platform::customer::patience(
+                request.header(platform::customer::PATIENCE_HEADER),
+            ),
+        };
+        let refusal = || {
+            let waited = self.clock.now().saturating_sub(arrived);
+            let answer = Answer::Refused {
+                reason: Reason::EntryLate,
+                retry_after: self.admission.refusal(job?, &unread, waited)?,
+            };
+            Some(respond(platform::customer::encode(&answer)))
+        };
+        if let Some(response) = refusal() {
+            return Err(response);
+        }
+        if let Ok(place) = self.queues.calls.try_reserve() {
+            return Ok(place);
+        }
+        let mut gate = self.admission.watch_gate();
+        let place = self.queues.calls.reserve();
+        tokio::pin!(place);
+        loop {
+            tokio::select! {
+                place = &mut place => {
+                    // Fails only if the process has ended.
+                    return place.map_err(|_| StatusCode::SERVICE_UNAVAILABLE.into());
+                }
+                // The sender lives as long as `self`.
+                _ = gate.changed() => if let Some(response) = refusal() {
+                    return Err(response);
+                },
+            }
+        }
+    }
+
+    async fn execute(
+        &self,
+        request: &Request,
+        arrived: Duration,
+        operation: Operation,
+        place: mpsc::Permit<'_, Event>,
+    ) -> Response {
         let customer = self.next_customer.fetch_add(1, Ordering::Relaxed);
         let host = request.header("host").unwrap_or_default().to_owned();
         let path = platform::customer::split(request.uri().path()).0.to_owned();
         let (reply, answer) = oneshot::channel();
-        let mut disconnect_guard = DisconnectGuard {
-            events: &self.events,
-            unanswered: match &operation {
-                Operation::Submit(submission) => Some((submission.job, customer)),
-                Operation::Inspect(_) | Operation::Cancel(_) | Operation::Count => None,
-            },
+        let job = match &operation {
+            Operation::Submit(submission) => Some(submission.job),
+            Operation::Inspect(_) | Operation::Cancel(_) | Operation::Count => None,
+        };
+        if let Some(job) = job {
+            self.admission.record_job(arrived, job);
+        }
+        let mut guard = DisconnectGuard {
+            events: &self.queues.events,
+            answer,
+            unanswered: job.map(|job| (job, customer)),
         };
-        let event = Event::Call {
+        place.send(Event::Call {
+            arrived,
             customer,
             host,
             path,
             operation,
             reply,
-        };
-        if self.events.send(event).await.is_err() {
-            return StatusCode::SERVICE_UNAVAILABLE.into();
-        }
-        let answer = answer.await;
-        disconnect_guard.unanswered = None;
+        });
+        let answer = (&mut guard.answer).await;
+        guard.unanswered = None;
         match answer {
             Ok(answer) => respond(platform::customer::encode(&answer)),
             // The process stopped before it answered; the job may have run.
--- a/crates/hyssoppost/src/leased/mod.rs
+++ b/crates/hyssoppost/src/leased/mod.rs
@@ -1,6 +1,7 @@
 //! The entry and side processes for leased tasks, built on
 //! [`kernel::dispatch`] and [`kernel::guard`].
 
+mod admission;
 mod dump;
 pub mod entry;
 mod event;
@@ -22,9 +23,6 @@
 /// Capacity of a process's event queue, in events.
 const EVENT_QUEUE_CAPACITY: usize = 16_384;
 
-/// Most events handled before the resulting actions are executed.
-const MAX_BATCH_EVENTS: usize = 128;
-
 /// Interval at which deadlines and silent connections are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -126,7 +126,15 @@
         isolated,
         idle,
     };
-    let process = tokio::spawn(event_loop::run(process, clock, event_queue, dump_queue));
+    // A side has no customers.
+    let (_, calls) = mpsc::channel(1);
+    let process = tokio::spawn(event_loop::run(
+        process,
+        clock,
+        event_queue,
+        calls,
+        dump_queue,
+    ));
     log::info!(
         "event=side_started name={} incarnation={incarnation} reports={} upstream={}",
         settings.common.name,
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -1,13 +1,15 @@
 //! Log lines and metrics derived from a kernel's events.
 
 use crate::{link::Local, logging, meter};
+use hashbrown::HashMap;
 use kernel::{
-    dispatch::{Dispatcher, Phase},
+    dispatch::{Dispatcher, Phase, Reason},
     event::{Event, Severity},
     guard::Guard,
     millis,
+    pressure::{Pressure, SAMPLING_FACTOR},
 };
-use metrics::{counter, gauge, histogram};
+use metrics::{Counter, Histogram, counter, gauge, histogram};
 use std::time::{Duration, Instant};
 use wire::lease::Ending;
 
@@ -21,24 +23,35 @@
     /// One in `sample` jobs has its routine events logged. The choice depends on
     /// the job's identifier, so every process logs the same jobs.
     sample: u64,
+    /// Whether routine events of fewer jobs are logged.
+    samples_less: bool,
     /// Notable events that may still be logged in the current second.
     remaining: u32,
     refilled: Instant,
     suppressed: u64,
+    metrics: Metrics,
 }
 
 impl Recorder {
     pub(super) fn new(sample: u64) -> Self {
         Self {
             sample: sample.max(1),
+            samples_less: false,
             remaining: MAX_NOTABLE_PER_SECOND,
             refilled: Instant::now(),
             suppressed: 0,
+            metrics: Metrics::default(),
         }
     }
 
+    /// Sets whether the routine events of one job in [`SAMPLING_FACTOR`] times as
+    /// many are logged.
+    pub(super) fn sample_less(&mut self, less: bool) {
+        self.samples_less = less;
+    }
+
     pub(super) fn observe(&mut self, event: &Event) {
-        update_metrics(event);
+        self.metrics.update(event);
         match event.severity() {
             Severity::Routine if !self.is_sampled(event) => {}
             Severity::Routine => log::info!("{event}"),
@@ -58,7 +71,12 @@
         let hash = event
             .job()
             .map(|job| job.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32);
-        hash.is_none_or(|hash| hash % self.sample == 0)
+        let sample = if self.samples_less {
+            self.sample.saturating_mul(SAMPLING_FACTOR)
+        } else {
+            self.sample
+        };
+        hash.is_none_or(|hash| hash % sample == 0)
     }
 
     fn may_log(&mut self) -> bool {
@@ -76,77 +94,183 @@
     }
 }
 
-fn update_metrics(event: &Event) {
-    match event {
-        Event::Accepted { queue, .. } => {
-            counter!("hyssoppost_jobs_accepted_total", "queue" => queue.clone()).increment(1);
+/// Handles of the metrics that events update. Each is registered when it is first
+/// used, so that only what has happened is listed, and then kept: a registration
+/// formats and hashes the name and the labels.
+#[derive(Debug, Default)]
+struct Metrics {
+    queues: HashMap<String, QueueMetrics>,
+    runs: Vec<(Ending, RunMetrics)>,
+    refusal_seconds: Option<Histogram>,
+    run_wait: Option<Histogram>,
+    /// Counters without labels, by name.
+    plain: Vec<(&'static str, Counter)>,
+}
+
+#[derive(Debug, Default)]
+struct QueueMetrics {
+    accepted: Option<Counter>,
+    given_up: Option<Counter>,
+    objective_ratio: Option<Histogram>,
+    outcomes: Vec<(&'static str, Counter, Histogram)>,
+    /// By reason, and whether the refusal was sent at once.
+    refused: Vec<(Reason, bool, Counter)>,
+}
+
+#[derive(Debug)]
+struct RunMetrics {
+    count: Counter,
+    seconds: Histogram,
+    work: Option<Counter>,
+}
+
+impl Metrics {
+    fn update(&mut self, event: &Event) {
+        match event {
+            Event::Accepted { queue, .. } => {
+                let register =
+                    || counter!("hyssoppost_jobs_accepted_total", "queue" => queue.clone());
+                let metrics = self.queue(queue);
+                metrics.accepted.get_or_insert_with(register).increment(1);
+            }
+            Event::Refused {
+                queue, reason, age, ..
+            } => {
+                self.queue(queue)
+                    .count_refusal(queue, *reason, age.is_zero());
+                self.refusal_seconds
+                    .get_or_insert_with(|| histogram!("hyssoppost_refusal_seconds"))
+                    .record(age.as_secs_f64());
+            }
+            Event::Answered {
+                queue,
+                state,
+                response_time,
+                objective,
+                ..
+            } => {
+                let outcome = match state {
+                    Phase::Completed if response_time <= objective => "in_time",
+                    Phase::Completed => "late",
+                    Phase::Failed => "failed",
+                    _ => "cancelled",
+                };
+                let metrics = self.queue(queue);
+                metrics.count_answer(queue, outcome, *response_time, *objective);
+            }
+            Event::GivenUp { queue, .. } => {
+                let register =
+                    || counter!("hyssoppost_jobs_given_up_total", "queue" => queue.clone());
+                let metrics = self.queue(queue);
+                metrics.given_up.get_or_insert_with(register).increment(1);
+            }
+            Event::Abandoned { .. } => self.count("hyssoppost_jobs_abandoned_total"),
+            _ => self.update_runs(event),
         }
-        Event::Refused {
-            queue, reason, age, ..
-        } => {
-            let when = if age.is_zero() { "at_once" } else { "later" };
-            let labels = [
-                ("queue", queue.clone()),
-                ("reason", reason.to_string()),
-                ("when", when.to_owned()),
-            ];
-            counter!("hyssoppost_jobs_refused_total", &labels).increment(1);
-            histogram!("hyssoppost_refusal_seconds").record(age.as_secs_f64());
+    }
+
+    fn update_runs(&mut self, event: &Event) {
+        match event {
+            Event::Placed { waited, .. } => self
+                .run_wait
+                .get_or_insert_with(|| histogram!("hyssoppost_run_wait_seconds"))
+                .record(waited.as_secs_f64()),
+            Event::Ended {
+                ending, spent, cpu, ..
+            } => {
+                let work = millis(*spent) * u64::from(*cpu) / 1_000;
+                let metrics = self.count_run(*ending, *spent);
+                let register = || counter!("hyssoppost_work_core_milliseconds_total", "ending" => ending_label(*ending));
+                metrics.work.get_or_insert_with(register).increment(work);
+            }
+            Event::RunEnded { ending, spent, .. } => {
+                self.count_run(*ending, *spent);
+            }
+            Event::Moved { .. } => self.count("hyssoppost_runs_moved_total"),
+            Event::Ejected { .. } => self.count("hyssoppost_upstreams_aside_total"),
+            Event::RunUnanswered { .. } => self.count("hyssoppost_orders_unanswered_total"),
+            Event::RunOrphaned { .. } => self.count("hyssoppost_runs_orphaned_total"),
+            _ => {}
         }
-        Event::Answered {
-            queue,
-            state,
-            response_time,
-            objective,
-            ..
-        } => {
-            let outcome = match state {
-                Phase::Completed if response_time <= objective => "in_time",
-                Phase::Completed => "late",
-                Phase::Failed => "failed",
-                _ => "cancelled",
+    }
+
+    fn queue(&mut self, name: &str) -> &mut QueueMetrics {
+        self.queues.entry_ref(name).or_default()
+    }
+
+    fn count(&mut self, name: &'static str) {
+        let known = self.plain.iter().position(|(known, _)| *known == name);
+        let index = known.unwrap_or_else(|| {
+            self.plain.push((name, counter!(name)));
+            self.plain.len() - 1
+        });
+        self.plain[index].1.increment(1);
+    }
+
+    /// Counts the end of a run; returns the metrics of its ending.
+    fn count_run(&mut self, ending: Ending, spent: Duration) -> &mut RunMetrics {
+        let known = self.runs.iter().position(|(known, _)| *known == ending);
+        let index = known.unwrap_or_else(|| {
+            let label = ending_label(ending);
+            let metrics = RunMetrics {
+                count: counter!("hyssoppost_runs_total", "ending" => label.clone()),
+                seconds: histogram!("hyssoppost_run_seconds", "ending" => label),
+                work: None,
             };
-            counter!("hyssoppost_jobs_total", "queue" => queue.clone(), "outcome" => outcome)
-                .increment(1);
-            histogram!("hyssoppost_job_seconds", "queue" => queue.clone(), "outcome" => outcome)
-                .record(response_time.as_secs_f64());
-            let share = response_time.as_secs_f64() / objective.as_secs_f64().max(1e-3);
-            histogram!("hyssoppost_job_objective_ratio", "queue" => queue.clone()).record(share);
-        }
-        Event::GivenUp { queue, .. } => {
-            counter!("hyssoppost_jobs_given_up_total", "queue" => queue.clone()).increment(1);
-        }
-        Event::Abandoned { .. } => counter!("hyssoppost_jobs_abandoned_total").increment(1),
-        _ => update_run_metrics(event),
+            self.runs.push((ending, metrics));
+            self.runs.len() - 1
+        });
+        let metrics = &mut self.runs[index].1;
+        metrics.count.increment(1);
+        metrics.seconds.record(spent.as_secs_f64());
+        metrics
     }
 }
 
-fn update_run_metrics(event: &Event) {
-    match event {
-        Event::Placed { waited, .. } => {
-            histogram!("hyssoppost_run_wait_seconds").record(waited.as_secs_f64());
-        }
-        Event::Ended {
-            ending, spent, cpu, ..
-        } => {
-            record_run_end(*ending, *spent);
-            let work = millis(*spent) * u64::from(*cpu) / 1_000;
-            counter!("hyssoppost_work_core_milliseconds_total", "ending" => ending_label(*ending))
-                .increment(work);
-        }
-        Event::RunEnded { ending, spent, .. } => record_run_end(*ending, *spent),
-        Event::Moved { .. } => counter!("hyssoppost_runs_moved_total").increment(1),
-        Event::Ejected { .. } => counter!("hyssoppost_upstreams_aside_total").increment(1),
-        Event::RunUnanswered { .. } => counter!("hyssoppost_orders_unanswered_total").increment(1),
-        Event::RunOrphaned { .. } => counter!("hyssoppost_runs_orphaned_total").increment(1),
-        _ => {}
+impl QueueMetrics {
+    fn count_refusal(&mut self, queue: &str, reason: Reason, at_once: bool) {
+        let same = |known: &(Reason, bool, Counter)| (known.0, known.1) == (reason, at_once);
+        let index = self.refused.iter().position(same).unwrap_or_else(|| {
+            let labels = [
+                ("queue", queue.to_owned()),
+                ("reason", reason.to_string()),
+                ("when", if at_once { "at_once" } else { "later" }.to_owned()),
+            ];
+            let counter = counter!("hyssoppost_jobs_refused_total", &labels);
+            self.refused.push((reason, at_once, counter));
+            self.refused.len() - 1
+        });
+        self.refused[index].2.increment(1);
     }
-}
 
-fn record_run_end(ending: Ending, spent: Duration) {
-    counter!("hyssoppost_runs_total", "ending" => ending_label(ending)).increment(1);
-    histogram!("hyssoppost_run_seconds", "ending" => ending_label(ending))
-        .record(spent.as_secs_f64());
+    fn count_answer(
+        &mut self,
+        queue: &str,
+        outcome: &'static str,
+        response_time: Duration,
+        objective: Duration,
+    ) {
+        let known = self
+            .outcomes
+            .iter()
+            .position(|(known, ..)| *known == outcome);
+        let index = known.unwrap_or_else(|| {
+            let labels = [("queue", queue.to_owned()), ("outcome", outcome.to_owned())];
+            let count = counter!("hyssoppost_jobs_total", &labels);
+            let seconds = histogram!("hyssoppost_job_seconds", &labels);
+            self.outcomes.push((outcome, count, seconds));
+            self.outcomes.len() - 1
+        });
+        let (_, count, seconds) = &self.outcomes[index];
+        count.increment(1);
+        seconds.record(response_time.as_secs_f64());
+        let share = response_time.as_secs_f64() / objective.as_secs_f64().max(1e-3);
+        self.objective_ratio
+            .get_or_insert_with(
+                || histogram!("hyssoppost_job_objective_ratio", "queue" => queue.to_owned()),
+            )
+            .record(share);
+    }
 }
 
 fn ending_label(ending: Ending) -> String {
@@ -179,6 +303,13 @@
     }
 }
 
+/// Publishes how late an entry's event loop is.
+pub(super) fn publish_pressure(pressure: &Pressure) {
+    gauge!("hyssoppost_loop_lateness_seconds").set(pressure.lateness().as_secs_f64());
+    let limit = pressure.rate_limit().unwrap_or_default();
+    gauge!("hyssoppost_admission_limit").set(limit);
+}
+
 /// Publishes a side's gauges.
 pub(super) fn publish_side(kernel: &Guard, local: &Local) {
     meter::publish(&local.hello.name, local);
