Dispatcher: cheaper search for a side

Change: a side keeps its room; room and state are compared before names; whether a slow upstream may be ejected is computed only if it is slow enough. The predicates have no effects, so the order does not change decisions.

--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -61,6 +61,8 @@
     /// Runs that the last status report does not cover, with their numbers on
     /// this connection and their needs.
     in_flight: VecDeque<(u32, Need)>,
+    /// Reported free resources, less the needs of `in_flight`.
+    room: Need,
     pub(super) runs: BTreeSet<Run>,
     /// Number of the last run end received.
     pub(super) last_end: u64,
@@ -94,6 +96,7 @@
             status: None,
             sent_runs: 0,
             in_flight: VecDeque::new(),
+            room: Need::default(),
             runs: BTreeSet::new(),
             last_end: 0,
             echoed: 0,
@@ -107,12 +110,7 @@
 
     /// Returns the reported free resources, less the needs of runs sent since.
     pub(super) fn room(&self) -> Need {
-        let Some(status) = &self.status else {
-            return Need::default();
-        };
-        self.in_flight
-            .iter()
-            .fold(status.free, |room, (_, need)| room.minus(*need))
+        self.room
     }
 
     /// Returns the host's total resources; zero while they are unknown.
@@ -147,8 +145,8 @@
         let Some(host) = &self.upstream else {
             return false;
         };
-        let tagged = label.is_none_or(|label| host.labels.iter().any(|own| own == label));
-        tagged && host.service == service
+        let tagged = |label| host.labels.iter().any(|own| own == label);
+        host.service == service && label.is_none_or(tagged)
     }
 
     /// Returns whether the upstream is ejected and no probe run is due.
@@ -167,6 +165,10 @@
             self.in_flight.pop_front();
         }
         self.status = Some(status);
+        self.room = self
+            .in_flight
+            .iter()
+            .fold(status.free, |room, (_, need)| room.minus(*need));
     }
 
     /// Records that a run was sent. The side's reports already deduct the needs
@@ -175,6 +177,7 @@
         self.sent_runs += 1;
         if !claimed {
             self.in_flight.push_back((self.sent_runs, need));
+            self.room = self.room.minus(need);
         }
         if let Some(ejection) = &mut self.ejection {
             ejection.probing = true;
@@ -188,6 +191,7 @@
         self.sent_runs = 0;
         self.in_flight.clear();
         self.status = None;
+        self.room = Need::default();
         self.echoed = 0;
     }
 
@@ -197,10 +201,15 @@
         self.failures = 0;
         self.unanswered = 0;
         let readmitted = self.ejection.take().is_some();
-        self.slowness += (ratio - self.slowness) * RUN_WEIGHT;
+        self.slowness = self.slowness_after(ratio);
         readmitted
     }
 
+    /// Returns the slowness after a run whose run time is `ratio` times its estimate.
+    fn slowness_after(&self, ratio: f64) -> f64 {
+        self.slowness + (ratio - self.slowness) * RUN_WEIGHT
+    }
+
     /// Records a failure that the upstream may have caused; returns whether the
     /// upstream is newly ejected.
     pub(super) fn record_failure(&mut self, now: Duration, allowed: bool) -> bool {
@@ -332,12 +341,15 @@
         self.mean_run_ms += (f64::from(spent) - self.mean_run_ms) * RUN_WEIGHT / 4.0;
         self.mean_slowness += (ratio - self.mean_slowness) * RUN_WEIGHT / 4.0;
         let mean_slowness = self.mean_slowness;
-        let allowed = self.may_eject(now, key);
+        let limit = mean_slowness * SLOWNESS_TO_EJECT;
+        // Whether it may be ejected is of interest only if it is too slow.
+        let too_slow = |side: &Side| side.slowness_after(ratio) > limit;
+        let allowed = self.get(key).is_some_and(too_slow) && self.may_eject(now, key);
         let Some(side) = self.get_mut(key) else {
             return Transition::default();
         };
         let readmitted = side.record_success(ratio);
-        let ejected = side.slowness > mean_slowness * SLOWNESS_TO_EJECT && side.eject(now, allowed);
+        let ejected = side.slowness > limit && side.eject(now, allowed);
         Transition {
             ejected,
             readmitted: readmitted && !ejected,
--- a/crates/kernel/src/dispatch/placement.rs
+++ b/crates/kernel/src/dispatch/placement.rs
@@ -128,8 +128,8 @@
         let step = &job.submission.steps[usize::from(number)];
         let mut sides: Vec<(Key, u64)> = fleet
             .iter()
-            .filter(|(_, side)| rules.may_run(now, side, &job.service, step.label.as_deref()))
             .filter(|(_, side)| step.need.fits(side.capacity()))
+            .filter(|(_, side)| rules.may_run(now, side, &job.service, step.label.as_deref()))
             .map(|(key, side)| (key, side.status.map_or(0, |status| status.clock)))
             .collect();
         sides.shuffle(&mut self.random);
@@ -152,8 +152,8 @@
         let mut best: Option<(f64, Key)> = None;
         let mut fallback = None;
         for (key, side) in fleet.iter() {
-            if !rules.may_run(now, side, &job.service, step.label.as_deref())
-                || !step.need.fits(side.room())
+            if !step.need.fits(side.room())
+                || !rules.may_run(now, side, &job.service, step.label.as_deref())
                 || is_at_host_limit(job, step.max_per_host, task, key)
             {
                 continue;
--- a/crates/kernel/src/dispatch/rules.rs
+++ b/crates/kernel/src/dispatch/rules.rs
@@ -105,7 +105,7 @@
         service: &str,
         label: Option<&str>,
     ) -> bool {
-        !self.is_out(&side.domain) && side.serves(service, label) && side.is_usable(now)
+        side.is_usable(now) && side.serves(service, label) && !self.is_out(&side.domain)
     }
 
     /// Returns the sides on which tasks of a service may run.
