--- a/crates/hyssoppost/src/leased/event.rs
+++ b/crates/hyssoppost/src/leased/event.rs
@@ -14,6 +14,8 @@
     /// The settings file lists other seeds.
     Seeds(Seeds),
     Call {
+        /// When its request arrived.
+        arrived: Duration,
         customer: u64,
         host: String,
         path: String,
@@ -73,7 +75,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[expect(
     clippy::struct_excessive_bools,
-    reason = "independent conditions, which different interfaces read"
+    reason = "the conditions are independent"
 )]
 pub(super) struct Status {
     pub(super) ready: bool,
--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -1,8 +1,14 @@
 //! HTTP interfaces of an entry for customers and for the load balancer.
 
-use super::event::{Event, Status};
+use super::{
+    admission::Admission,
+    event::{Event, Status},
+};
 use crate::{Error, clock::Clock, http, settings};
-use bytes::Bytes;
+use kernel::{
+    dispatch::{Answer, Reason},
+    pressure::Unread,
+};
 use platform::customer::Operation;
 use poem::{Body, EndpointExt, Request, Response, endpoint::make, http::StatusCode};
 use std::{
@@ -15,10 +21,18 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use wire::Payload;
 
+/// Queues of the process: customers' calls wait behind all other events.
+#[derive(Debug)]
+pub(super) struct Queues {
+    pub(super) events: mpsc::Sender<Event>,
+    pub(super) calls: mpsc::Sender<Event>,
+}
+
 #[derive(Debug)]
-struct Shared {
-    events: mpsc::Sender<Event>,
+pub(super) struct Shared {
+    queues: Queues,
     status: watch::Receiver<Status>,
+    admission: Arc<Admission>,
     clock: Clock,
     body_bytes: usize,
     next_customer: AtomicU64,
@@ -27,12 +41,15 @@
 /// Reports to the process when a customer disconnects before its answer.
 struct DisconnectGuard<'a> {
     events: &'a mpsc::Sender<Event>,
+    response: oneshot::Receiver<platform::customer::Response>,
     /// The job and the customer's number; `None` once there is an answer.
     unanswered: Option<(u64, u64)>,
 }
 
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
+        // Before the report, since the process may handle this before the call.
+        self.response.close();
         if let Some((job, customer)) = self.unanswered.take()
             && let Err(error) = self.events.try_send(Event::Disconnected { job, customer })
         {
@@ -44,17 +61,9 @@
 /// Binds the customers' interface and starts it.
 pub(super) async fn bind(
     settings: &settings::Entry,
-    clock: Clock,
-    events: mpsc::Sender<Event>,
-    status: watch::Receiver<Status>,
+    shared: Shared,
 ) -> Result<http::Handle, Error> {
-    let shared = Arc::new(Shared {
-        events,
-        status,
-        clock,
-        body_bytes: settings.body_bytes,
-        next_customer: AtomicU64::new(0),
-    });
+    let shared = Arc::new(shared);
     let app = make(move |request| {
         let shared = shared.clone();
         async move { Ok::<_, poem::Error>(handle(&shared, request).await) }
@@ -83,16 +92,8 @@
 }
 
 async fn handle(shared: &Shared, mut request: Request) -> Response {
-    let wants_requests = shared.status.borrow().wants_requests;
-    let path = request.uri().path();
-    let submitted = platform::customer::submitted_job(request.method().as_str(), path);
-    let mut response = match (wants_requests, submitted) {
-        (true, Some(job)) => shared.pass_on(&mut request, job).await,
-        _ => match parse(shared, &mut request).await {
-            Ok(operation) => shared.execute(&request, operation).await,
-            Err(response) => response,
-        },
-    };
+    let result = shared.serve(&mut request).await;
+    let mut response = result.unwrap_or_else(|response| response);
     if shared.status.borrow().leaving {
         // The customer sends its next request through another entry.
         response
@@ -102,79 +103,166 @@
     response
 }
 
-async fn read_body(shared: &Shared, request: &mut Request) -> Result<Bytes, Response> {
-    let body = request.take_body().into_bytes_limit(shared.body_bytes);
-    body.await.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE.into())
-}
+impl Shared {
+    pub(super) fn new(
+        queues: Queues,
+        status: watch::Receiver<Status>,
+        admission: Arc<Admission>,
+        clock: Clock,
+        body_bytes: usize,
+    ) -> Self {
+        Self {
+            queues,
+            status,
+            admission,
+            clock,
+            body_bytes,
+            next_customer: AtomicU64::new(0),
+        }
+    }
 
-async fn parse(shared: &Shared, request: &mut Request) -> Result<Operation, Response> {
-    let body = read_body(shared, request).await?;
-    let patience = request.header(platform::customer::PATIENCE_HEADER);
-    let method = request.method().as_str();
-    let path = request.uri().path();
-    platform::customer::decode(method, path, patience, &body).map_err(|rejection| {
-        log::info!("event=request_rejected path={path:?} reason=\"{rejection}\"");
-        respond(platform::customer::reject(&rejection))
-    })
-}
+    /// Returns the response to a request; one that says why the request did not reach
+    /// the process is an error.
+    async fn serve(&self, request: &mut Request) -> Result<Response, Response> {
+        // The body is read even if the job is refused: a connection that is closed
+        // with unread bytes may lose its response.
+        let body = request.take_body().into_bytes_limit(self.body_bytes);
+        let Ok(body) = body.await else {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
+        };
+        let arrived = self.clock.now();
+        let place = self.wait_for_place(request, arrived).await?;
+        let wants_requests = self.status.borrow().wants_requests;
+        let (method, path) = (request.method().as_str(), request.uri().path());
+        if let Some(job) = platform::customer::submitted_job(method, path)
+            && wants_requests
+        {
+            let body = Payload(body);
+            return Ok(self.pass_on(request, arrived, job, body, place).await);
+        }
+        let patience = request.header(platform::customer::PATIENCE_HEADER);
+        let decoded = platform::customer::decode(method, path, patience, &body);
+        let operation = decoded.map_err(|rejection| {
+            log::info!("event=request_rejected path={path:?} reason=\"{rejection}\"");
+            respond(platform::customer::reject(&rejection))
+        })?;
+        Ok(self.execute(request, arrived, operation, place).await)
+    }
 
-impl Shared {
-    /// Passes a submission on with its body as received.
-    async fn pass_on(&self, request: &mut Request, job: u64) -> Response {
-        let body = match read_body(self, request).await {
-            Ok(body) => Payload(body),
-            Err(response) => return response,
+    /// Waits for a place in the queue of calls. If the event loop stays late, a new
+    /// job may be refused instead; its body has not been parsed then.
+    async fn wait_for_place(
+        &self,
+        request: &Request,
+        arrived: Duration,
+    ) -> Result<mpsc::Permit<'_, Event>, Response> {
+        let (method, path) = (request.method().as_str(), request.uri().path());
+        let job = platform::customer::submitted_job(method, path);
+        let unread = Unread {
+            host: request.header("host").unwrap_or_default(),
+            path: platform::customer::split(path).0,
+            patience: platform::customer::patience(
+                request.header(platform::customer::PATIENCE_HEADER),
+            ),
         };
+        let refusal = || {
+            let waited = self.clock.now().saturating_sub(arrived);
+            let answer = Answer::Refused {
+                reason: Reason::EntryLate,
+                retry_after: self.admission.refusal(job?, &unread, waited)?,
+            };
+            Some(respond(platform::customer::encode(&answer)))
+        };
+        if let Some(response) = refusal() {
+            return Err(response);
+        }
+        if let Ok(place) = self.queues.calls.try_reserve() {
+            return Ok(place);
+        }
+        let mut gate = self.admission.watch_gate();
+        let place = self.queues.calls.reserve();
+        tokio::pin!(place);
+        loop {
+            tokio::select! {
+                place = &mut place => {
+                    // Fails only if the process has ended.
+                    return place.map_err(|_| StatusCode::SERVICE_UNAVAILABLE.into());
+                }
+                // The sender lives as long as `self`.
+                _ = gate.changed() => if let Some(response) = refusal() {
+                    return Err(response);
+                },
+            }
+        }
+    }
+
+    /// Passes a submission on with its body as received.
+    async fn pass_on(
+        &self,
+        request: &Request,
+        arrived: Duration,
+        job: u64,
+        body: Payload,
+        place: mpsc::Permit<'_, Event>,
+    ) -> Response {
         let customer = self.next_customer.fetch_add(1, Ordering::Relaxed);
         let (reply, response) = oneshot::channel();
         let patience = request.header(platform::customer::PATIENCE_HEADER);
-        let event = Event::Request {
+        self.admission.record_job(arrived, job);
+        place.send(Event::Request {
             customer,
             job,
             host: request.header("host").unwrap_or_default().to_owned(),
             path: request.uri().path().to_owned(),
             patience: platform::customer::patience(patience),
-            arrived: self.clock.now(),
+            arrived,
             body,
             reply,
-        };
-        self.call(event, response, Some((job, customer))).await
+        });
+        self.await_response(response, Some((job, customer))).await
     }
 
-    async fn execute(&self, request: &Request, operation: Operation) -> Response {
+    async fn execute(
+        &self,
+        request: &Request,
+        arrived: Duration,
+        operation: Operation,
+        place: mpsc::Permit<'_, Event>,
+    ) -> Response {
         let customer = self.next_customer.fetch_add(1, Ordering::Relaxed);
         let (reply, response) = oneshot::channel();
         let submitted = match &operation {
             Operation::Submit(submission) => Some((submission.job, customer)),
             Operation::Inspect(_) | Operation::Cancel(_) | Operation::Count => None,
         };
-        let event = Event::Call {
+        if let Some((job, _)) = submitted {
+            self.admission.record_job(arrived, job);
+        }
+        place.send(Event::Call {
+            arrived,
             customer,
             host: request.header("host").unwrap_or_default().to_owned(),
             path: platform::customer::split(request.uri().path()).0.to_owned(),
             operation,
             reply,
-        };
-        self.call(event, response, submitted).await
+        });
+        self.await_response(response, submitted).await
     }
 
-    /// Sends a customer's request to the process and returns the response.
-    /// `submitted` is the job that it submits and the customer's number.
-    async fn call(
+    /// Returns the process's response to a call. `submitted` is the job that it
+    /// submits and the customer's number.
+    async fn await_response(
         &self,
-        event: Event,
         response: oneshot::Receiver<platform::customer::Response>,
         submitted: Option<(u64, u64)>,
     ) -> Response {
-        let mut disconnect_guard = DisconnectGuard {
-            events: &self.events,
+        let mut guard = DisconnectGuard {
+            events: &self.queues.events,
+            response,
             unanswered: submitted,
         };
-        if self.events.send(event).await.is_err() {
-            return StatusCode::SERVICE_UNAVAILABLE.into();
-        }
-        let response = response.await;
-        disconnect_guard.unanswered = None;
+        let response = (&mut guard.response).await;
+        guard.unanswered = None;
         match response {
             Ok(response) => respond(response),
             // The process stopped before it answered; the job may have run.
--- a/crates/kernel/src/dispatch/admission.rs
+++ b/crates/kernel/src/dispatch/admission.rs
@@ -136,6 +136,12 @@
         std::mem::take(&mut self.parked)
     }
 
+    /// Returns whether a job is parked.
+    pub(super) fn has_parked(&self, job: u64) -> bool {
+        let mut parked = self.parked.iter();
+        parked.any(|parked| parked.submission.job == job)
+    }
+
     /// Removes a parked job whose customer has disconnected.
     pub(super) fn remove_parked(&mut self, customer: u64) {
         self.parked
--- a/crates/kernel/src/dispatch/answer.rs
+++ b/crates/kernel/src/dispatch/answer.rs
@@ -36,7 +36,11 @@
     pub fn may_succeed_elsewhere(&self) -> bool {
         match self {
             Self::Refused { reason, .. } => match reason {
-                Reason::NoRules | Reason::Leaving | Reason::NoUpstream | Reason::Stale => true,
+                Reason::NoRules
+                | Reason::Leaving
+                | Reason::NoUpstream
+                | Reason::Stale
+                | Reason::EntryLate => true,
                 Reason::Overload => false,
             },
             _ => false,
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -133,7 +133,9 @@
 
     /// Sends due heartbeats, and answers cancellations whose replies are overdue.
     pub(super) fn send_heartbeats(&mut self, now: Duration) {
-        let due = self.peers.take_due_heartbeats(now);
+        let due = self
+            .peers
+            .take_due_heartbeats(now, self.loop_lateness.thin_frames);
         if !due.is_empty() {
             let heartbeat = self.build_heartbeat(now);
             for (entry, echo) in due {
@@ -170,6 +172,7 @@
             arriving: self.admission.arriving(now).collect(),
             shares: self.shares(now),
             leaving: self.admission.is_leaving(),
+            lateness: u32::try_from(millis(self.lateness())).unwrap_or(u32::MAX),
         }
     }
 
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -66,6 +66,8 @@
     /// Runs that the last status report does not cover, with their numbers on
     /// this connection and their needs.
     in_flight: VecDeque<(u32, Need)>,
+    /// Reported free resources, less the needs of `in_flight`.
+    room: Need,
     pub(super) runs: BTreeSet<Run>,
     /// Number of the last run end received.
     pub(super) last_end: u64,
@@ -104,6 +106,7 @@
             status: None,
             sent_runs: 0,
             in_flight: VecDeque::new(),
+            room: Need::default(),
             runs: BTreeSet::new(),
             last_end: 0,
             echoed: 0,
@@ -120,12 +123,7 @@
 
     /// Returns the reported free resources, less the needs of runs sent since.
     pub(super) fn room(&self) -> Need {
-        let Some(status) = &self.status else {
-            return Need::default();
-        };
-        self.in_flight
-            .iter()
-            .fold(status.free, |room, (_, need)| room.minus(*need))
+        self.room
     }
 
     /// Returns the host's total resources; zero while they are unknown.
@@ -197,8 +195,8 @@
         let Some(host) = &self.upstream else {
             return false;
         };
-        let tagged = label.is_none_or(|label| host.labels.iter().any(|own| own == label));
-        tagged && host.service == service
+        let tagged = |label| host.labels.iter().any(|own| own == label);
+        host.service == service && label.is_none_or(tagged)
     }
 
     /// Returns whether the upstream is ejected and no probe run is due.
@@ -217,6 +215,10 @@
             self.in_flight.pop_front();
         }
         self.status = Some(status);
+        self.room = self
+            .in_flight
+            .iter()
+            .fold(status.free, |room, (_, need)| room.minus(*need));
     }
 
     /// Records that a run was sent. The side's reports already deduct the needs
@@ -225,6 +227,7 @@
         self.sent_runs += 1;
         if !claimed {
             self.in_flight.push_back((self.sent_runs, need));
+            self.room = self.room.minus(need);
         }
         if let Some(ejection) = &mut self.ejection {
             ejection.probing = true;
@@ -238,6 +241,7 @@
         self.sent_runs = 0;
         self.in_flight.clear();
         self.status = None;
+        self.room = Need::default();
         self.echoed = 0;
     }
 
@@ -494,6 +498,10 @@
 /// echoes per second stays constant.
 const SIDES_AT_FULL_RATE: u32 = 100;
 
+/// Share of the silence after which a connection is replaced that less frequent
+/// echoes and the lateness of the loop may take together, in percent.
+const THIN_ECHO_PERCENT: u32 = 90;
+
 /// Processor time that an entry spends on one report, in microseconds.
 const REPORT_COST_US: u32 = 20;
 
@@ -517,6 +525,13 @@
         u16::try_from(interval_ms).unwrap_or(u16::MAX)
     }
 
+    /// Returns the interval between two echoes to the same side while the loop is
+    /// late by `lateness`. It is never shorter than usual.
+    pub(super) fn thin_echo_interval(&self, max_silence: Duration, lateness: Duration) -> Duration {
+        let left = (max_silence * THIN_ECHO_PERCENT / 100).saturating_sub(lateness);
+        left.min(MAX_ECHO_INTERVAL).max(self.echo_interval())
+    }
+
     /// Returns the interval between two echoes to the same side.
     pub(super) fn echo_interval(&self) -> Duration {
         let sides = u32::try_from(self.sides.len()).unwrap_or(u32::MAX);
--- a/crates/kernel/src/dispatch/forward.rs
+++ b/crates/kernel/src/dispatch/forward.rs
@@ -137,7 +137,7 @@
     last_pulse_at: Duration,
     /// Whether it has rules and shares of hosts, and is not shutting down.
     is_available: bool,
-    /// How late its event loop runs, in milliseconds. Peers do not report it yet.
+    /// How late its event loop runs, in milliseconds.
     lateness_ms: u32,
     /// Number of jobs forwarded to it that are open.
     open: usize,
@@ -345,6 +345,7 @@
             let mut shares = heartbeat.shares.iter();
             let serves = heartbeat.revision > 0 && shares.any(|(_, share)| share.total > 0);
             peer.is_available = serves && !heartbeat.leaving;
+            peer.lateness_ms = heartbeat.lateness;
             peer.record_clocks(now, from, heartbeat.clock, heartbeat.echo);
         }
     }
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod history;
 mod job;
 mod lateness;
+mod loop_lateness;
 mod park;
 mod peers;
 mod place;
@@ -45,6 +46,7 @@
 use fleet::{Link, Side};
 use forward::Forwarding;
 use history::History;
+use loop_lateness::LoopLateness;
 use peers::Peers;
 use placement::Placement;
 use rules::ActiveRules;
@@ -88,6 +90,7 @@
     usual: Usual,
     jobs: BTreeMap<u64, Job>,
     history: History,
+    loop_lateness: LoopLateness,
     stats: Stats,
     actions: Vec<Action>,
     events: Vec<Event>,
@@ -109,6 +112,7 @@
             usual: Usual::default(),
             jobs: BTreeMap::new(),
             history: History::default(),
+            loop_lateness: LoopLateness::default(),
             stats: Stats::default(),
             actions: Vec::new(),
             events: Vec::new(),
@@ -346,7 +350,7 @@
 
     fn send_echoes(&mut self, now: Duration) {
         let mut frames = Vec::new();
-        let interval = self.fleet.echo_interval();
+        let interval = self.echo_interval();
         let report_interval_ms = self.fleet.report_interval_ms();
         for (key, side) in self.fleet.iter_mut() {
             let Some(status) = side.status else { continue };
--- a/crates/kernel/src/dispatch/park.rs
+++ b/crates/kernel/src/dispatch/park.rs
@@ -62,6 +62,6 @@
             useful_for: parked.submission.patience,
             age: now.saturating_sub(parked.arrival.at),
         });
-        self.refuse(parked.arrival.customer, Reason::NoRules);
+        self.refuse(parked.arrival.customer, Reason::NoRules, Duration::ZERO);
     }
 }
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -4,13 +4,13 @@
     Answer, Dispatcher, Event, Job, Phase, Reason, Submission, admission::Arrival,
     backlog::LATE_LEVEL, forecast::Forecast, route,
 };
-use crate::mutation::{Mutant, is_seeded};
+use crate::{
+    mutation::{Mutant, is_seeded},
+    pressure::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
+};
 use std::{collections::BTreeMap, time::Duration};
 use wire::lease::{Ending, Frame, Run, Step, Task};
 
-/// Least pause before a refused customer may submit its job again.
-pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Factor on a job's expected run time with which it must end before the entry's
 /// exit: covers a rough estimate and one failed run.
 const EXIT_SAFETY_FACTOR: f64 = 2.0;
@@ -84,8 +84,11 @@
         let waited =
             self.admission
                 .learn_patience(&queue.name, submission.patience, resubmit_after);
-        let job = Job::new(arrival.at, waited, customer, queue, submission);
-        self.admit(now, arrival, job);
+        let mut job = Job::new(arrival.at, waited, customer, queue, submission);
+        job.rank = job.rank_at(now);
+        if let Some(job) = self.refuse_overtaken(now, customer, job) {
+            self.admit(now, arrival, job);
+        }
     }
 
     /// Accepts a job, or refuses it if it can't be served.
@@ -100,7 +103,7 @@
         match reason {
             Some(reason) => {
                 self.log_refusal(now, &job, reason, wait);
-                self.refuse(arrival.customer, reason);
+                self.refuse(arrival.customer, reason, wait);
             }
             None => self.accept(now, job, wait),
         }
@@ -183,7 +186,7 @@
 
     /// Returns whether a job that starts at `start` may end before its answer has
     /// lost its value.
-    fn is_useful(&self, start: Duration, job: &Job) -> bool {
+    pub(super) fn is_useful(&self, start: Duration, job: &Job) -> bool {
         start + self.min_run_time(&job.submission) <= job.useful_until
     }
 
@@ -208,7 +211,7 @@
     /// all entries.
     pub fn count_pending(&mut self, customer: u64, host: &str, path: &str) {
         let Some(rules) = self.rules.get() else {
-            self.refuse(customer, Reason::NoRules);
+            self.refuse(customer, Reason::NoRules, Duration::ZERO);
             return;
         };
         let Some((queue, _)) = route(rules, host, path) else {
@@ -378,6 +381,7 @@
             } else {
                 Reason::NoUpstream
             };
+            let mut wait = Duration::ZERO;
             if started {
                 self.events.push(Event::GivenUp {
                     job: id,
@@ -387,14 +391,14 @@
                 });
             } else {
                 let forecast = self.forecast(now, &job.service, LATE_LEVEL);
-                let wait = forecast.wait(job.submission.work());
+                wait = forecast.wait(job.submission.work());
                 self.log_refusal(now, &job, reason, wait);
             }
             for customer in &job.customers {
                 if started {
                     self.answer(*customer, Answer::Expired);
                 } else {
-                    self.refuse(*customer, reason);
+                    self.refuse(*customer, reason, wait);
                 }
             }
         }
@@ -407,7 +411,7 @@
             .mul_f64(self.fleet.mean_slowness.clamp(MIN_RUN_TIME_RATIO, 1.0))
     }
 
-    fn log_refusal(&mut self, now: Duration, job: &Job, reason: Reason, wait: Duration) {
+    pub(super) fn log_refusal(&mut self, now: Duration, job: &Job, reason: Reason, wait: Duration) {
         self.events.push(Event::Refused {
             job: job.submission.job,
             queue: job.queue.clone(),
@@ -418,9 +422,17 @@
         });
     }
 
-    pub(super) fn refuse(&mut self, customer: u64, reason: Reason) {
+    /// Refuses a customer's job whose expected wait is `wait`. The job may be
+    /// submitted again when the work before it has likely been done.
+    pub(super) fn refuse(&mut self, customer: u64, reason: Reason, wait: Duration) {
         self.stats.refused += 1;
-        let retry_after = self.placement.retry_delay(MIN_RETRY_AFTER);
+        let least = match reason {
+            Reason::Overload | Reason::EntryLate => wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            Reason::NoRules | Reason::Leaving | Reason::NoUpstream | Reason::Stale => {
+                MIN_RETRY_AFTER
+            }
+        };
+        let retry_after = self.placement.retry_delay(least);
         self.answer(
             customer,
             Answer::Refused {
--- a/crates/kernel/src/dispatch/takeover.rs
+++ b/crates/kernel/src/dispatch/takeover.rs
@@ -5,8 +5,8 @@
     Action, Answer, Dispatcher, Event, Link, Reason, Submission,
     admission::Arrival,
     forward::{Forwarding, Output, Request},
-    serve::MIN_RETRY_AFTER,
 };
+use crate::pressure::MIN_RETRY_AFTER;
 use std::time::Duration;
 use wire::{id::Incarnation, lease::Forward};
 
@@ -38,7 +38,7 @@
     /// Forwards a customer's request to a stronger entry, or holds it for a moment.
     /// Returns the request if this entry must serve it.
     pub fn forward(&mut self, now: Duration, customer: u64, request: Request) -> Option<Request> {
-        if self.knows_job(request.job) {
+        if self.knows(request.job) {
             return Some(request);
         }
         let serves = self.can_serve();
@@ -59,7 +59,7 @@
     ) {
         self.forwarding.hear(now, from);
         self.expire_forwarders(now);
-        let known = self.knows_job(submission.job);
+        let known = self.knows(submission.job);
         let customer = self.forwarding.accept(now, from, forward, known);
         self.apply_forwarding(now);
         let Some(customer) = customer else {
@@ -101,11 +101,6 @@
         self.actions.push(Action::Reply(from, forward.call, answer));
     }
 
-    /// Returns whether a job is open or has ended here.
-    fn knows_job(&self, job: u64) -> bool {
-        self.jobs.contains_key(&job) || self.history.get(job).is_some()
-    }
-
     /// Returns whether this entry could serve a job itself.
     pub(super) fn can_serve(&self) -> bool {
         let connected = self.fleet.iter().any(|(_, side)| side.link == Link::Up);
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -42,6 +42,8 @@
     NoUpstream,
     /// The job was forwarded by another entry and took too long to arrive.
     Stale,
+    /// The entry's event loop is late.
+    EntryLate,
 }
 
 impl fmt::Display for Reason {
@@ -52,6 +54,7 @@
             Self::Overload => "overload",
             Self::NoUpstream => "no_upstream",
             Self::Stale => "stale",
+            Self::EntryLate => "entry_late",
         })
     }
 }
--- a/crates/kernel/tests/unequal_placement.rs
+++ b/crates/kernel/tests/unequal_placement.rs
@@ -177,6 +177,7 @@
         arriving: Vec::new(),
         shares: Vec::new(),
         leaving: false,
+        lateness: 0,
     };
     entry.frame(NOW, Incarnation(9), Frame::Heartbeat(heartbeat));
     place(&mut entry, job(1, 1, 1_000, Duration::from_secs(1)));
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -301,6 +301,8 @@
     pub shares: Vec<(String, Share)>,
     /// Whether the sender is shutting down and should get no new jobs.
     pub leaving: bool,
+    /// Time by which the sender's event loop is late, in milliseconds.
+    pub lateness: u32,
 }
 
 /// An entry's share of the processors of its sides' hosts. Every host counts as
