Crashes of upstreams in the log and the metrics

A lapsed lease, a restart and a crash were all ending=lapsed, so the log could not tell why a task was started again. A run that ends with its upstream's crash is crashed, or crashed:suspect if it was ordered within 100 ms before; the side logs upstream_crashed and counts it. Decisions are unchanged: the entry treats both as it treated lapsed.

--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -197,6 +197,7 @@
             Event::RateInvalid { .. } => self.count("hyssoppost_rates_invalid_total"),
             Event::RunUnanswered { .. } => self.count("hyssoppost_orders_unanswered_total"),
             Event::RunOrphaned { .. } => self.count("hyssoppost_runs_orphaned_total"),
+            Event::UpstreamCrashed { .. } => self.count("hyssoppost_upstream_crashes_total"),
             _ => {}
         }
     }
@@ -287,6 +288,7 @@
 fn ending_label(ending: Ending) -> String {
     match ending {
         Ending::NotRun(refusal) => format!("not_run_{refusal}"),
+        Ending::Crashed { suspect: true } => "crashed_suspect".to_owned(),
         other => other.to_string(),
     }
 }
--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -138,7 +138,7 @@
                 slot.spent = Duration::from_millis(end.spent.into());
             }
             Ending::Failed => slot.failures += 1,
-            Ending::Stopped | Ending::Lapsed => {}
+            Ending::Stopped | Ending::Lapsed | Ending::Crashed { .. } => {}
             Ending::NotRun(Refusal::Room) => slot.claim_only_until = now + CLAIM_WAIT,
             Ending::NotRun(_) => slot.not_before = now + REFUSAL_BACKOFF,
         }
@@ -188,7 +188,7 @@
                     }
                 })
             }
-            Ending::NotRun(_) | Ending::Stopped | Ending::Lapsed => {
+            Ending::NotRun(_) | Ending::Stopped | Ending::Lapsed | Ending::Crashed { .. } => {
                 self.stats.rejected += u64::from(matches!(end.ending, Ending::NotRun(_)));
                 if let Some(side) = self.fleet.get_mut(from) {
                     side.cancel_probe();
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -308,6 +308,17 @@
         /// Number of runs that it had.
         runs: u32,
     },
+    /// The upstream's process has crashed with runs.
+    UpstreamCrashed {
+        /// Number of runs that it may have had.
+        runs: u32,
+        /// Number of those that may have caused the crash.
+        suspects: u32,
+        /// Number of those that it had not listed yet.
+        unlisted: u32,
+        /// Time since its connection broke.
+        noticed_after: Duration,
+    },
     /// The upstream has not answered for so long that all its leases have
     /// expired.
     LeasesLapsed {
@@ -361,6 +372,7 @@
             | Self::Readiness { .. }
             | Self::Rules { .. }
             | Self::UpstreamRestarted { .. }
+            | Self::UpstreamCrashed { .. }
             | Self::LeasesLapsed { .. }
             | Self::Accepting { .. } => None,
         }
@@ -381,7 +393,9 @@
             | Self::JobTakenOver { .. } => Severity::Routine,
             Self::Ended { ending, .. } | Self::RunEnded { ending, .. } => match ending {
                 Ending::Done | Ending::Stopped | Ending::NotRun(Refusal::Room) => Severity::Routine,
-                Ending::Failed | Ending::Lapsed | Ending::NotRun(_) => Severity::Notable,
+                Ending::Failed | Ending::Lapsed | Ending::NotRun(_) | Ending::Crashed { .. } => {
+                    Severity::Notable
+                }
             },
             Self::Answered {
                 state,
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -228,6 +228,16 @@
                 to,
                 "event=upstream_life born={started_at} before={previous_start} runs={runs}"
             ),
+            Self::UpstreamCrashed {
+                runs,
+                suspects,
+                unlisted,
+                noticed_after,
+            } => write!(
+                to,
+                "event=upstream_crashed runs={runs} suspects={suspects} unlisted={unlisted} noticed_ms={}",
+                millis(*noticed_after)
+            ),
             Self::LeasesLapsed { runs, silent } => write!(
                 to,
                 "event=leases_lapsed runs={runs} silent_ms={}",
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -34,6 +34,10 @@
 /// Shortest time between two progress reports of one run.
 const PROGRESS_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Age up to which a run may have caused the crash of its upstream: a task that
+/// crashes its upstream does so as it starts.
+const SUSPECT_AGE: Duration = Duration::from_millis(100);
+
 /// A run that the upstream reports as running.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Observation {
@@ -91,6 +95,7 @@
     /// Records that a hold call has failed. The next call is delayed: an upstream
     /// that resets connections would otherwise get a new one each millisecond.
     pub fn hold_failed(&mut self, now: Duration) {
+        self.failing_since.get_or_insert(now);
         self.hold_token = None;
         self.retry_hold(now);
     }
@@ -122,6 +127,7 @@
         if self.is_present(inventory.started_at) {
             self.detect_restart(now, inventory.started_at);
             self.last_received = now;
+            self.failing_since = None;
             for (number, run, ending) in &inventory.unacknowledged {
                 if *number > self.last_end {
                     self.last_end = *number;
@@ -177,6 +183,7 @@
     /// was never listed may have reached the new process, so that run is stopped
     /// there instead.
     fn end_previous_runs(&mut self, now: Duration) {
+        self.mark_crashed(now);
         let (listed, unknown): (Vec<Task>, Vec<Task>) = self
             .runs
             .keys()
@@ -200,6 +207,36 @@
         self.dirty = true;
     }
 
+    /// Marks the runs of a process that has ended without announcing it, and the
+    /// suspects among them.
+    fn mark_crashed(&mut self, now: Duration) {
+        let announced = self.announced.as_ref();
+        if announced.is_some_and(|known| known.leaving) {
+            return;
+        }
+        let crashed_at = self.failing_since.unwrap_or(now);
+        let (mut runs, mut suspects, mut unlisted) = (0, 0, 0);
+        for slot in self.runs.values_mut() {
+            if slot.crash_suspect.is_some() {
+                continue;
+            }
+            let age = crashed_at.checked_sub(slot.ordered_at);
+            let suspect = age.is_some_and(|age| age <= SUSPECT_AGE);
+            slot.crash_suspect = Some(suspect);
+            runs += 1;
+            suspects += u32::from(suspect);
+            unlisted += u32::from(!slot.listed);
+        }
+        if runs > 0 {
+            self.events.push(Event::UpstreamCrashed {
+                runs,
+                suspects,
+                unlisted,
+                noticed_after: now.saturating_sub(crashed_at),
+            });
+        }
+    }
+
     fn end_all(&mut self, now: Duration) {
         let tasks: Vec<Task> = self.runs.keys().copied().collect();
         for task in tasks {
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -64,6 +64,9 @@
     order: Option<Order>,
     /// Whether an inventory of the upstream has listed the run.
     listed: bool,
+    /// Set if the upstream has crashed since the start order: whether the run may be
+    /// the cause.
+    crash_suspect: Option<bool>,
     /// Time of the last stop order.
     stop_sent_at: Option<Duration>,
     /// The upstream's clock when it accepted a stop order, in milliseconds.
@@ -142,6 +145,8 @@
     clock: Option<(u64, Duration)>,
     /// Time of the last inventory.
     last_received: Duration,
+    /// Time of the first failed hold call since the last inventory.
+    failing_since: Option<Duration>,
     /// Whether every run at the upstream is one of `runs`.
     runs_known: bool,
     /// Time after which all leases have expired unless one is granted or renewed.
@@ -182,6 +187,7 @@
             held_since_restart: false,
             clock: None,
             last_received: Duration::ZERO,
+            failing_since: None,
             runs_known: false,
             leases_end: Duration::ZERO,
             last_end: 0,
@@ -420,6 +426,10 @@
             return;
         };
         self.dirty = true;
+        let ending = match (ending, run.crash_suspect) {
+            (Ending::Lapsed, Some(suspect)) => Ending::Crashed { suspect },
+            _ => ending,
+        };
         let spent = u32::try_from(millis(now.saturating_sub(run.ordered_at))).unwrap_or(u32::MAX);
         if ending == Ending::Done && run.stop_sent_at.is_none() {
             self.rate.record(run.usual, spent);
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -155,6 +155,7 @@
             lease: deadline,
             order: Some(order),
             listed: false,
+            crash_suspect: None,
             stop_sent_at: None,
             revoked_at: None,
             estimate: start.estimate,
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -92,10 +92,15 @@
     Failed,
     /// The run was stopped by a stop order.
     Stopped,
-    /// The run's lease expired, or its upstream's process ended.
+    /// The run's lease expired, or its upstream's process ended as planned.
     Lapsed,
     /// The run has not started and never will.
     NotRun(Refusal),
+    /// The upstream's process crashed while the run may have been there.
+    Crashed {
+        /// Whether the run was ordered so shortly before that it may be the cause.
+        suspect: bool,
+    },
 }
 
 impl fmt::Display for Ending {
@@ -106,6 +111,8 @@
             Self::Stopped => formatter.write_str("stopped"),
             Self::Lapsed => formatter.write_str("lapsed"),
             Self::NotRun(refusal) => write!(formatter, "not_run:{refusal}"),
+            Self::Crashed { suspect: true } => formatter.write_str("crashed:suspect"),
+            Self::Crashed { suspect: false } => formatter.write_str("crashed"),
         }
     }
 }
