Failing tests: tasks that crash their upstreams

A task is started again after each crash, 25 times after its third in the test, also through other entries; jobs of a queue without such tasks lose all hosts.

--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -61,6 +61,8 @@
     ends_at: Duration,
     started: Duration,
     stops_at: Option<Duration>,
+    /// Time at which it crashes the upstream.
+    crashes_at: Option<Duration>,
 }
 
 /// Fault of all runs at an upstream.
@@ -90,6 +92,18 @@
     format!("ms={ms} rack={rack} outliers=1")
 }
 
+/// Makes the input of a job of which task `index` crashes the upstream `ms`
+/// milliseconds after its start.
+pub fn crashing_input(index: u16, ms: u32) -> String {
+    format!("crash_task={index} crash_ms={ms}")
+}
+
+/// Returns the number after `key` in the words of an order's input.
+fn input_number(order: &Order, key: &str) -> Option<u32> {
+    let mut words = order.input.split(' ');
+    words.find_map(|word| word.strip_prefix(key)?.parse().ok())
+}
+
 /// An upstream that executes orders and records the starts.
 pub struct Stub {
     pub index: usize,
@@ -111,6 +125,11 @@
     /// Speed in percent; run times are divided by it.
     pub speed_percent: u32,
     pub starts: Vec<(Duration, Run)>,
+    /// Crashes by tasks (see [`crashing_input`]).
+    pub crashes: Vec<(Duration, Task)>,
+    /// Time after which a crash by a task is followed by a restart.
+    pub restart_after: Duration,
+    restarts_at: Option<Duration>,
     runs: BTreeMap<Task, Running>,
     revoked: BTreeMap<Task, u32>,
     ends: Vec<(u64, Run, Ending)>,
@@ -144,6 +163,9 @@
             cpu: 1_000,
             speed_percent: 100,
             starts: Vec::new(),
+            crashes: Vec::new(),
+            restart_after: Duration::from_secs(3),
+            restarts_at: None,
             runs: BTreeMap::new(),
             revoked: BTreeMap::new(),
             ends: Vec::new(),
@@ -194,7 +216,26 @@
         }
     }
 
+    /// Restarts the upstream after a crash by a task, or crashes it if a task does so
+    /// now.
+    fn crash_or_restart(&mut self, now: Duration) {
+        if self.restarts_at.is_some_and(|at| now >= at) {
+            self.restarts_at = None;
+            if !self.alive {
+                self.set_alive(now, true);
+            }
+        }
+        let mut runs = self.runs.iter();
+        let culprit = runs.find(|(_, running)| running.crashes_at.is_some_and(|at| now >= at));
+        if let Some((task, _)) = culprit {
+            self.crashes.push((now, *task));
+            self.set_alive(now, false);
+            self.restarts_at = Some(now + self.restart_after);
+        }
+    }
+
     pub fn advance(&mut self, now: Duration) {
+        self.crash_or_restart(now);
         let clock = self.clock(now);
         let lapsed = clock > self.lease;
         let mut finished = Vec::new();
@@ -384,10 +425,7 @@
     /// Returns the run time of an order: [`Stub::run_time`], or as the input says it
     /// (see [`timed_input`]).
     fn run_time_of(&self, order: &Order) -> Duration {
-        let number = |key: &str| -> Option<u32> {
-            let mut words = order.input.split(' ');
-            words.find_map(|word| word.strip_prefix(key)?.parse().ok())
-        };
+        let number = |key| input_number(order, key);
         let mut time = number("ms=").map_or(self.run_time, |ms| Duration::from_millis(ms.into()));
         if number("rack=").is_some_and(|rack| rack as usize != self.index / 3) {
             time = time * 3 / 2;
@@ -401,6 +439,14 @@
         time * 100 / self.speed_percent
     }
 
+    /// Returns the time from the start of an order's run until it crashes the upstream;
+    /// `None` if it does not (see [`crashing_input`]).
+    fn crash_delay(order: &Order) -> Option<Duration> {
+        let crashes = input_number(order, "crash_task=")? == u32::from(order.run.task.index);
+        let delay = Duration::from_millis(input_number(order, "crash_ms=")?.into());
+        crashes.then_some(delay)
+    }
+
     fn start(&mut self, now: Duration, order: &Order) -> Admission {
         let clock = self.clock(now);
         if order.token < self.token {
@@ -441,6 +487,7 @@
                 ends_at: now + self.run_time_of(order),
                 started: now,
                 stops_at: None,
+                crashes_at: Self::crash_delay(order).map(|delay| now + delay),
             },
         );
         Admission::Accepted
