A task is given up after two crashes of its upstreams

Callers saw one job take up to five upstreams, one after the other, with all that ran there: the end of a run with its upstream counted as a lapsed lease, which is never the task's fault, so the task was started again as long as its customer waited, and by each entry anew.

A suspect is started again beside no other suspect, which the side enforces for all entries, so a second crash is evidence against it and not against its neighbours. After two (three for tasks that crash later than a suspect would) the job is failed, and all entries are told, so that a resubmission gets the answer and no start.

crashing_tasks: crashing_task_given_up and crashing_task_resubmitted failed before (25 starts after the third crash) and pass; bystanders_complete passes.

--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -5,7 +5,7 @@
 use crate::{
     liveness::Liveness,
     rate::{USUAL_RATE, is_valid},
-    timing::MAX_REPORT_INTERVAL,
+    timing::{MAX_REPORT_INTERVAL, SUSPECT_AGE},
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -69,6 +69,8 @@
     /// Reported free resources, less the needs of `in_flight`.
     room: Need,
     pub(super) runs: BTreeSet<Run>,
+    /// Last run of a task that may have crashed another upstream, and its start.
+    trial: Option<(Duration, Run)>,
     /// Number of the last run end received.
     pub(super) last_end: u64,
     /// Side clock value, in milliseconds, that was last echoed.
@@ -108,6 +110,7 @@
             in_flight: VecDeque::new(),
             room: Need::default(),
             runs: BTreeSet::new(),
+            trial: None,
             last_end: 0,
             echoed: 0,
             last_echo_at: Duration::ZERO,
@@ -141,6 +144,19 @@
         }
     }
 
+    /// Records a run of a task that may have crashed another upstream.
+    pub(super) fn record_trial(&mut self, now: Duration, run: Run) {
+        self.trial = Some((now, run));
+    }
+
+    /// Returns whether a run of such a task is under way here that would be a suspect
+    /// of a crash.
+    pub(super) fn has_trial(&self, now: Duration) -> bool {
+        self.trial.is_some_and(|(started, run)| {
+            now.saturating_sub(started) <= SUSPECT_AGE && self.runs.contains(&run)
+        })
+    }
+
     /// Returns this entry's share of [`Side::processors`].
     pub(super) fn share(&self) -> Share {
         let entries = u64::from(self.status.map_or(1, |status| status.entries.max(1)));
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -1,6 +1,6 @@
 //! A job and its tasks, at the entry that accepted it.
 
-use super::{backlog::Rank, fleet::Key};
+use super::{backlog::Rank, crashes::Crashes, fleet::Key};
 use std::time::Duration;
 use wire::lease::{Need, Queue, Run, Task};
 
@@ -69,6 +69,8 @@
     pub(super) attempt: u32,
     /// Number of runs that failed.
     pub(super) failures: u32,
+    /// Crashes of upstreams that had a run of it.
+    pub(super) crashes: Crashes,
     /// Side of the last run that did not succeed.
     pub(super) avoid: Option<Key>,
     /// Earliest start of the next run.
@@ -216,6 +218,13 @@
         &self.submission.steps[usize::from(task.step)]
     }
 
+    /// Returns whether a task may have crashed an upstream.
+    pub(super) fn is_suspicious(&self, task: Task) -> bool {
+        let slots = self.tasks.get(usize::from(task.step));
+        let slot = slots.and_then(|slots| slots.get(usize::from(task.index)));
+        slot.is_some_and(|slot| slot.crashes.are_suspicious())
+    }
+
     /// Returns the unfinished runs with their sides.
     pub(super) fn placed(&self) -> Vec<(Key, Run)> {
         let mut runs = Vec::new();
@@ -395,6 +404,7 @@
             state: State::Blocked,
             attempt: 0,
             failures: 0,
+            crashes: Crashes::default(),
             avoid: None,
             not_before: Duration::ZERO,
             claim_only_until: Duration::ZERO,
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod arrivals;
 mod backlog;
+mod crashes;
 mod exchange;
 mod fleet;
 mod follow;
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -193,6 +193,7 @@
         let allowed = self
             .rules
             .may_run(now, side, &job.service, wanted.label.as_deref())
+            && !(job.is_suspicious(task) && side.has_trial(now))
             && !is_at_host_limit(job, wanted.max_per_host, task, from);
         allowed.then_some(task)
     }
@@ -222,6 +223,7 @@
         let need = job.step(task).need;
         self.placement.dequeue(job, task);
         let slot = job.slot(task)?;
+        let suspicious = slot.crashes.are_suspicious();
         slot.attempt += 1;
         let run = Run {
             task,
@@ -245,6 +247,9 @@
         });
         side.runs.insert(run);
         side.record_start(need, claimed);
+        if suspicious {
+            side.record_trial(now, run);
+        }
         Some(run)
     }
 
@@ -256,6 +261,8 @@
         self.stats.runs += runs.len() as u64;
         let task = job.id(step, 0);
         let usual = self.placement.usual_run(&self.usual, side, job, task);
+        let suspicious = |run: &&Run| job.is_suspicious(run.task);
+        let trials = runs.iter().filter(suspicious).copied().collect();
         let step = &job.submission.steps[usize::from(step)];
         let start = Start {
             clock: side.status.map_or(0, |status| status.clock),
@@ -264,6 +271,7 @@
             estimate: u32::try_from(millis(step.estimate)).unwrap_or(u32::MAX),
             usual: usual.map_or(0, |usual| u32::try_from(millis(usual)).unwrap_or(u32::MAX)),
             runs,
+            trials,
         };
         self.send(key, Frame::Start(start));
     }
--- a/crates/kernel/src/dispatch/placement.rs
+++ b/crates/kernel/src/dispatch/placement.rs
@@ -160,6 +160,7 @@
     ) -> Option<Key> {
         let step = job.step(task);
         let avoid = job.tasks[usize::from(task.step)][usize::from(task.index)].avoid;
+        let suspicious = job.is_suspicious(task);
         let outlook = Outlook::of(now, fleet, usual, job, task);
         let mut best: Option<(f64, Key)> = None;
         let mut fallback = None;
@@ -167,6 +168,7 @@
             if !step.need.fits(side.room())
                 || !rules.may_run(now, side, &job.service, step.label.as_deref())
                 || is_at_host_limit(job, step.max_per_host, task, key)
+                || (suspicious && side.has_trial(now))
             {
                 continue;
             }
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -279,6 +279,10 @@
         }
         let max_failures = job.max_failures;
         let Some(slot) = job.slot(task) else { return };
+        if slot.crashes.are_evidence() {
+            self.give_up_culprit(now, task);
+            return;
+        }
         if slot.failures >= max_failures {
             self.finish(now, task.job, Phase::Failed);
             return;
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use wire::{
     id::Incarnation,
-    lease::{Ending, Refusal, Run},
+    lease::{Ending, Refusal, Run, Task},
 };
 
 /// Severity of an event in the log.
@@ -136,6 +136,17 @@
         /// Number of its tasks that had not succeeded.
         unfinished: u32,
     },
+    /// A task has crashed the upstreams that started it; its job is given up.
+    Culprit {
+        /// The task.
+        task: Task,
+        /// Name of its queue.
+        queue: String,
+        /// Number of upstreams that crashed with a run of it.
+        crashes: u32,
+        /// Number of those that it may have crashed.
+        suspicions: u32,
+    },
     /// All customers of a job have disconnected; its runs are stopped.
     Abandoned {
         /// Identifier that its customer chose.
@@ -352,6 +363,7 @@
             | Self::JobForwarded { job, .. }
             | Self::JobTakenOver { job, .. }
             | Self::ForwardLost { job, .. } => Some(*job),
+            Self::Culprit { task, .. } => Some(task.job),
             Self::Placed { run, .. }
             | Self::Ended { run, .. }
             | Self::Moved { run, .. }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -76,6 +76,17 @@
                 "event=abandoned job={job:016x} held_ms={} started={started}",
                 millis(*age)
             ),
+            Self::Culprit {
+                task,
+                queue,
+                crashes,
+                suspicions,
+            } => write!(
+                to,
+                "event=culprit task={task} job={:016x} queue={queue} crashes={crashes} \
+                 suspicions={suspicions}",
+                task.job
+            ),
             _ => self.write_forwarding(to),
         }
     }
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -6,6 +6,7 @@
     millis,
     mutation::{Mutant, is_seeded},
     rate::Rate,
+    timing::SUSPECT_AGE,
 };
 use std::time::Duration;
 use wire::lease::{Ending, Frame, Progress, Refusal, Run, Task};
@@ -34,10 +35,6 @@
 /// Shortest time between two progress reports of one run.
 const PROGRESS_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Age up to which a run may have caused the crash of its upstream: a task that
-/// crashes its upstream does so as it starts.
-const SUSPECT_AGE: Duration = Duration::from_millis(100);
-
 /// A run that the upstream reports as running.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Observation {
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -5,11 +5,12 @@
     event::Event,
     millis,
     mutation::{Mutant, is_seeded},
+    timing::SUSPECT_AGE,
 };
 use std::time::Duration;
 use wire::{
     id::Incarnation,
-    lease::{Ending, Frame, Need, Refusal, Reserve, Run, Start, Step, Task},
+    lease::{Ending, Frame, Refusal, Reserve, Run, Start, Step, Task},
 };
 
 /// Shortest time between two stop orders for one run.
@@ -62,7 +63,7 @@
             } else if self.is_released(now, from) {
                 Some(Refusal::Closed)
             } else {
-                self.refusal(now, *run, start.need)
+                self.refusal(now, *run, start)
             };
             match refusal {
                 Some(refusal) => {
@@ -84,18 +85,27 @@
         }
     }
 
-    fn refusal(&self, now: Duration, run: Run, need: Need) -> Option<Refusal> {
+    fn refusal(&self, now: Duration, run: Run, start: &Start) -> Option<Refusal> {
         if !self.is_accepting(now) {
             Some(Refusal::Closed)
         } else if self.runs.contains_key(&run.task) {
             Some(Refusal::Duplicate)
-        } else if !need.fits(self.free()) {
+        } else if !start.need.fits(self.free()) {
             Some(Refusal::Room)
+        } else if start.trials.contains(&run) && self.has_trial(now) {
+            Some(Refusal::Trial)
         } else {
             None
         }
     }
 
+    /// Returns whether a run whose task may have crashed another upstream would be a
+    /// suspect if the upstream crashed now.
+    fn has_trial(&self, now: Duration) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|slot| slot.trial && now.saturating_sub(slot.ordered_at) <= SUSPECT_AGE)
+    }
+
     /// Queues a step whose tasks wait for capacity.
     pub(super) fn enqueue_step(&mut self, now: Duration, from: Incarnation, reserve: &Reserve) {
         let Some(peer) = self.peers.get_mut(&from) else {
@@ -155,6 +165,7 @@
             lease: deadline,
             order: Some(order),
             listed: false,
+            trial: start.trials.contains(&run),
             crash_suspect: None,
             stop_sent_at: None,
             revoked_at: None,
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -11,7 +11,7 @@
     Running,
     /// All tasks succeeded.
     Completed,
-    /// A task failed as often as its queue allows.
+    /// A task failed as often as its queue allows, or crashed its upstreams.
     Failed,
     /// A customer cancelled it.
     Cancelled,
--- a/crates/kernel/src/timing.rs
+++ b/crates/kernel/src/timing.rs
@@ -8,6 +8,10 @@
 /// connected entry.
 pub const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Age up to which a run may have caused the crash of its upstream: a task that
+/// crashes its upstream does so as it starts.
+pub(crate) const SUSPECT_AGE: Duration = Duration::from_millis(100);
+
 /// Greatest rate error of an upstream's clock that runs slow.
 const MAX_CLOCK_SLOWNESS_PER_MILLE: u32 = 20;
 
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -136,6 +136,8 @@
     Unanswered,
     /// The connection was lost before the order arrived.
     Lost,
+    /// Another task that may have crashed an upstream has just started at the host.
+    Trial,
 }
 
 impl fmt::Display for Refusal {
@@ -149,6 +151,7 @@
             Self::Upstream => "upstream",
             Self::Unanswered => "unanswered",
             Self::Lost => "lost",
+            Self::Trial => "trial",
         })
     }
 }
@@ -216,6 +219,8 @@
     pub usual: u32,
     /// Runs to start, one for each task.
     pub runs: Vec<Run>,
+    /// Those whose tasks may have crashed another upstream.
+    pub trials: Vec<Run>,
 }
 
 /// Entry to side: tasks of one step wait for capacity. The entry may send this
@@ -470,6 +475,16 @@
     pub echo: u64,
 }
 
+/// Entry to entry: a task has crashed the upstreams that started it, and its job is
+/// given up.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Culprit {
+    /// The task.
+    pub task: Task,
+    /// Name of its job's queue.
+    pub queue: String,
+}
+
 /// All frames of leased tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -518,6 +533,8 @@
     Withdraw(Withdraw),
     /// See [`Pulse`].
     Pulse(Pulse),
+    /// See [`Culprit`].
+    Culprit(Culprit),
 }
 
 /// A frame and the incarnation of its receiver.
