A task is given up only for crashes of upstreams that had started it

A run now counts if the upstream had accepted or listed it; a trial counts also if its answer was lost with the upstream, since it is ordered beside no other suspect. Other unanswered orders only make the task a suspect.

--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -289,7 +289,7 @@
 fn ending_label(ending: Ending) -> String {
     match ending {
         Ending::NotRun(refusal) => format!("not_run_{refusal}"),
-        Ending::Crashed { suspect: true } => "crashed_suspect".to_owned(),
+        Ending::Crashed(_) => ending.to_string().replace(':', "_"),
         other => other.to_string(),
     }
 }
--- a/crates/kernel/src/dispatch/crashes.rs
+++ b/crates/kernel/src/dispatch/crashes.rs
@@ -6,7 +6,7 @@
 
 use super::{Dispatcher, Event, Phase};
 use std::time::Duration;
-use wire::lease::{Culprit, Frame, Task};
+use wire::lease::{Crash, Culprit, Frame, Task};
 
 /// Crashes as a suspect after which a task is given up. Since suspects are separated
 /// after the first crash, a task that only ran beside the cause is rarely a suspect
@@ -20,21 +20,30 @@
 /// The crashes of upstreams that had a run of a task.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Crashes {
+    /// Those of upstreams that had started the task.
     all: u32,
-    /// Those that the task may have caused.
+    /// Those of them that the task may have caused.
     suspicions: u32,
+    /// Those of upstreams that are not known to have started it.
+    unconfirmed: u32,
 }
 
 impl Crashes {
     /// Counts a crash.
-    pub(super) fn record(&mut self, suspect: bool) {
-        self.all += 1;
-        self.suspicions += u32::from(suspect);
+    pub(super) fn record(&mut self, crash: Crash) {
+        match crash {
+            Crash::Unconfirmed => self.unconfirmed += 1,
+            Crash::Bystander => self.all += 1,
+            Crash::Suspect => {
+                self.all += 1;
+                self.suspicions += 1;
+            }
+        }
     }
 
     /// Returns whether the task is to be started beside no other suspect.
     pub(super) fn are_suspicious(self) -> bool {
-        self.suspicions > 0
+        self.suspicions > 0 || self.unconfirmed > 0
     }
 
     /// Returns whether the task counts as the cause of the crashes.
--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -138,7 +138,7 @@
                 slot.spent = Duration::from_millis(end.spent.into());
             }
             Ending::Failed => slot.failures += 1,
-            Ending::Crashed { suspect } => slot.crashes.record(suspect),
+            Ending::Crashed(crash) => slot.crashes.record(crash),
             Ending::Stopped | Ending::Lapsed => {}
             Ending::NotRun(Refusal::Room) => slot.claim_only_until = now + CLAIM_WAIT,
             Ending::NotRun(_) => slot.not_before = now + REFUSAL_BACKOFF,
@@ -189,7 +189,7 @@
                     }
                 })
             }
-            Ending::NotRun(_) | Ending::Stopped | Ending::Lapsed | Ending::Crashed { .. } => {
+            Ending::NotRun(_) | Ending::Stopped | Ending::Lapsed | Ending::Crashed(_) => {
                 self.stats.rejected += u64::from(matches!(end.ending, Ending::NotRun(_)));
                 if let Some(side) = self.fleet.get_mut(from) {
                     side.cancel_probe();
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -405,7 +405,7 @@
             | Self::JobTakenOver { .. } => Severity::Routine,
             Self::Ended { ending, .. } | Self::RunEnded { ending, .. } => match ending {
                 Ending::Done | Ending::Stopped | Ending::NotRun(Refusal::Room) => Severity::Routine,
-                Ending::Failed | Ending::Lapsed | Ending::NotRun(_) | Ending::Crashed { .. } => {
+                Ending::Failed | Ending::Lapsed | Ending::NotRun(_) | Ending::Crashed(_) => {
                     Severity::Notable
                 }
             },
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -9,7 +9,7 @@
     timing::SUSPECT_AGE,
 };
 use std::time::Duration;
-use wire::lease::{Ending, Frame, Progress, Refusal, Run, Task};
+use wire::lease::{Crash, Ending, Frame, Progress, Refusal, Run, Task};
 
 /// Lease end of a run that was ordered before the upstream restarted. It was
 /// computed on the clock of the previous process, so it never passes.
@@ -220,14 +220,22 @@
         let crashed_at = self.failing_since.unwrap_or(now);
         let (mut runs, mut suspects, mut unlisted) = (0, 0, 0);
         for slot in self.runs.values_mut() {
-            if slot.crash_suspect.is_some() {
+            if slot.crash.is_some() {
                 continue;
             }
             let age = crashed_at.checked_sub(slot.ordered_at);
-            let suspect = age.is_some_and(|age| age <= SUSPECT_AGE);
-            slot.crash_suspect = Some(suspect);
+            let is_recent = age.is_some_and(|age| age <= SUSPECT_AGE);
+            // A trial is ordered beside no other one, so its crash counts even if the
+            // answer was lost with the upstream.
+            let crash = match (slot.started, is_recent) {
+                (true, true) => Crash::Suspect,
+                (false, true) if slot.trial => Crash::Suspect,
+                (true, false) => Crash::Bystander,
+                (false, _) => Crash::Unconfirmed,
+            };
+            slot.crash = Some(crash);
             runs += 1;
-            suspects += u32::from(suspect);
+            suspects += u32::from(crash == Crash::Suspect);
             unlisted += u32::from(!slot.listed);
         }
         if runs > 0 {
@@ -303,6 +311,7 @@
             return false;
         }
         slot.listed = true;
+        slot.started = true;
         if slot.phase == Phase::Starting {
             slot.phase = Phase::Running;
         }
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -33,7 +33,7 @@
 };
 use wire::{
     id::Incarnation,
-    lease::{Echo, End, Ending, Ends, Frame, Need, Refusal, Run, Task},
+    lease::{Crash, Echo, End, Ending, Ends, Frame, Need, Refusal, Run, Task},
 };
 
 /// Time after the last contact for which the ends of a disconnected entry's
@@ -64,13 +64,14 @@
     order: Option<Order>,
     /// Whether an inventory of the upstream has listed the run.
     listed: bool,
+    /// Whether the upstream has accepted or listed the run.
+    started: bool,
     /// Whether the upstream has accepted the only order for the run, in time.
     accepted: bool,
     /// Whether its task may have crashed another upstream.
     trial: bool,
-    /// Set if the upstream has crashed since the start order: whether the run may be
-    /// the cause.
-    crash_suspect: Option<bool>,
+    /// Set if the upstream has crashed since the start order.
+    crash: Option<Crash>,
     /// Time of the last stop order.
     stop_sent_at: Option<Duration>,
     /// The upstream's clock when it accepted a stop order, in milliseconds.
@@ -430,8 +431,8 @@
             return;
         };
         self.dirty = true;
-        let ending = match (ending, run.crash_suspect) {
-            (Ending::Lapsed, Some(suspect)) => Ending::Crashed { suspect },
+        let ending = match (ending, run.crash) {
+            (Ending::Lapsed, Some(crash)) => Ending::Crashed(crash),
             _ => ending,
         };
         let spent = u32::try_from(millis(now.saturating_sub(run.ordered_at))).unwrap_or(u32::MAX);
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -169,7 +169,8 @@
             listed: false,
             accepted: false,
             trial: start.trials.contains(&run),
-            crash_suspect: None,
+            crash: None,
+            started: false,
             stop_sent_at: None,
             revoked_at: None,
             estimate: start.estimate,
@@ -242,6 +243,7 @@
                 // The first of two orders may still be on its way. An answer that this
                 // side, having been paused, handles late may be of a later process.
                 let in_time = now.saturating_sub(slot.ordered_at) <= self.timing.answer_timeout();
+                slot.started = true;
                 slot.accepted = slot.order.take().is_some() && in_time;
                 if slot.phase == Phase::Starting {
                     slot.phase = Phase::Running;
--- a/crates/kernel/tests/crashing_tasks.rs
+++ b/crates/kernel/tests/crashing_tasks.rs
@@ -3,7 +3,10 @@
 
 mod site;
 
-use kernel::dispatch::{Answer, Phase, Submission};
+use kernel::{
+    dispatch::{Answer, Phase, Submission},
+    guard::Admission,
+};
 use site::{Site, job, upstream::crashing_input};
 use std::time::Duration;
 use wire::lease::Task;
@@ -97,6 +100,31 @@
     }
 }
 
+/// Guards against giving up a task that no upstream has started: its orders were on
+/// their way when the upstreams crashed. Found by the users' day on jkb-split, seed 2.
+#[test]
+fn unstarted_task_not_given_up() {
+    let mut site = Site::new(1, 4);
+    let customer = site.submit(0, job(1, 1, 1_000, RUN));
+    let mut crashes = 0;
+    for _ in 0..4_000 {
+        site.run(Duration::from_millis(1));
+        let now = site.now;
+        for index in site.ordered_at() {
+            // An order that the upstream gets and does not execute.
+            crashes += 1;
+            site.upstreams[index].answer_when_down = Admission::Unanswered;
+            site.upstreams[index].set_alive(now, false);
+        }
+        if crashes == 3 {
+            break;
+        }
+    }
+    assert_eq!(crashes, 3);
+    site.run(Duration::from_secs(3));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+}
+
 /// Guards against runs that wait for the leases of a crashed upstream to end, though it
 /// has received their orders, or for a call that shows the crash.
 #[test]
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -564,6 +564,15 @@
         }
     }
 
+    /// Returns the hosts to which a start order is on its way.
+    pub fn ordered_at(&self) -> Vec<usize> {
+        let starts = self
+            .calls
+            .iter()
+            .filter(|(_, _, call)| matches!(call, Call::Start(..)));
+        starts.map(|(_, index, _)| *index).collect()
+    }
+
     /// Asserts that no task has two runs at a time.
     fn check_single_runs(&self) {
         let mut hosts = BTreeMap::new();
--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -114,6 +114,8 @@
     pub fault: Fault,
     /// If set, calls stay unanswered and are executed after this time.
     pub order_delay: Option<Duration>,
+    /// Answer to start orders while the upstream is down.
+    pub answer_when_down: Admission,
     /// Handling of hold calls.
     pub holds: Holds,
     /// Number of hold calls received.
@@ -157,6 +159,7 @@
             },
             fault: Fault::None,
             order_delay: None,
+            answer_when_down: Admission::NotSent,
             holds: Holds::Answered,
             hold_calls: 0,
             run_time: Duration::from_millis(100),
@@ -292,7 +295,7 @@
                 Call::Start(_, order) => {
                     vec![(
                         ANSWER_DELAY,
-                        Outcome::Admission(owner, order.run, Admission::NotSent),
+                        Outcome::Admission(owner, order.run, self.answer_when_down),
                     )]
                 }
                 Call::Stop(..) => Vec::new(),
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -97,10 +97,18 @@
     /// The run has not started and never will.
     NotRun(Refusal),
     /// The upstream's process crashed while the run may have been there.
-    Crashed {
-        /// Whether the run was ordered so shortly before that it may be the cause.
-        suspect: bool,
-    },
+    Crashed(Crash),
+}
+
+/// What a run had to do with the crash of its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Crash {
+    /// It had started so shortly before that it may be the cause.
+    Suspect,
+    /// It had started earlier.
+    Bystander,
+    /// It is not known to have started.
+    Unconfirmed,
 }
 
 impl fmt::Display for Ending {
@@ -111,8 +119,9 @@
             Self::Stopped => formatter.write_str("stopped"),
             Self::Lapsed => formatter.write_str("lapsed"),
             Self::NotRun(refusal) => write!(formatter, "not_run:{refusal}"),
-            Self::Crashed { suspect: true } => formatter.write_str("crashed:suspect"),
-            Self::Crashed { suspect: false } => formatter.write_str("crashed"),
+            Self::Crashed(Crash::Suspect) => formatter.write_str("crashed:suspect"),
+            Self::Crashed(Crash::Bystander) => formatter.write_str("crashed:bystander"),
+            Self::Crashed(Crash::Unconfirmed) => formatter.write_str("crashed:unconfirmed"),
         }
     }
 }
