--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -1,6 +1,6 @@
 //! Renewal of leases, and reconciliation with the upstream's inventory.
 
-use super::{Action, Guard, Hold, Phase};
+use super::{Action, Guard, Hold, Phase, Receipt};
 use crate::{
     event::Event,
     millis,
@@ -189,7 +189,10 @@
         self.mark_crashed(now);
         let (received, unknown): (Vec<Task>, Vec<Task>) = self.runs.keys().partition(|task| {
             let slot = &self.runs[*task];
-            slot.listed || (absent && slot.accepted) || is_seeded(Mutant::EarlyLife)
+            let receipt = slot.receipt;
+            receipt == Receipt::Listed
+                || (absent && receipt == Receipt::Accepted)
+                || is_seeded(Mutant::EarlyLife)
         });
         for task in received {
             self.finish(now, task, Ending::Lapsed);
@@ -227,7 +230,7 @@
             let is_recent = age.is_some_and(|age| age <= SUSPECT_AGE);
             // A trial is ordered beside no other one, so its crash counts even if the
             // answer was lost with the upstream.
-            let crash = match (slot.started, is_recent) {
+            let crash = match (slot.receipt != Receipt::Unknown, is_recent) {
                 (true, true) => Crash::Suspect,
                 (false, true) if slot.trial => Crash::Suspect,
                 (true, false) => Crash::Bystander,
@@ -236,7 +239,7 @@
             slot.crash = Some(crash);
             runs += 1;
             suspects += u32::from(crash == Crash::Suspect);
-            unlisted += u32::from(!slot.listed);
+            unlisted += u32::from(slot.receipt != Receipt::Listed);
         }
         if runs > 0 {
             self.events.push(Event::UpstreamCrashed {
@@ -310,8 +313,7 @@
         if slot.attempt != listed.run.attempt {
             return false;
         }
-        slot.listed = true;
-        slot.started = true;
+        slot.receipt = Receipt::Listed;
         if slot.phase == Phase::Starting {
             slot.phase = Phase::Running;
         }
@@ -359,7 +361,9 @@
                 let has_no_expiry = slot.lease == NO_EXPIRY;
                 (
                     *task,
-                    has_no_expiry || slot.listed || slot.phase == Phase::Running,
+                    has_no_expiry
+                        || slot.receipt == Receipt::Listed
+                        || slot.phase == Phase::Running,
                 )
             })
             .collect();
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -51,6 +51,19 @@
     Stopping,
 }
 
+/// What is known of the upstream's receipt of a run's start orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Receipt {
+    /// Nothing.
+    Unknown,
+    /// It has accepted one of them; another may still be on its way.
+    OneAccepted,
+    /// It has accepted the only one, in time.
+    Accepted,
+    /// An inventory has listed the run.
+    Listed,
+}
+
 #[derive(Debug)]
 struct Slot {
     attempt: u32,
@@ -62,12 +75,7 @@
     lease: u64,
     /// The start order, while it may be repeated.
     order: Option<Order>,
-    /// Whether an inventory of the upstream has listed the run.
-    listed: bool,
-    /// Whether the upstream has accepted or listed the run.
-    started: bool,
-    /// Whether the upstream has accepted the only order for the run, in time.
-    accepted: bool,
+    receipt: Receipt,
     /// Whether its task may have crashed another upstream.
     trial: bool,
     /// Set if the upstream has crashed since the start order.
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -1,6 +1,6 @@
 //! Orders to the upstream: admission of starts, and recovery from lost answers.
 
-use super::{Action, Guard, Order, Phase, Slot};
+use super::{Action, Guard, Order, Phase, Receipt, Slot};
 use crate::{
     event::Event,
     millis,
@@ -166,11 +166,9 @@
             ordered_at: now,
             lease: deadline,
             order: Some(order),
-            listed: false,
-            accepted: false,
+            receipt: Receipt::Unknown,
             trial: start.trials.contains(&run),
             crash: None,
-            started: false,
             stop_sent_at: None,
             revoked_at: None,
             estimate: start.estimate,
@@ -235,7 +233,7 @@
         let Some(slot) = self.runs.get_mut(&run.task) else {
             return;
         };
-        if slot.attempt != run.attempt || slot.listed {
+        if slot.attempt != run.attempt || slot.receipt == Receipt::Listed {
             return;
         }
         let refusal = match answer {
@@ -243,8 +241,11 @@
                 // The first of two orders may still be on its way. An answer that this
                 // side, having been paused, handles late may be of a later process.
                 let in_time = now.saturating_sub(slot.ordered_at) <= self.timing.answer_timeout();
-                slot.started = true;
-                slot.accepted = slot.order.take().is_some() && in_time;
+                slot.receipt = if slot.order.take().is_some() && in_time {
+                    Receipt::Accepted
+                } else {
+                    Receipt::OneAccepted
+                };
                 if slot.phase == Phase::Starting {
                     slot.phase = Phase::Running;
                 }
