Queues whose tasks crash upstreams are confined to a quarter of the hosts

While tasks that crash upstreams arrived, callers of all kinds were served next to nothing: each crash takes a host for seconds and kills what runs there, and such tasks arrive faster than hosts return, so all hosts were down however early a task was given up.

Two jobs of a queue with tasks that were suspects of two crashes confine the queue, as long as one such task was seen within the last 10 s, to a quarter of the service's hosts, chosen by a hash that is the same at all entries; the other queues use the rest. A chosen host that is down is not replaced. Evidence is sent to the other entries at once and to those that connect later. What the confined hosts can't run in time is refused at once (reason=confined). Nothing is confined if no other queue of the service has jobs.

--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -165,6 +165,7 @@
                 metrics.given_up.get_or_insert_with(register).increment(1);
             }
             Event::Culprit { .. } => self.count("hyssoppost_culprits_total"),
+            Event::QueueConfined { .. } => self.count("hyssoppost_confinements_total"),
             Event::Abandoned { .. } => self.count("hyssoppost_jobs_abandoned_total"),
             Event::JobForwarded { .. } => self.count("hyssoppost_jobs_forwarded_total"),
             Event::JobTakenOver { .. } => self.count("hyssoppost_jobs_taken_over_total"),
--- a/crates/kernel/src/dispatch/answer.rs
+++ b/crates/kernel/src/dispatch/answer.rs
@@ -41,7 +41,7 @@
                 | Reason::NoUpstream
                 | Reason::Stale
                 | Reason::EntryLate => true,
-                Reason::Overload => false,
+                Reason::Overload | Reason::Confined => false,
             },
             _ => false,
         }
--- a/crates/kernel/src/dispatch/crashes.rs
+++ b/crates/kernel/src/dispatch/crashes.rs
@@ -4,9 +4,16 @@
 //! be its cause. A task that was such a suspect is started again beside no other
 //! suspect of this entry, so that a second crash shows which of them it was.
 
-use super::{Dispatcher, Event, Phase};
+use super::{
+    Dispatcher, Event, Phase,
+    confinement::{Change, Evidence},
+};
+use crate::millis;
 use std::time::Duration;
-use wire::lease::{Crash, Culprit, Frame, Task};
+use wire::{
+    id::Incarnation,
+    lease::{Crash, Culprit, Frame, Task},
+};
 
 /// Crashes as a suspect after which a task is given up. Since suspects are separated
 /// after the first crash, a task that only ran beside the cause is rarely a suspect
@@ -17,6 +24,15 @@
 /// a suspect would.
 const MAX_CRASHES: u32 = 3;
 
+/// Why a task is given up after crashes of its upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// It was a suspect of [`MAX_SUSPICIONS`] crashes.
+    Suspect,
+    /// It was there in [`MAX_CRASHES`] crashes.
+    Present,
+}
+
 /// The crashes of upstreams that had a run of a task.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Crashes {
@@ -46,16 +62,20 @@
         self.suspicions > 0 || self.unconfirmed > 0
     }
 
-    /// Returns whether the task counts as the cause of the crashes.
-    pub(super) fn are_evidence(self) -> bool {
-        self.suspicions >= MAX_SUSPICIONS || self.all >= MAX_CRASHES
+    /// Returns whether the task is to be given up, and why.
+    pub(super) fn verdict(self) -> Option<Verdict> {
+        if self.suspicions >= MAX_SUSPICIONS {
+            Some(Verdict::Suspect)
+        } else {
+            (self.all >= MAX_CRASHES).then_some(Verdict::Present)
+        }
     }
 }
 
 impl Dispatcher {
     /// Fails the job of a task that crashes its upstreams, and tells the other entries:
     /// its customer may resubmit it there if this entry is lost before it answers.
-    pub(super) fn give_up_culprit(&mut self, now: Duration, task: Task) {
+    pub(super) fn give_up_culprit(&mut self, now: Duration, task: Task, verdict: Verdict) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -70,20 +90,84 @@
             suspicions: crashes.suspicions,
         });
         self.finish(now, task.job, Phase::Failed);
+        let evidence = Evidence {
+            at: now,
+            task,
+            queue,
+            verdict,
+        };
         for peer in self.peers.connected() {
-            let queue = queue.clone();
-            self.send(peer, Frame::Culprit(Culprit { task, queue }));
+            self.send(peer, Frame::Culprit(evidence.frame(now)));
         }
+        self.confinement.record(evidence);
+        self.update_confinement(now);
     }
 
     /// Records that another entry has given up the job of a task that crashes its
     /// upstreams.
-    pub(super) fn record_culprit(&mut self, now: Duration, culprit: &Culprit) {
+    pub(super) fn record_culprit(&mut self, now: Duration, culprit: Culprit) {
         let job = culprit.task.job;
         if self.jobs.contains_key(&job) {
             self.finish(now, job, Phase::Failed);
         } else if self.history.get(job).is_none() {
             self.history.insert(now, job, Phase::Failed);
         }
+        self.confinement.record(Evidence::of(culprit, now));
+        self.update_confinement(now);
+    }
+
+    /// Sends what counts against queues to an entry that has just connected: it may
+    /// have restarted.
+    pub(super) fn send_evidence(&mut self, now: Duration, to: Incarnation) {
+        let frames: Vec<Frame> = self
+            .confinement
+            .evidence()
+            .map(|evidence| Frame::Culprit(evidence.frame(now)))
+            .collect();
+        for frame in frames {
+            self.send(to, frame);
+        }
+    }
+
+    /// Updates which queues are confined to which hosts.
+    pub(super) fn update_confinement(&mut self, now: Duration) {
+        let changes = self.confinement.update(now, &self.rules, &self.fleet);
+        for change in changes {
+            self.placement.request_round();
+            self.events.push(match change {
+                Change::Confined(queue, hosts) => Event::QueueConfined {
+                    queue,
+                    hosts: u32::try_from(hosts).unwrap_or(u32::MAX),
+                },
+                Change::Released(queue) => Event::QueueReleased { queue },
+            });
+        }
+    }
+}
+
+impl Evidence {
+    /// Makes evidence of another entry's frame.
+    fn of(culprit: Culprit, now: Duration) -> Self {
+        Self {
+            at: now.saturating_sub(Duration::from_millis(culprit.age.into())),
+            task: culprit.task,
+            queue: culprit.queue,
+            verdict: if culprit.suspect {
+                Verdict::Suspect
+            } else {
+                Verdict::Present
+            },
+        }
+    }
+
+    /// Makes the frame that tells another entry.
+    fn frame(&self, now: Duration) -> Culprit {
+        let age = millis(now.saturating_sub(self.at));
+        Culprit {
+            task: self.task,
+            queue: self.queue.clone(),
+            suspect: self.verdict == Verdict::Suspect,
+            age: u32::try_from(age).unwrap_or(u32::MAX),
+        }
     }
 }
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -19,6 +19,7 @@
         if self.rules.get().is_none() {
             self.pull(now, hello.incarnation);
         }
+        self.send_evidence(now, hello.incarnation);
     }
 
     /// Requests the rules of an entry, unless a request is in progress.
@@ -117,7 +118,7 @@
             Frame::Forwarded(reply) => self.forwarding.record_reply(now, from, reply),
             Frame::Withdraw(withdraw) => self.forwarding.record_withdrawal(from, withdraw),
             Frame::Pulse(pulse) => self.forwarding.record_pulse(now, from, pulse),
-            Frame::Culprit(culprit) => self.record_culprit(now, &culprit),
+            Frame::Culprit(culprit) => self.record_culprit(now, culprit),
             _ => log::debug!("event=frame_ignored peer={from}"),
         }
         self.apply_forwarding(now);
@@ -169,7 +170,7 @@
                 .into_iter()
                 .map(|(queue, count)| (queue.to_owned(), count))
                 .collect(),
-            waiting: self.placement.backlog().levels().collect(),
+            waiting: self.unconfined_work().collect(),
             arriving: self.admission.arriving(now).collect(),
             shares: self.shares(now),
             leaving: self.admission.is_leaving(),
@@ -180,9 +181,10 @@
     /// Returns this entry's shares of its sides' hosts, by service.
     fn shares(&self, now: Duration) -> Vec<(String, Share)> {
         let mut shares: BTreeMap<&str, Share> = BTreeMap::new();
-        for (_, side) in self.fleet.iter() {
+        for (key, side) in self.fleet.iter() {
             if let Some(upstream) = &side.upstream
                 && self.rules.may_run(now, side, &upstream.service, None)
+                && !self.confinement.is_confined_host(&upstream.service, key)
             {
                 let sum = shares.entry(&upstream.service).or_default();
                 *sum = sum.plus(side.share());
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod arrivals;
 mod backlog;
+mod confinement;
 mod crashes;
 mod exchange;
 mod fleet;
@@ -44,6 +45,7 @@
     timing::Timing,
 };
 use admission::Admission;
+use confinement::{Confinement, Eligibility};
 use fleet::{Link, Side};
 use forward::Forwarding;
 use history::History;
@@ -87,6 +89,7 @@
     admission: Admission,
     placement: Placement,
     forwarding: Forwarding,
+    confinement: Confinement,
     fleet: Fleet,
     usual: Usual,
     jobs: BTreeMap<u64, Job>,
@@ -109,6 +112,7 @@
             admission,
             placement: Placement::new(domain, seed),
             forwarding: Forwarding::new(timing, domain, startup_ends, seed),
+            confinement: Confinement::default(),
             fleet: Fleet::default(),
             usual: Usual::default(),
             jobs: BTreeMap::new(),
@@ -171,6 +175,16 @@
         self.usual.ratios()
     }
 
+    /// Returns what decides on which sides tasks may run.
+    fn eligibility(&self, now: Duration) -> Eligibility<'_> {
+        Eligibility {
+            now,
+            rules: &self.rules,
+            fleet: &self.fleet,
+            confinement: &self.confinement,
+        }
+    }
+
     /// Returns the number of available sides, and how many of them have ejected
     /// upstreams.
     pub fn sides(&self, now: Duration) -> (usize, usize) {
@@ -288,6 +302,7 @@
         self.expire_forwarders(now);
         self.expire_sides(now);
         self.fleet.review_speeds(now);
+        self.update_confinement(now);
         self.unpark(now);
         self.expire(now);
         self.demote_late(now);
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -3,6 +3,7 @@
 use super::{
     Dispatcher, Event, Key, Way,
     backlog::Rank,
+    confinement::Eligibility,
     fleet::Side,
     job::{Plan, State},
     placement::{is_at_host_limit, predict_run},
@@ -98,14 +99,15 @@
             return;
         }
         let step = &job.submission.steps[usize::from(number)];
-        let sides = self.placement.choose_announced(
+        let eligibility = Eligibility {
             now,
-            &self.rules,
-            &self.fleet,
-            &self.usual,
-            job,
-            (number, count),
-        );
+            rules: &self.rules,
+            fleet: &self.fleet,
+            confinement: &self.confinement,
+        };
+        let sides =
+            self.placement
+                .choose_announced(&eligibility, &self.usual, job, (number, count));
         let reserve = |clock| Reserve {
             clock,
             step: Step { job: id, number },
@@ -191,8 +193,8 @@
         let task = job.claimable(now, step.number, from)?;
         let wanted = job.step(task);
         let allowed = self
-            .rules
-            .may_run(now, side, &job.service, wanted.label.as_deref())
+            .eligibility(now)
+            .admits(from, side, job, wanted.label.as_deref())
             && !(job.is_suspicious(task) && side.has_trial(now))
             && !is_at_host_limit(job, wanted.max_per_host, task, from);
         allowed.then_some(task)
@@ -279,9 +281,9 @@
     /// Returns the side with room for a task on which it costs least.
     fn choose_side(&self, now: Duration, task: Task) -> Option<Key> {
         let job = self.jobs.get(&task.job)?;
-        let (rules, fleet, usual) = (&self.rules, &self.fleet, &self.usual);
+        let eligibility = self.eligibility(now);
         self.placement
-            .choose_side(now, rules, fleet, usual, job, task)
+            .choose_side(&eligibility, &self.usual, job, task)
     }
 
     /// Returns what is expected of a run that starts at a side now.
--- a/crates/kernel/src/dispatch/placement.rs
+++ b/crates/kernel/src/dispatch/placement.rs
@@ -3,9 +3,9 @@
 
 use super::{
     backlog::Backlog,
+    confinement::Eligibility,
     fleet::{Fleet, Key, Side},
     job::{Job, State},
-    rules::ActiveRules,
     usual::Usual,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::SliceRandom};
@@ -122,18 +122,17 @@
     /// the objective come last.
     pub(super) fn choose_announced(
         &mut self,
-        now: Duration,
-        rules: &ActiveRules,
-        fleet: &Fleet,
+        eligibility: &Eligibility,
         usual: &Usual,
         job: &Job,
         (number, count): (u16, u16),
     ) -> Vec<(Key, u64)> {
+        let (now, fleet) = (eligibility.now, eligibility.fleet);
         let step = &job.submission.steps[usize::from(number)];
         let mut sides: Vec<(Key, u64)> = fleet
             .iter()
             .filter(|(_, side)| step.need.fits(side.capacity()))
-            .filter(|(_, side)| rules.may_run(now, side, &job.service, step.label.as_deref()))
+            .filter(|(key, side)| eligibility.admits(*key, side, job, step.label.as_deref()))
             .map(|(key, side)| (key, side.status.map_or(0, |status| status.clock)))
             .collect();
         sides.shuffle(&mut self.random);
@@ -151,13 +150,12 @@
     /// its last unsuccessful run is chosen only if no other has room.
     pub(super) fn choose_side(
         &self,
-        now: Duration,
-        rules: &ActiveRules,
-        fleet: &Fleet,
+        eligibility: &Eligibility,
         usual: &Usual,
         job: &Job,
         task: Task,
     ) -> Option<Key> {
+        let (now, fleet) = (eligibility.now, eligibility.fleet);
         let step = job.step(task);
         let avoid = job.tasks[usize::from(task.step)][usize::from(task.index)].avoid;
         let suspicious = job.is_suspicious(task);
@@ -166,7 +164,7 @@
         let mut fallback = None;
         for (key, side) in fleet.iter() {
             if !step.need.fits(side.room())
-                || !rules.may_run(now, side, &job.service, step.label.as_deref())
+                || !eligibility.admits(key, side, job, step.label.as_deref())
                 || is_at_host_limit(job, step.max_per_host, task, key)
                 || (suspicious && side.has_trial(now))
             {
--- a/crates/kernel/src/dispatch/rules.rs
+++ b/crates/kernel/src/dispatch/rules.rs
@@ -121,7 +121,7 @@
     }
 
     /// Returns whether a failure domain is out of use; all are without rules.
-    fn is_out(&self, domain: &str) -> bool {
+    pub(super) fn is_out(&self, domain: &str) -> bool {
         let rules = self.current.as_ref();
         rules.is_none_or(|rules| rules.out.iter().any(|out| out == domain))
     }
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -93,7 +93,8 @@
 
     /// Accepts a job, or refuses it if it can't be served.
     fn admit(&mut self, now: Duration, arrival: Arrival, job: Job) {
-        let forecast = self.forecast(now, &job.service, job.rank.level());
+        self.confinement.record_arrival(now, &job.queue);
+        let forecast = self.forecast_job(now, &job, job.rank.level());
         let wait = forecast.wait(job.submission.work());
         let reason = if self.may_run_past_exit(now + wait, arrival.forwarder_exit, &job) {
             Some(Reason::Leaving)
@@ -120,7 +121,9 @@
             patience: job.submission.patience,
             resubmitted: !job.waited.is_zero(),
         });
-        self.admission.record_arrival(now, &job);
+        if !self.confinement.is_confined(&job.queue) {
+            self.admission.record_arrival(now, &job);
+        }
         self.delay_for_earlier_runs(now, &mut job);
         let tasks = job.unblock();
         self.jobs.insert(job.submission.job, job);
@@ -152,6 +155,9 @@
 
     /// Returns the reason to refuse a job that would start after `wait`, if any.
     fn refusal_reason(&self, now: Duration, job: &Job, wait: Duration) -> Option<Reason> {
+        if self.confinement.is_confined(&job.queue) {
+            return (!self.is_useful(now + wait, job)).then_some(Reason::Confined);
+        }
         if !self.is_served(now, &job.service) {
             return self
                 .lacks_upstream(now, &job.service)
@@ -279,8 +285,8 @@
         }
         let max_failures = job.max_failures;
         let Some(slot) = job.slot(task) else { return };
-        if slot.crashes.are_evidence() {
-            self.give_up_culprit(now, task);
+        if let Some(verdict) = slot.crashes.verdict() {
+            self.give_up_culprit(now, task, verdict);
             return;
         }
         if slot.failures >= max_failures {
@@ -347,13 +353,14 @@
     /// before their answers have lost their value.
     pub(super) fn expire(&mut self, now: Duration) {
         // The late jobs of a service all wait behind the same work.
-        let mut forecasts: BTreeMap<&str, Forecast> = BTreeMap::new();
+        let mut forecasts: BTreeMap<(&str, bool), Forecast> = BTreeMap::new();
         let mut overdue = Vec::new();
         for (id, job) in &self.jobs {
             let cannot_end = now >= job.due && !job.may_have_run() && {
+                let confined = self.confinement.is_confined(&job.queue);
                 let forecast = forecasts
-                    .entry(&job.service)
-                    .or_insert_with(|| self.forecast(now, &job.service, LATE_LEVEL));
+                    .entry((&job.service, confined))
+                    .or_insert_with(|| self.forecast_job(now, job, LATE_LEVEL));
                 let wait = forecast.wait(job.submission.work());
                 !self.is_useful(now + wait, job)
             };
@@ -380,7 +387,9 @@
             };
             self.stats.expired += 1;
             let started = job.may_have_run();
-            let reason = if self.is_served(now, &job.service) {
+            let reason = if self.confinement.is_confined(&job.queue) {
+                Reason::Confined
+            } else if self.is_served(now, &job.service) {
                 Reason::Overload
             } else {
                 Reason::NoUpstream
@@ -394,7 +403,7 @@
                     unfinished: job.unfinished(),
                 });
             } else {
-                let forecast = self.forecast(now, &job.service, LATE_LEVEL);
+                let forecast = self.forecast_job(now, &job, LATE_LEVEL);
                 wait = forecast.wait(job.submission.work());
                 self.log_refusal(now, &job, reason, wait);
             }
@@ -431,7 +440,9 @@
     pub(super) fn refuse(&mut self, customer: u64, reason: Reason, wait: Duration) {
         self.stats.refused += 1;
         let least = match reason {
-            Reason::Overload | Reason::EntryLate => wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            Reason::Overload | Reason::EntryLate | Reason::Confined => {
+                wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+            }
             Reason::NoRules | Reason::Leaving | Reason::NoUpstream | Reason::Stale => {
                 MIN_RETRY_AFTER
             }
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -147,6 +147,18 @@
         /// Number of those that it may have crashed.
         suspicions: u32,
     },
+    /// A queue's tasks crash upstreams; it is confined to some of the hosts.
+    QueueConfined {
+        /// Name of the queue.
+        queue: String,
+        /// Number of these hosts that are known to this entry.
+        hosts: u32,
+    },
+    /// A confined queue may use all hosts again.
+    QueueReleased {
+        /// Name of the queue.
+        queue: String,
+    },
     /// All customers of a job have disconnected; its runs are stopped.
     Abandoned {
         /// Identifier that its customer chose.
@@ -376,6 +388,8 @@
             | Self::RunForeign { run } => Some(run.task.job),
             Self::RateInvalid { .. }
             | Self::ForwarderLost { .. }
+            | Self::QueueConfined { .. }
+            | Self::QueueReleased { .. }
             | Self::Readmitted { .. }
             | Self::SideUp { .. }
             | Self::SideGone { .. }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -87,6 +87,10 @@
                  suspicions={suspicions}",
                 task.job
             ),
+            Self::QueueConfined { queue, hosts } => {
+                write!(to, "event=queue_confined queue={queue} hosts={hosts}")
+            }
+            Self::QueueReleased { queue } => write!(to, "event=queue_released queue={queue}"),
             _ => self.write_forwarding(to),
         }
     }
--- a/crates/kernel/src/neighbourhood.rs
+++ b/crates/kernel/src/neighbourhood.rs
@@ -169,7 +169,7 @@
 /// Hashes a pair of names: the first 64 bits, in little-endian order, of SHA-256
 /// of the side's name, a zero byte and the entry's name. All builds in a deployment
 /// must compute the same value, so the hash is one whose output is standardized.
-fn weight(side: &str, entry: &str) -> u64 {
+pub(crate) fn weight(side: &str, entry: &str) -> u64 {
     let digest = Sha256::new()
         .chain_update(side)
         .chain_update([0])
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -44,6 +44,9 @@
     Stale,
     /// The entry's event loop is late.
     EntryLate,
+    /// The queue's tasks crash upstreams, and the hosts to which it is confined have no
+    /// room in time.
+    Confined,
 }
 
 impl fmt::Display for Reason {
@@ -55,6 +58,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Stale => "stale",
             Self::EntryLate => "entry_late",
+            Self::Confined => "confined",
         })
     }
 }
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -492,6 +492,10 @@
     pub task: Task,
     /// Name of its job's queue.
     pub queue: String,
+    /// Whether it was a suspect of the crashes, and not only there.
+    pub suspect: bool,
+    /// Time since it was given up, in milliseconds.
+    pub age: u32,
 }
 
 /// All frames of leased tasks.
