A report of an upstream that a later one has overtaken is ignored

The users' hosts shrink and grow while they run, and LIMIT counts a start beyond what a host has said of itself. Two reports may overtake each other; the side took the one that arrived last, so an old capacity, and an old state "ready", replaced the new one until the next report. Of one process the report with the highest clock counts.

shrinking_hosts: late_report_ignored failed before (4000 of 1000 free), and passes; shrunk_host_grows passed before as well.

--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -297,7 +297,10 @@
         // A start before the known one is confirmed by the upstream's next answer.
         let is_earlier = announcement.started_at < self.started_at
             || self.previous_starts.contains(&announcement.started_at);
-        if is_earlier {
+        let is_overtaken = self.announced.as_ref().is_some_and(|known| {
+            known.started_at == announcement.started_at && known.clock > announcement.clock
+        });
+        if is_earlier || is_overtaken {
             return;
         }
         self.detect_restart(now, announcement.started_at);
