Nothing starts by a capacity that is too old or of an earlier process

The capacity must be of the present process, and on the upstream's own clock no older than the users allow, contact_ms and one heartbeat. Both are new settings of a side; without them capacities are used as before.

shrinking_hosts: paused_side_awaits_report and restarted_host_awaits_report failed before (start beyond the capacity of host 0).

--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -98,7 +98,8 @@
     let admin = admin::bind(&settings.common, dump_requests).await?;
     let metrics = admin::bind_metrics(&settings.common).await?;
     let reports = bind_reports(settings.upstream, leased.service.clone(), events.clone()).await?;
-    let timing = timing(&leased.lease);
+    let mut timing = timing(&leased.lease);
+    timing.max_capacity_age = leased.max_capacity_age;
     let client =
         Client::open(leased.address, timing.answer_timeout()).map_err(store::Error::from)?;
     let clock = Clock::default();
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -107,6 +107,9 @@
     pub store: Option<SocketAddr>,
     /// Region of the entries to connect to.
     pub region: String,
+    /// Age beyond which the upstream's capacity, as it reported it, is not used;
+    /// `None` for no limit.
+    pub max_capacity_age: Option<Duration>,
 }
 
 /// Settings of a side.
@@ -332,12 +335,17 @@
     let service = reader.optional("upstream", "service", "the service's name");
     let store = reader.optional("store", "address", EXPECTED_ADDRESS);
     let region = reader.optional("side", "region", EXPECTED_REGION);
+    let contact_ms: Option<u64> = reader.optional("upstream", "contact_ms", EXPECTED_MILLISECONDS);
+    let report_ms: Option<u64> = reader.optional("upstream", "report_ms", EXPECTED_MILLISECONDS);
+    let max_capacity_age = contact_ms.zip(report_ms);
     Some(Leased {
         lease,
         address,
         service: service.unwrap_or_default(),
         store,
         region: region.unwrap_or_else(|| DEFAULT_REGION.to_owned()),
+        max_capacity_age: max_capacity_age
+            .map(|(contact_ms, report_ms)| Duration::from_millis(contact_ms + report_ms)),
     })
 }
 
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -276,6 +276,21 @@
             && !leaving
             && self.runs_known
             && now.saturating_sub(self.last_received) <= self.timing.max_upstream_silence()
+            && self.is_capacity_current(now)
+    }
+
+    /// Returns whether the capacity is one that the upstream's present process has
+    /// reported, and not too long ago on its own clock: this side may have been paused.
+    fn is_capacity_current(&self, now: Duration) -> bool {
+        let Some(limit) = self.timing.max_capacity_age else {
+            return true;
+        };
+        let (Some(announced), Some((clock, at))) = (&self.announced, self.clock) else {
+            return false;
+        };
+        let clock_now = clock + millis(now.saturating_sub(at));
+        announced.started_at == self.started_at
+            && clock_now.saturating_sub(announced.clock) <= millis(limit)
     }
 
     /// Returns the host's capacity that neither runs nor claims occupy.
--- a/crates/kernel/src/timing.rs
+++ b/crates/kernel/src/timing.rs
@@ -55,6 +55,9 @@
     pub max_lease: Duration,
     /// Shortest time after which a customer resubmits a job.
     pub resubmit_after: Duration,
+    /// Age beyond which a host's capacity, as it reported it, is not used; `None` for
+    /// no limit.
+    pub max_capacity_age: Option<Duration>,
 }
 
 impl Timing {
@@ -66,6 +69,7 @@
             stop_timeout,
             max_lease,
             resubmit_after,
+            max_capacity_age: None,
         }
     }
 
--- a/crates/kernel/tests/shrinking_hosts.rs
+++ b/crates/kernel/tests/shrinking_hosts.rs
@@ -4,10 +4,15 @@
 mod site;
 
 use kernel::dispatch::Phase;
-use site::{Site, job, make::announcement};
+use site::{
+    Site, job,
+    make::{MAX_CAPACITY_AGE, announcement},
+};
 use std::time::Duration;
 
 const RUN: Duration = Duration::from_millis(100);
+/// Estimate of a job that may wait for a report and still be useful.
+const ESTIMATE: Duration = Duration::from_secs(1);
 
 /// Sets the processor of a host, in thousandths of a core.
 fn resize(site: &mut Site, host: usize, cpu: u32) {
@@ -56,8 +61,57 @@
     site.upstreams[0].leaving = true;
     announce(&mut site, 0);
     let now = site.now;
-    let side = site.sides[0].as_mut().unwrap();
-    side.announce(now, earlier);
-    assert_eq!(side.free().cpu, 1_000);
-    assert!(!side.is_accepting(now), "the host is leaving");
+    let guard = site.sides[0].as_mut().unwrap();
+    guard.announce(now, earlier);
+    assert_eq!(guard.free().cpu, 1_000);
+    assert!(!guard.is_accepting(now), "the host is leaving");
+}
+
+/// Guards against starts by the capacity that a host had before its side was paused:
+/// the users allow [`MAX_CAPACITY_AGE`], and the side reads later reports after its
+/// entries' orders.
+#[test]
+fn paused_side_awaits_report() {
+    let mut site = Site::new(1, 1);
+    announce(&mut site, 0);
+    site.frozen_sides[0] = true;
+    resize(&mut site, 0, 1_000);
+    site.run(MAX_CAPACITY_AGE + Duration::from_millis(100));
+    site.frozen_sides[0] = false;
+    site.reports_paused = true;
+    // The side connects again.
+    site.run(Duration::from_millis(200));
+    let customer = site.submit(0, job(1, 4, 1_000, ESTIMATE));
+    site.run(Duration::from_millis(400));
+    assert_eq!(
+        site.state(customer),
+        None,
+        "nothing starts without a report"
+    );
+    site.reports_paused = false;
+    site.run(Duration::from_secs(1));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+}
+
+/// Guards against starts by the capacity of an upstream's earlier process: the host may
+/// be another one.
+#[test]
+fn restarted_host_awaits_report() {
+    let mut site = Site::new(1, 1);
+    site.reports_paused = true;
+    let now = site.now;
+    site.upstreams[0].set_alive(now, false);
+    resize(&mut site, 0, 1_000);
+    site.upstreams[0].set_alive(now, true);
+    site.run(Duration::from_millis(200));
+    let customer = site.submit(0, job(1, 4, 1_000, ESTIMATE));
+    site.run(Duration::from_millis(400));
+    assert_eq!(
+        site.state(customer),
+        None,
+        "nothing starts without a report"
+    );
+    site.reports_paused = false;
+    site.run(Duration::from_secs(1));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
 }
--- a/crates/kernel/tests/site/make.rs
+++ b/crates/kernel/tests/site/make.rs
@@ -8,13 +8,21 @@
 use std::time::Duration;
 use wire::lease::{Need, Queue, Rules, Upstream};
 
+/// Longest time for which a host may be used by a capacity that it no longer has: the
+/// users' `contact_ms` and one heartbeat.
+pub const MAX_CAPACITY_AGE: Duration = Duration::from_millis(4_500);
+
 /// Makes the lease times that the tests use.
 pub fn timing() -> Timing {
-    Timing::new(
+    let timing = Timing::new(
         Duration::from_secs(1),
         Duration::from_millis(1_300),
         Duration::from_millis(50),
-    )
+    );
+    Timing {
+        max_capacity_age: Some(MAX_CAPACITY_AGE),
+        ..timing
+    }
 }
 
 /// Makes rules with the queues `quick` and, at a lower priority, `slow`, and
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -81,6 +81,8 @@
     next_id: u64,
     pub frozen_sides: Vec<bool>,
     pub frozen_entries: Vec<bool>,
+    /// Whether no report of an upstream arrives at its side.
+    pub reports_paused: bool,
     /// Time from the start of a connection until its first frames are handled, as
     /// on a machine whose processors are overcommitted.
     pub join_delay: Duration,
@@ -112,6 +114,7 @@
             next_id: 0,
             frozen_sides: vec![false; sides],
             frozen_entries: vec![false; entries],
+            reports_paused: false,
             join_delay: Duration::ZERO,
             handling_delay: Duration::ZERO,
             connections: 0,
@@ -322,7 +325,8 @@
                 continue;
             }
             if let Some(guard) = &mut self.sides[index] {
-                if now_ms % announce_ms == 0 && self.upstreams[index].alive {
+                if now_ms % announce_ms == 0 && self.upstreams[index].alive && !self.reports_paused
+                {
                     guard.announce(now, announcement(&self.upstreams[index], now));
                 }
                 if now_ms % tick_ms == 0 {
