Histories with tasks that crash upstreams and hosts that shrink and grow

Each history asserts that a task is started at most twice after it has crashed three upstreams, and that no start exceeds what a host has had within contact_ms and one heartbeat.

--- a/crates/kernel/src/dispatch/crashes.rs
+++ b/crates/kernel/src/dispatch/crashes.rs
@@ -8,7 +8,10 @@
     Dispatcher, Event, Phase,
     confinement::{Change, Evidence},
 };
-use crate::millis;
+use crate::{
+    millis,
+    mutation::{Mutant, is_seeded},
+};
 use std::time::Duration;
 use wire::{
     id::Incarnation,
@@ -47,6 +50,9 @@
 impl Crashes {
     /// Counts a crash.
     pub(super) fn record(&mut self, crash: Crash) {
+        if is_seeded(Mutant::CrashForgotten) {
+            return;
+        }
         match crash {
             Crash::Unconfirmed => self.unconfirmed += 1,
             Crash::Bystander => self.all += 1,
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -285,6 +285,9 @@
         let Some(limit) = self.timing.max_capacity_age else {
             return true;
         };
+        if is_seeded(Mutant::OldCapacity) {
+            return true;
+        }
         let (Some(announced), Some((clock, at))) = (&self.announced, self.clock) else {
             return false;
         };
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -58,6 +58,10 @@
     StaleForward,
     /// The rate learnt of an upstream is kept over its restart.
     KeptRate,
+    /// Crashes of upstreams do not count against the tasks that were there.
+    CrashForgotten,
+    /// A host's capacity is used however old its report is.
+    OldCapacity,
 }
 
 #[cfg(feature = "mutation")]
--- a/crates/kernel/tests/lease_histories.rs
+++ b/crates/kernel/tests/lease_histories.rs
@@ -1,6 +1,6 @@
 //! Random histories of faults. In each, no task has two runs at a time, no host
-//! exceeds its capacity, every customer gets one answer, and jobs complete once
-//! the faults have ended. Half of the histories have weak entries, which forward
+//! exceeds its capacity, which shrinks and grows, no task goes on crashing upstreams,
+//! every customer gets one answer, and jobs complete once the faults have ended. Half of the histories have weak entries, which forward
 //! their jobs, and faults between entries.
 //!
 //! `HISTORY_SEED=N` runs the history of one seed; `HISTORIES=N` sets the number
@@ -15,7 +15,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use site::{
     Site, job, rules,
-    upstream::{Fault, Holds},
+    upstream::{Fault, Holds, crashing_input},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -27,6 +27,13 @@
 const RESUBMIT_AFTER: Duration = Duration::from_millis(1_300);
 /// Keeps the speeds independent of the other choices of a seed.
 const SPEED_SEED: u64 = 0x5045_4544;
+/// Keeps the tasks that crash upstreams, and the sizes of hosts, independent of the
+/// other choices.
+const CRASH_SEED: u64 = 0x4352_4153;
+/// Identifier from which jobs have a task that crashes its upstream.
+const FIRST_CRASHING_JOB: u64 = 500_000;
+/// Largest number of starts of a task after it has crashed three upstreams.
+const MAX_STARTS_AFTER_CRASHES: usize = 2;
 
 /// A job to be resubmitted after its entry or its connection was lost.
 struct Resubmission {
@@ -45,6 +52,9 @@
     clocks: SmallRng,
     /// Speeds of upstreams.
     speeds: SmallRng,
+    /// Tasks that crash upstreams, and sizes of hosts.
+    crashes: SmallRng,
+    next_crashing_job: u64,
     /// Connected customers, with the entry, the job and its number of tasks.
     open: BTreeMap<u64, (usize, u64, u16)>,
     resubmissions: Vec<Resubmission>,
@@ -71,6 +81,8 @@
             random,
             clocks: SmallRng::seed_from_u64(!seed),
             speeds: SmallRng::seed_from_u64(seed ^ SPEED_SEED),
+            crashes: SmallRng::seed_from_u64(seed ^ CRASH_SEED),
+            next_crashing_job: FIRST_CRASHING_JOB,
             open: BTreeMap::new(),
             resubmissions: Vec::new(),
             next_job: 0,
@@ -152,11 +164,20 @@
 
     fn submit(&mut self, id: u64, tasks: u16) {
         let entries = self.site.entries.len();
-        let entry = self.random.random_range(0..entries);
+        let random = if id >= FIRST_CRASHING_JOB {
+            &mut self.crashes
+        } else {
+            &mut self.random
+        };
+        let entry = random.random_range(0..entries);
         if self.site.entries[entry].is_none() || self.site.frozen_entries[entry] {
             return;
         }
-        let submission = job(id, tasks, 1_000, self.estimate);
+        let mut submission = job(id, tasks, 1_000, self.estimate);
+        if id >= FIRST_CRASHING_JOB {
+            let delay_ms = u32::try_from(id % 4 * 10).expect("at most 30");
+            submission.input = crashing_input(0, delay_ms);
+        }
         let customer = self.site.submit(entry, submission);
         self.open.insert(customer, (entry, id, tasks));
     }
@@ -202,6 +223,46 @@
         }
     }
 
+    /// Submits a job with a task that crashes its upstream, or resizes a host, now and
+    /// then.
+    fn random_crash(&mut self) {
+        let side = self.crashes.random_range(0..self.site.sides.len());
+        match self.crashes.random_range(0..24) {
+            0 => {
+                self.next_crashing_job += 1;
+                self.submit(self.next_crashing_job, 2);
+            }
+            1 => {
+                let cores = self.crashes.random_range(1..5);
+                let now = self.site.now;
+                self.site.upstreams[side].resize(now, cores * 1_000);
+            }
+            _ => {}
+        }
+    }
+
+    /// Asserts that no task was started too often after it has crashed upstreams.
+    fn check_crashes(&self, seed: u64) {
+        for id in FIRST_CRASHING_JOB..=self.next_crashing_job {
+            let stubs = &self.site.upstreams;
+            let crashes = stubs.iter().flat_map(|stub| &stub.crashes);
+            let mut times: Vec<Duration> = crashes
+                .filter(|(_, task)| task.job == id)
+                .map(|(at, _)| *at)
+                .collect();
+            times.sort_unstable();
+            let Some(third) = times.get(2) else { continue };
+            let starts = stubs.iter().flat_map(|stub| &stub.starts);
+            let later = starts
+                .filter(|(at, run)| at > third && run.task.job == id && run.task.index == 0)
+                .count();
+            assert!(
+                later <= MAX_STARTS_AFTER_CRASHES,
+                "seed {seed}: job {id} was started {later} times after three crashes"
+            );
+        }
+    }
+
     /// Makes an entry surplus at a side, or none.
     fn change_neighbourhood(&mut self, entry: usize, side: usize) {
         let surplus = [self.site.entry_id(entry)];
@@ -301,6 +362,7 @@
             stub.order_delay = None;
             stub.fault = Fault::None;
             stub.speed_percent = 100;
+            stub.resize(now, 4_000);
             if !stub.alive {
                 stub.set_alive(now, true);
             }
@@ -319,6 +381,7 @@
 fn check(seed: u64, mut history: History) {
     for _ in 0..120 {
         history.random_action();
+        history.random_crash();
         if history.forwards {
             history.random_entry_fault();
             history.resubmit_unknown();
@@ -339,6 +402,7 @@
         // Counted after the run, so that forwards during all of it count.
         FORWARDED.fetch_add(history.site.forwarded(), Ordering::Relaxed);
     }
+    history.check_crashes(seed);
     for (customer, (_, id, _)) in &history.open {
         let answered = history.site.answers.contains_key(customer);
         assert!(answered, "seed {seed}: job {id} has no answer");
@@ -518,6 +582,7 @@
         Mutant::EarlyOver,
         Mutant::OldRules,
         Mutant::KeptRoom,
+        Mutant::CrashForgotten,
     ];
     let mut missed = Vec::new();
     let fails =
--- a/crates/kernel/tests/shrinking_hosts.rs
+++ b/crates/kernel/tests/shrinking_hosts.rs
@@ -3,7 +3,10 @@
 
 mod site;
 
-use kernel::dispatch::Phase;
+use kernel::{
+    dispatch::Phase,
+    mutation::{self, Mutant},
+};
 use site::{
     Site, job,
     make::{MAX_CAPACITY_AGE, announcement},
@@ -115,3 +118,12 @@
     site.run(Duration::from_secs(1));
     assert_eq!(site.state(customer), Some(Phase::Completed));
 }
+
+#[test]
+fn seeded_bug_found() {
+    mutation::seed(Some(Mutant::OldCapacity));
+    let found = [paused_side_awaits_report, restarted_host_awaits_report]
+        .map(|test| std::panic::catch_unwind(test).is_err());
+    mutation::seed(None);
+    assert_eq!(found, [true, true]);
+}
--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -1,6 +1,7 @@
 //! Stub upstream that executes start and stop orders without checks of its own,
 //! and records the starts.
 
+use super::make::MAX_CAPACITY_AGE;
 use kernel::guard::{Admission, Guard, Hold, Inventory, Observation, Order};
 use std::{collections::BTreeMap, time::Duration};
 use wire::{
@@ -111,6 +112,9 @@
     pub alive: bool,
     pub leaving: bool,
     pub capacity: Need,
+    /// Processor that starts may still count on after the capacity has shrunk, and
+    /// until when.
+    allowed: Option<(Duration, u32)>,
     pub fault: Fault,
     /// If set, calls stay unanswered and are executed after this time.
     pub order_delay: Option<Duration>,
@@ -157,6 +161,7 @@
                 memory: 65_536,
                 accelerators: 0,
             },
+            allowed: None,
             fault: Fault::None,
             order_delay: None,
             answer_when_down: Admission::NotSent,
@@ -182,6 +187,19 @@
         }
     }
 
+    /// Sets the processor, in thousandths of a core. A smaller one binds after
+    /// [`MAX_CAPACITY_AGE`].
+    pub fn resize(&mut self, now: Duration, cpu: u32) {
+        let allowed = self.allowed_cpu(now).max(self.capacity.cpu);
+        self.capacity.cpu = cpu;
+        self.allowed = Some((now + MAX_CAPACITY_AGE, allowed));
+    }
+
+    fn allowed_cpu(&self, now: Duration) -> u32 {
+        let earlier = self.allowed.filter(|(until, _)| now <= *until);
+        earlier.map_or(self.capacity.cpu, |(_, cpu)| cpu.max(self.capacity.cpu))
+    }
+
     pub fn clock(&self, now: Duration) -> u64 {
         let elapsed = u64::try_from(now.saturating_sub(self.clock_start).as_millis())
             .expect("fits into 64 bits");
@@ -476,7 +494,7 @@
         }
         let used: u32 = self.runs.values().map(|running| running.cpu).sum();
         assert!(
-            used + self.cpu <= self.capacity.cpu,
+            used + self.cpu <= self.allowed_cpu(now),
             "{now:?}: start beyond the capacity of host {}",
             self.index
         );
