Soak with tasks that crash upstreams and hosts that shrink and grow

One job in 64 has a task that crashes its upstream, which is back after 1 s; hosts change their sizes. Violations are more than two starts after three crashes, and a start beyond what a host has had within contact_ms and one heartbeat.

--- a/crates/hyssoppost/tests/soak/customers.rs
+++ b/crates/hyssoppost/tests/soak/customers.rs
@@ -1,6 +1,7 @@
 //! Customers that submit jobs, resubmit them after a lost connection, and record
 //! the answers.
 
+use crate::platform_standin::upstream::CRASHING_SPEC;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
     collections::BTreeMap,
@@ -15,6 +16,8 @@
 /// Time that customers wait for an answer.
 const PATIENCE: Duration = Duration::from_secs(4);
 const SUBMIT_INTERVAL: Duration = Duration::from_millis(25);
+/// One in this many jobs, by its identifier, has a task that crashes its upstream.
+const CRASHING_JOB_PART: u64 = 64;
 
 /// State that the customers and the site share.
 #[derive(Clone, Default)]
@@ -111,8 +114,13 @@
 async fn post_job(address: SocketAddr, job: u64, tasks: u16) -> Result<u16, reqwest::Error> {
     // Each job uses a connection of its own.
     let http = reqwest::Client::builder().no_proxy().build()?;
+    let spec = if job % CRASHING_JOB_PART == CRASHING_JOB_PART - 1 {
+        CRASHING_SPEC
+    } else {
+        "soak"
+    };
     let body = serde_json::json!({
-        "spec": "soak", "best_effort": true,
+        "spec": spec, "best_effort": true,
         "phases": [{ "count": tasks, "cpu": 1_000, "ram_mb": 64, "estimate_ms": 100 }],
     });
     let response = http
--- a/crates/hyssoppost/tests/soak/mod.rs
+++ b/crates/hyssoppost/tests/soak/mod.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 use standin::{relay::Relay, timer::Timer};
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     path::PathBuf,
     sync::{Arc, Mutex},
@@ -24,6 +25,13 @@
 const SIDES: usize = 4;
 const SLOTS: usize = 4;
 const RUN_TIME: Duration = Duration::from_millis(90);
+/// Time for which a host may be used by a capacity that it no longer has: `contact_ms`
+/// and `report_ms` in the settings.
+const MAX_CAPACITY_AGE: Duration = Duration::from_millis(900);
+/// Largest number of starts of a task after it has crashed three upstreams.
+const MAX_STARTS_AFTER_CRASHES: usize = 2;
+/// Keeps the sizes of hosts independent of the other choices of a seed.
+const SIZE_SEED: u64 = 0x5349_5a45;
 const ONE_WAY_DELAY: Duration = Duration::from_millis(1);
 const LOAD_DURATION: Duration = Duration::from_secs(9);
 /// Time after which no task may start in an evacuated domain, even under faults.
@@ -165,7 +173,8 @@
         let text = format!(
             "[side]\nname = s{index}\nenvironment = soak\ndomain = d{}\nrack = r\ndrain_s = 6\n\
              [listen]\nupstream = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
-             [upstream]\naddress = {upstream}\nservice = desk\n[entries]\nseeds = {}\n\
+             [upstream]\naddress = {upstream}\nservice = desk\n\
+             contact_ms = 600\nreport_ms = 300\n[entries]\nseeds = {}\n\
              [lease]\nlongest_ms = 1000\nresend_ms = 1300\nstop_ms = 50\n\
              [security]\nkey = soak-soak-soak-soak\nadmin_token = soak\n",
             index % 3,
@@ -203,8 +212,13 @@
         tokio::time::sleep(Duration::from_secs(1)).await;
         let end = Instant::now() + LOAD_DURATION;
         let customers = tokio::spawn(customers::generate_load(self.shared.clone(), seed, end));
+        let mut sizes = SmallRng::seed_from_u64(seed ^ SIZE_SEED);
         while Instant::now() < end {
             self.inject_fault(&mut random).await;
+            if sizes.random_bool(0.3) {
+                let upstream = &self.sides[sizes.random_range(0..SIDES)].upstream;
+                upstream.resize(sizes.random_range(1..=SLOTS), MAX_CAPACITY_AGE);
+            }
             let pause = random.random_range(50..700);
             tokio::time::sleep(Duration::from_millis(pause)).await;
             self.restart_ended();
@@ -270,7 +284,7 @@
     async fn inject_upstream_fault(&mut self, side: usize, kind: usize, random: &mut SmallRng) {
         let upstream = &mut self.sides[side].upstream;
         match kind {
-            14 => upstream.crash(),
+            14 => upstream.crash().await,
             15 => upstream.inject(Fault::Failing),
             16 => upstream.inject(Fault::Hanging),
             17 => {
@@ -279,9 +293,7 @@
             }
             _ => {
                 upstream.inject(Fault::None);
-                if !upstream.is_up() {
-                    upstream.restart().await;
-                }
+                upstream.restart().await;
             }
         }
     }
@@ -395,9 +407,8 @@
         }
         for side in &mut self.sides {
             side.upstream.inject(Fault::None);
-            if !side.upstream.is_up() {
-                side.upstream.restart().await;
-            }
+            side.upstream.resize(SLOTS, MAX_CAPACITY_AGE);
+            side.upstream.restart().await;
         }
         self.restart_ended();
     }
@@ -450,6 +461,19 @@
                 violations.push(format!("job {job:016x} was refused as not run, and ran"));
             }
         }
+        let crashing: BTreeSet<&String> = findings.crashes.iter().map(|(_, task)| task).collect();
+        for task in crashing {
+            let mut crashes = findings.crashes.iter().filter(|(_, other)| other == task);
+            let Some((third, _)) = crashes.nth(2) else {
+                continue;
+            };
+            let starts = findings.starts.iter();
+            let later = starts.filter(|(at, _, other)| at > third && other == task);
+            let later = later.count();
+            if later > MAX_STARTS_AFTER_CRASHES {
+                violations.push(format!("{task} started {later} times after three crashes"));
+            }
+        }
         for exclusion in &self.exclusions {
             for (at, index, task) in &findings.starts {
                 let inside = *at > exclusion.from && exclusion.to.is_none_or(|to| *at < to);
@@ -462,8 +486,9 @@
             }
         }
         println!(
-            "{} starts, answers {:?}",
+            "{} starts, {} crashes by tasks, answers {:?}",
             findings.starts.len(),
+            findings.crashes.len(),
             state.answers
         );
         if !violations.is_empty() {
