A crash is dated by the last sign of life

A task that crashed its upstream was started at three more: where the connections to a crashed upstream hang, the side dated the crash by the time-out of its call, so every run seemed to have started long before and none was a suspect. The crash was after the last inventory; what was ordered up to 100 ms before that, or later, is a suspect.

--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -119,8 +119,8 @@
     pub fn upstream_gone(&mut self, now: Duration) {
         self.hold_token = None;
         self.runs_known = false;
-        self.last_received = Duration::ZERO;
         self.end_previous_runs(now, true);
+        self.last_received = Duration::ZERO;
     }
 
     /// Records an inventory and sends the next hold call.
@@ -220,14 +220,16 @@
         if announced.is_some_and(|known| known.leaving) {
             return;
         }
-        let crashed_at = self.failing_since.unwrap_or(now);
+        // The crash was after the last inventory; a call may take long to fail.
+        let noticed_at = self.failing_since.unwrap_or(now);
+        let alive_at = self.last_received.min(noticed_at);
         let (mut runs, mut suspects, mut unlisted) = (0, 0, 0);
         for slot in self.runs.values_mut() {
             if slot.crash.is_some() {
                 continue;
             }
-            let age = crashed_at.checked_sub(slot.ordered_at);
-            let is_recent = age.is_some_and(|age| age <= SUSPECT_AGE);
+            let is_recent = slot.ordered_at <= noticed_at
+                && alive_at.saturating_sub(slot.ordered_at) <= SUSPECT_AGE;
             // A trial is ordered beside no other one, so its crash counts even if the
             // answer was lost with the upstream.
             let crash = match (slot.receipt != Receipt::Unknown, is_recent) {
@@ -246,7 +248,7 @@
                 runs,
                 suspects,
                 unlisted,
-                noticed_after: now.saturating_sub(crashed_at),
+                noticed_after: now.saturating_sub(noticed_at),
             });
         }
     }
--- a/crates/kernel/tests/crashing_tasks.rs
+++ b/crates/kernel/tests/crashing_tasks.rs
@@ -64,6 +64,21 @@
     }
 }
 
+/// Guards against a crash that is dated by the time-out of a call, where connections to
+/// the upstream hang: its tasks would all have started long before. Found by the soak,
+/// seed 4.
+#[test]
+fn crash_with_hanging_connections() {
+    let mut site = Site::new(1, 8);
+    for stub in &mut site.upstreams {
+        stub.break_delay = Duration::from_millis(250);
+    }
+    let customer = site.submit(0, crashing_job(1, 3));
+    site.run(Duration::from_secs(9));
+    assert_eq!(site.state(customer), Some(Phase::Failed));
+    assert!(crashes(&site, 1).len() <= 2, "two crashes are evidence");
+}
+
 /// Guards against a task that is given up by no entry since each counts anew: its
 /// entry is lost after the first crash, its customer resubmits the job elsewhere.
 #[test]
--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -145,8 +145,10 @@
     clock_start: Duration,
     delayed: Vec<(Duration, Call)>,
     pending_holds: Vec<(Duration, Incarnation, Hold)>,
-    /// Sides whose hold calls a crash has interrupted.
-    interrupted: Vec<Incarnation>,
+    /// Time from a crash until the calls that were open fail.
+    pub break_delay: Duration,
+    /// Sides whose hold calls a crash has interrupted, and when these fail.
+    interrupted: Vec<(Duration, Incarnation)>,
 }
 
 impl Stub {
@@ -183,6 +185,7 @@
             clock_start: CLOCK_START,
             delayed: Vec::new(),
             pending_holds: Vec::new(),
+            break_delay: Duration::ZERO,
             interrupted: Vec::new(),
         }
     }
@@ -224,8 +227,10 @@
         self.runs.clear();
         // Orders that the process has received are lost with it.
         self.delayed.clear();
+        let fail_at = now + self.break_delay;
+        let open = self.pending_holds.drain(..);
         self.interrupted
-            .extend(self.pending_holds.drain(..).map(|(_, owner, _)| owner));
+            .extend(open.map(|(_, owner, _)| (fail_at, owner)));
         if alive {
             self.started_at += 1;
             self.ends.clear();
@@ -369,7 +374,11 @@
                 *at <= now || ends.iter().any(|(number, ..)| *number > hold.acknowledged)
             });
         self.pending_holds = rest;
-        let interrupted = std::mem::take(&mut self.interrupted);
+        let interrupted: Vec<Incarnation> = self
+            .interrupted
+            .extract_if(.., |(at, _)| *at <= now)
+            .map(|(_, owner)| owner)
+            .collect();
         let inventories = due
             .into_iter()
             .map(|(_, owner, hold)| Outcome::Inventory(owner, self.take_inventory(now, &hold)));
