Crashes of a dropped job's tasks are remembered at all entries

What an entry has counted for a job that it drops unfinished, and what it learns later, is kept for a minute and sent to the other entries; a resubmission begins with these counts, and is failed at once if they suffice.

--- a/crates/kernel/src/dispatch/crashes.rs
+++ b/crates/kernel/src/dispatch/crashes.rs
@@ -5,17 +5,20 @@
 //! suspect of this entry, so that a second crash shows which of them it was.
 
 use super::{
-    Dispatcher, Event, Key, Phase,
+    Dispatcher, Event, Job, Key, Phase,
     confinement::{Change, Evidence},
 };
 use crate::{
     millis,
     mutation::{Mutant, is_seeded},
 };
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 use wire::{
     id::Incarnation,
-    lease::{Crash, Culprit, Frame, Task},
+    lease::{Crash, CrashCount, Culprit, End, Ending, Frame, Task},
 };
 
 /// Crashes as a suspect after which a task is given up. Since suspects are separated
@@ -50,7 +53,58 @@
     unconfirmed: u32,
 }
 
+/// Time for which the crashes of a task are remembered after its job was dropped;
+/// customers resubmit jobs within seconds.
+const MEMORY_TIME: Duration = Duration::from_mins(1);
+
+/// Crashes of upstreams with tasks of jobs that were dropped, here or at another entry.
+#[derive(Debug, Default)]
+pub(super) struct CrashMemory {
+    tasks: BTreeMap<Task, Crashes>,
+    order: VecDeque<(Duration, Task)>,
+}
+
+impl CrashMemory {
+    /// Returns the crashes of a task.
+    pub(super) fn get(&self, task: Task) -> Option<Crashes> {
+        self.tasks.get(&task).copied()
+    }
+
+    /// Adds what is known of a task's crashes.
+    fn merge(&mut self, now: Duration, task: Task, crashes: Crashes) {
+        let known = self.tasks.entry(task).or_insert_with(|| {
+            self.order.push_back((now + MEMORY_TIME, task));
+            Crashes::default()
+        });
+        *known = known.merged(crashes);
+    }
+
+    /// Removes what is older than [`MEMORY_TIME`].
+    pub(super) fn expire(&mut self, now: Duration) {
+        while self.order.front().is_some_and(|(until, _)| *until <= now) {
+            if let Some((_, task)) = self.order.pop_front() {
+                self.tasks.remove(&task);
+            }
+        }
+    }
+}
+
 impl Crashes {
+    /// Returns whether any upstream has crashed.
+    pub(super) fn is_any(self) -> bool {
+        self.all > 0 || self.unconfirmed > 0
+    }
+
+    /// Returns the larger counts of two entries, which may have counted the same crashes.
+    fn merged(self, other: Self) -> Self {
+        Self {
+            all: self.all.max(other.all),
+            suspicions: self.suspicions.max(other.suspicions),
+            suspected_at: other.suspected_at.or(self.suspected_at),
+            unconfirmed: self.unconfirmed.max(other.unconfirmed),
+        }
+    }
+
     /// Counts a crash.
     pub(super) fn record(&mut self, crash: Crash, side: Key) {
         if is_seeded(Mutant::CrashForgotten) {
@@ -113,6 +167,78 @@
         self.update_confinement(now);
     }
 
+    /// Remembers the crashes of a job's tasks, as the job is dropped: its customer may
+    /// resubmit it, here or at another entry.
+    pub(super) fn remember_crashes(&mut self, now: Duration, job: &Job) {
+        let crashed = job.crashes();
+        if crashed.is_empty() || job.is_done() {
+            return;
+        }
+        self.share_crashes(now, &crashed);
+    }
+
+    /// Counts the crash of an upstream with a run whose job was dropped before.
+    pub(super) fn remember_crash(&mut self, now: Duration, from: Key, end: End) {
+        let Ending::Crashed(crash) = end.ending else {
+            return;
+        };
+        let task = end.run.task;
+        let mut crashes = self.crash_memory.get(task).unwrap_or_default();
+        crashes.record(crash, from);
+        self.share_crashes(now, &[(task, crashes)]);
+    }
+
+    fn share_crashes(&mut self, now: Duration, crashed: &[(Task, Crashes)]) {
+        for (task, crashes) in crashed {
+            self.crash_memory.merge(now, *task, *crashes);
+        }
+        let counts: Vec<CrashCount> = crashed
+            .iter()
+            .map(|(task, crashes)| crashes.frame(*task))
+            .collect();
+        for peer in self.peers.connected() {
+            self.send(peer, Frame::Crashes(counts.clone()));
+        }
+    }
+
+    /// Records the crashes of a dropped job's tasks that another entry has counted.
+    pub(super) fn record_crashes(&mut self, now: Duration, counts: &[CrashCount]) {
+        for count in counts {
+            let crashes = Crashes::of(*count);
+            self.crash_memory.merge(now, count.task, crashes);
+            let job = self.jobs.get_mut(&count.task.job);
+            if let Some(slot) = job.and_then(|job| job.slot(count.task)) {
+                slot.crashes = slot.crashes.merged(crashes);
+            }
+            self.give_up_if_culprit(now, count.task.job);
+        }
+    }
+
+    /// Fails a job if a task of it is to be given up for its crashes.
+    pub(super) fn give_up_if_culprit(&mut self, now: Duration, job: u64) {
+        let crashed = self.jobs.get(&job).map(Job::crashes).unwrap_or_default();
+        let culprit = crashed
+            .iter()
+            .find_map(|(task, crashes)| Some((*task, crashes.verdict()?)));
+        if let Some((task, verdict)) = culprit {
+            self.give_up_culprit(now, task, verdict);
+        }
+    }
+
+    /// Gives the tasks of a new job the crashes that are remembered.
+    pub(super) fn recall_crashes(&self, job: &mut Job) {
+        if self.crash_memory.tasks.is_empty() {
+            return;
+        }
+        for task in job.all_tasks() {
+            if let Some(crashes) = self.crash_memory.get(task)
+                && let Some(slot) = job.slot(task)
+            {
+                slot.crashes = crashes;
+            }
+        }
+    }
+
     /// Records that another entry has given up the job of a task that crashes its
     /// upstreams.
     pub(super) fn record_culprit(&mut self, now: Duration, culprit: Culprit) {
@@ -155,6 +281,27 @@
     }
 }
 
+impl Crashes {
+    fn of(count: CrashCount) -> Self {
+        Self {
+            all: count.all,
+            suspicions: count.suspicions,
+            suspected_at: count.suspected_at,
+            unconfirmed: count.unconfirmed,
+        }
+    }
+
+    fn frame(self, task: Task) -> CrashCount {
+        CrashCount {
+            task,
+            all: self.all,
+            suspicions: self.suspicions,
+            suspected_at: self.suspected_at,
+            unconfirmed: self.unconfirmed,
+        }
+    }
+}
+
 impl Evidence {
     /// Makes evidence of another entry's frame.
     fn of(culprit: Culprit, now: Duration) -> Self {
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -118,6 +118,7 @@
             Frame::Forwarded(reply) => self.forwarding.record_reply(now, from, reply),
             Frame::Withdraw(withdraw) => self.forwarding.record_withdrawal(from, withdraw),
             Frame::Pulse(pulse) => self.forwarding.record_pulse(now, from, pulse),
+            Frame::Crashes(counts) => self.record_crashes(now, &counts),
             Frame::Culprit(culprit) => self.record_culprit(now, culprit),
             _ => log::debug!("event=frame_ignored peer={from}"),
         }
--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -120,6 +120,7 @@
             if let Some(side) = self.fleet.get_mut(from) {
                 side.cancel_probe();
             }
+            self.remember_crash(now, from, end);
             return;
         };
         // The job may have been resubmitted since, with the same run numbers.
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -225,6 +225,24 @@
         slot.is_some_and(|slot| slot.crashes.are_suspicious())
     }
 
+    /// Returns the tasks that upstreams crashed with, and these crashes.
+    pub(super) fn crashes(&self) -> Vec<(Task, Crashes)> {
+        let mut crashed = Vec::new();
+        self.for_each_slot(|task, slot| {
+            if slot.crashes.is_any() {
+                crashed.push((task, slot.crashes));
+            }
+        });
+        crashed
+    }
+
+    /// Returns all tasks.
+    pub(super) fn all_tasks(&self) -> Vec<Task> {
+        let mut tasks = Vec::new();
+        self.for_each_slot(|task, _| tasks.push(task));
+        tasks
+    }
+
     /// Returns the unfinished runs with their sides.
     pub(super) fn placed(&self) -> Vec<(Key, Run)> {
         let mut runs = Vec::new();
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -46,6 +46,7 @@
 };
 use admission::Admission;
 use confinement::{Confinement, Eligibility};
+use crashes::CrashMemory;
 use fleet::{Link, Side};
 use forward::Forwarding;
 use history::History;
@@ -90,6 +91,7 @@
     placement: Placement,
     forwarding: Forwarding,
     confinement: Confinement,
+    crash_memory: CrashMemory,
     fleet: Fleet,
     usual: Usual,
     jobs: BTreeMap<u64, Job>,
@@ -113,6 +115,7 @@
             placement: Placement::new(domain, seed),
             forwarding: Forwarding::new(timing, domain, startup_ends, seed),
             confinement: Confinement::default(),
+            crash_memory: CrashMemory::default(),
             fleet: Fleet::default(),
             usual: Usual::default(),
             jobs: BTreeMap::new(),
@@ -318,6 +321,7 @@
         self.send_heartbeats(now);
         self.tick_forwarding(now);
         self.history.expire(now);
+        self.crash_memory.expire(now);
     }
 
     /// Places waiting tasks if a change since the last call may let them start.
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -125,11 +125,14 @@
             self.admission.record_arrival(now, &job);
         }
         self.delay_for_earlier_runs(now, &mut job);
+        self.recall_crashes(&mut job);
+        let id = job.submission.job;
         let tasks = job.unblock();
-        self.jobs.insert(job.submission.job, job);
+        self.jobs.insert(id, job);
         for task in tasks {
             self.enqueue(task);
         }
+        self.give_up_if_culprit(now, id);
     }
 
     /// Delays tasks of a resubmitted job whose earlier runs may continue, until
@@ -254,7 +257,7 @@
                 age: now.saturating_sub(open_job.accepted),
                 started: open_job.may_have_run(),
             });
-            self.drop_job(job);
+            self.drop_job(now, job);
         }
     }
 
@@ -301,7 +304,7 @@
 
     /// Finishes a job and answers its customers.
     pub(super) fn finish(&mut self, now: Duration, job: u64, state: Phase) {
-        let Some(open_job) = self.drop_job(job) else {
+        let Some(open_job) = self.drop_job(now, job) else {
             return;
         };
         match state {
@@ -327,8 +330,9 @@
     }
 
     /// Removes a job, stops its runs and withdraws its announcements.
-    fn drop_job(&mut self, job: u64) -> Option<Job> {
+    fn drop_job(&mut self, now: Duration, job: u64) -> Option<Job> {
         let open_job = self.jobs.remove(&job)?;
+        self.remember_crashes(now, &open_job);
         for task in open_job.waiting() {
             self.placement.dequeue(&open_job, task);
         }
@@ -382,7 +386,7 @@
     /// Removes jobs that can't be completed here, and answers their customers.
     fn give_up(&mut self, now: Duration, jobs: &[u64]) {
         for id in jobs.iter().copied() {
-            let Some(job) = self.drop_job(id) else {
+            let Some(job) = self.drop_job(now, id) else {
                 continue;
             };
             self.stats.expired += 1;
--- a/crates/kernel/tests/crashing_tasks.rs
+++ b/crates/kernel/tests/crashing_tasks.rs
@@ -79,6 +79,26 @@
     assert!(crashes(&site, 1).len() <= 2, "two crashes are evidence");
 }
 
+/// Guards against crashes that are forgotten with a job that is given up or abandoned,
+/// when its customer resubmits it. Found by the soak, seed 4.
+#[test]
+fn crash_after_give_up() {
+    for resubmitted_to in [0, 1] {
+        let mut site = Site::with_processors(&[1_000, 1_000], 8);
+        let first = site.submit(0, crashing_job(1, 3));
+        site.run(Duration::from_millis(8));
+        let now = site.now;
+        let entry = site.entries[0].as_mut().unwrap();
+        entry.remove_customer(now, 1, first);
+        site.run(RESUBMIT_AFTER);
+        assert_eq!(crashes(&site, 1).len(), 1);
+        let second = site.submit(resubmitted_to, crashing_job(1, 3));
+        site.run(Duration::from_secs(9));
+        assert_eq!(site.state(second), Some(Phase::Failed));
+        assert_eq!(crashes(&site, 1).len(), 2, "two crashes are evidence");
+    }
+}
+
 /// Guards against a task that is given up by no entry since each counts anew: its
 /// entry is lost after the first crash, its customer resubmits the job elsewhere.
 #[test]
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -498,6 +498,21 @@
     pub age: u32,
 }
 
+/// Within [`Frame::Crashes`]: the crashes of upstreams that had runs of a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashCount {
+    /// The task.
+    pub task: Task,
+    /// Crashes of upstreams that had started it.
+    pub all: u32,
+    /// Those of them that it may have caused.
+    pub suspicions: u32,
+    /// Side of the last of those.
+    pub suspected_at: Option<Incarnation>,
+    /// Crashes of upstreams that are not known to have started it.
+    pub unconfirmed: u32,
+}
+
 /// All frames of leased tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -548,6 +563,9 @@
     Pulse(Pulse),
     /// See [`Culprit`].
     Culprit(Culprit),
+    /// Entry to entry: crashes of upstreams with tasks of a job that the sender has
+    /// dropped.
+    Crashes(Vec<CrashCount>),
 }
 
 /// A frame and the incarnation of its receiver.
