--- a/crates/kernel/tests/shrinking_hosts.rs
+++ b/crates/kernel/tests/shrinking_hosts.rs
@@ -70,6 +70,19 @@
     assert!(!guard.is_accepting(now), "the host is leaving");
 }
 
+/// Asserts that a job of four tasks waits for a report of host 0, and then completes.
+fn assert_awaits_report(site: &mut Site) {
+    // The side connects again, or sees that its upstream has restarted.
+    site.run(Duration::from_millis(200));
+    let customer = site.submit(0, job(1, 4, 1_000, ESTIMATE));
+    site.run(Duration::from_millis(400));
+    let state = site.state(customer);
+    assert_eq!(state, None, "nothing starts without a report");
+    site.reports_paused = false;
+    site.run(Duration::from_secs(1));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+}
+
 /// Guards against starts by the capacity that a host had before its side was paused:
 /// the users allow [`MAX_CAPACITY_AGE`], and the side reads later reports after its
 /// entries' orders.
@@ -82,18 +95,7 @@
     site.run(MAX_CAPACITY_AGE + Duration::from_millis(100));
     site.frozen_sides[0] = false;
     site.reports_paused = true;
-    // The side connects again.
-    site.run(Duration::from_millis(200));
-    let customer = site.submit(0, job(1, 4, 1_000, ESTIMATE));
-    site.run(Duration::from_millis(400));
-    assert_eq!(
-        site.state(customer),
-        None,
-        "nothing starts without a report"
-    );
-    site.reports_paused = false;
-    site.run(Duration::from_secs(1));
-    assert_eq!(site.state(customer), Some(Phase::Completed));
+    assert_awaits_report(&mut site);
 }
 
 /// Guards against starts by the capacity of an upstream's earlier process: the host may
@@ -106,17 +108,7 @@
     site.upstreams[0].set_alive(now, false);
     resize(&mut site, 0, 1_000);
     site.upstreams[0].set_alive(now, true);
-    site.run(Duration::from_millis(200));
-    let customer = site.submit(0, job(1, 4, 1_000, ESTIMATE));
-    site.run(Duration::from_millis(400));
-    assert_eq!(
-        site.state(customer),
-        None,
-        "nothing starts without a report"
-    );
-    site.reports_paused = false;
-    site.run(Duration::from_secs(1));
-    assert_eq!(site.state(customer), Some(Phase::Completed));
+    assert_awaits_report(&mut site);
 }
 
 #[test]
