Unanswered trials count half against a task

Its trial had been ordered at another that crashed, through another task, before it could answer; trials counted even if unanswered.

Two unanswered trials now count as one suspicion.

unstarted_task_not_given_up, with upstreams that were not yet down, failed before.

--- a/crates/kernel/src/dispatch/crashes.rs
+++ b/crates/kernel/src/dispatch/crashes.rs
@@ -26,6 +26,10 @@
 /// twice.
 const MAX_SUSPICIONS: u32 = 2;
 
+/// Unanswered trials that count as one suspicion: the task may crash its upstream before
+/// it answers, or its order may have been on its way when another task did.
+const UNANSWERED_PER_SUSPICION: u32 = 2;
+
 /// Crashes in all after which a task is given up: it may crash its upstreams later than
 /// a suspect would, or the same one each time.
 const MAX_CRASHES: u32 = 3;
@@ -51,6 +55,8 @@
     suspected_at: Option<Key>,
     /// Those of upstreams that are not known to have started it.
     unconfirmed: u32,
+    /// Those of them that left a trial unanswered.
+    unanswered_trials: u32,
 }
 
 /// Time for which the crashes of a task are remembered after its job was dropped;
@@ -102,6 +108,7 @@
             suspicions: self.suspicions.max(other.suspicions),
             suspected_at: other.suspected_at.or(self.suspected_at),
             unconfirmed: self.unconfirmed.max(other.unconfirmed),
+            unanswered_trials: self.unanswered_trials.max(other.unanswered_trials),
         }
     }
 
@@ -112,6 +119,10 @@
         }
         match crash {
             Crash::Unconfirmed => self.unconfirmed += 1,
+            Crash::UnansweredTrial => {
+                self.unconfirmed += 1;
+                self.unanswered_trials += 1;
+            }
             Crash::Bystander => self.all += 1,
             Crash::Suspect => {
                 self.all += 1;
@@ -128,7 +139,8 @@
 
     /// Returns whether the task is to be given up, and why.
     pub(super) fn verdict(self) -> Option<Verdict> {
-        if self.suspicions >= MAX_SUSPICIONS {
+        let unanswered = self.unanswered_trials / UNANSWERED_PER_SUSPICION;
+        if self.suspicions + unanswered >= MAX_SUSPICIONS {
             Some(Verdict::Suspect)
         } else {
             (self.all >= MAX_CRASHES).then_some(Verdict::Present)
@@ -288,6 +300,7 @@
             suspicions: count.suspicions,
             suspected_at: count.suspected_at,
             unconfirmed: count.unconfirmed,
+            unanswered_trials: count.unanswered_trials,
         }
     }
 
@@ -298,6 +311,7 @@
             suspicions: self.suspicions,
             suspected_at: self.suspected_at,
             unconfirmed: self.unconfirmed,
+            unanswered_trials: self.unanswered_trials,
         }
     }
 }
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -230,11 +230,9 @@
             }
             let is_recent = slot.ordered_at <= noticed_at
                 && alive_at.saturating_sub(slot.ordered_at) <= SUSPECT_AGE;
-            // A trial is ordered beside no other one, so its crash counts even if the
-            // answer was lost with the upstream.
             let crash = match (slot.receipt != Receipt::Unknown, is_recent) {
                 (true, true) => Crash::Suspect,
-                (false, true) if slot.trial => Crash::Suspect,
+                (false, true) if slot.trial => Crash::UnansweredTrial,
                 (true, false) => Crash::Bystander,
                 (false, _) => Crash::Unconfirmed,
             };
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -109,6 +109,9 @@
     Bystander,
     /// It is not known to have started.
     Unconfirmed,
+    /// The same, and it was a trial: no other task that may have crashed an upstream had
+    /// just been ordered there.
+    UnansweredTrial,
 }
 
 impl fmt::Display for Ending {
@@ -122,6 +125,9 @@
             Self::Crashed(Crash::Suspect) => formatter.write_str("crashed:suspect"),
             Self::Crashed(Crash::Bystander) => formatter.write_str("crashed:bystander"),
             Self::Crashed(Crash::Unconfirmed) => formatter.write_str("crashed:unconfirmed"),
+            Self::Crashed(Crash::UnansweredTrial) => {
+                formatter.write_str("crashed:unanswered_trial")
+            }
         }
     }
 }
@@ -511,6 +517,8 @@
     pub suspected_at: Option<Incarnation>,
     /// Crashes of upstreams that are not known to have started it.
     pub unconfirmed: u32,
+    /// Those of them that left a trial unanswered.
+    pub unanswered_trials: u32,
 }
 
 /// All frames of leased tasks.
