--- a/crates/kernel/src/dispatch/crashes.rs
+++ b/crates/kernel/src/dispatch/crashes.rs
@@ -26,9 +26,10 @@
 /// twice.
 const MAX_SUSPICIONS: u32 = 2;
 
-/// Unanswered trials that count as one suspicion: the task may crash its upstream before
-/// it answers, or its order may have been on its way when another task did.
-const UNANSWERED_PER_SUSPICION: u32 = 2;
+/// Unanswered trials after which a task is given up, one less if it was also a suspect.
+/// The task may crash its upstreams before they answer; or its order was on its way when
+/// another task did, which seldom happens to a task twice.
+const MAX_UNANSWERED_TRIALS: u32 = 3;
 
 /// Crashes in all after which a task is given up: it may crash its upstreams later than
 /// a suspect would, or the same one each time.
@@ -139,8 +140,8 @@
 
     /// Returns whether the task is to be given up, and why.
     pub(super) fn verdict(self) -> Option<Verdict> {
-        let unanswered = self.unanswered_trials / UNANSWERED_PER_SUSPICION;
-        if self.suspicions + unanswered >= MAX_SUSPICIONS {
+        let evidence = self.unanswered_trials + self.suspicions.min(1);
+        if self.suspicions >= MAX_SUSPICIONS || evidence >= MAX_UNANSWERED_TRIALS {
             Some(Verdict::Suspect)
         } else {
             (self.all >= MAX_CRASHES).then_some(Verdict::Present)
