--- a/crates/kernel/src/dispatch/crashes.rs
+++ b/crates/kernel/src/dispatch/crashes.rs
@@ -2,7 +2,8 @@
 //!
 //! A crash loses all runs at the upstream, and any of those that had just started may
 //! be its cause. A task that was such a suspect is started again beside no other
-//! suspect of this entry, so that a second crash shows which of them it was.
+//! suspect, which its side enforces for all entries, so that a second crash shows which
+//! of them it was.
 
 use super::{
     Dispatcher, Event, Job, Key, Phase,
