Culprits are not also sent as crash counts; small simplifications

Read again after the incident: giving up a culprit sent each entry two frames, the culprit and the counts of its job, though the job is kept as failed for longer than the counts. The evidence is a Vec, since nothing is taken from its front; one binding and one mapping less in guard::hold and the settings.

--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -337,15 +337,16 @@
     let region = reader.optional("side", "region", EXPECTED_REGION);
     let contact_ms: Option<u64> = reader.optional("upstream", "contact_ms", EXPECTED_MILLISECONDS);
     let report_ms: Option<u64> = reader.optional("upstream", "report_ms", EXPECTED_MILLISECONDS);
-    let max_capacity_age = contact_ms.zip(report_ms);
+    let max_capacity_age = contact_ms
+        .zip(report_ms)
+        .map(|(contact_ms, report_ms)| Duration::from_millis(contact_ms + report_ms));
     Some(Leased {
         lease,
         address,
         service: service.unwrap_or_default(),
         store,
         region: region.unwrap_or_else(|| DEFAULT_REGION.to_owned()),
-        max_capacity_age: max_capacity_age
-            .map(|(contact_ms, report_ms)| Duration::from_millis(contact_ms + report_ms)),
+        max_capacity_age,
     })
 }
 
--- a/crates/kernel/src/dispatch/confinement.rs
+++ b/crates/kernel/src/dispatch/confinement.rs
@@ -13,7 +13,7 @@
 };
 use crate::neighbourhood;
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 use wire::lease::{Queue, Task};
@@ -51,7 +51,7 @@
 /// The confined queues and their hosts.
 #[derive(Debug, Default)]
 pub(super) struct Confinement {
-    evidence: VecDeque<Evidence>,
+    evidence: Vec<Evidence>,
     queues: BTreeSet<String>,
     /// Time of the last job by queue.
     arrivals: BTreeMap<String, Duration>,
@@ -76,7 +76,7 @@
     pub(super) fn record(&mut self, evidence: Evidence) {
         let known = |known: &Evidence| known.task == evidence.task;
         if !self.evidence.iter().any(known) {
-            self.evidence.push_back(evidence);
+            self.evidence.push(evidence);
         }
     }
 
--- a/crates/kernel/src/dispatch/crashes.rs
+++ b/crates/kernel/src/dispatch/crashes.rs
@@ -185,7 +185,11 @@
     /// resubmit it, here or at another entry.
     pub(super) fn remember_crashes(&mut self, now: Duration, job: &Job) {
         let crashed = job.crashes();
-        if crashed.is_empty() || job.is_done() {
+        // The other entries are told of a culprit, and keep its job as failed for longer.
+        let is_told = crashed
+            .iter()
+            .any(|(_, crashes)| crashes.verdict().is_some());
+        if crashed.is_empty() || job.is_done() || is_told {
             return;
         }
         self.share_crashes(now, &crashed);
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -188,8 +188,7 @@
     fn end_previous_runs(&mut self, now: Duration, absent: bool) {
         self.mark_crashed(now);
         let (received, unknown): (Vec<Task>, Vec<Task>) = self.runs.keys().partition(|task| {
-            let slot = &self.runs[*task];
-            let receipt = slot.receipt;
+            let receipt = self.runs[*task].receipt;
             receipt == Receipt::Listed
                 || (absent && receipt == Receipt::Accepted)
                 || is_seeded(Mutant::EarlyLife)
