--- a/crates/kernel/src/dispatch/confinement.rs
+++ b/crates/kernel/src/dispatch/confinement.rs
@@ -6,7 +6,7 @@
 //! the queue gets hosts of its own, and the others keep the rest.
 
 use super::{
-    crashes::Verdict,
+    crash_count::Verdict,
     fleet::{Fleet, Key, Link, Side},
     job::Job,
     rules::ActiveRules,
--- a/crates/kernel/src/dispatch/crashes.rs
+++ b/crates/kernel/src/dispatch/crashes.rs
@@ -8,59 +8,18 @@
 use super::{
     Dispatcher, Event, Job, Key, Phase,
     confinement::{Change, Evidence},
+    crash_count::{Crashes, Verdict},
 };
-use crate::{
-    millis,
-    mutation::{Mutant, is_seeded},
-};
+use crate::millis;
 use std::{
     collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 use wire::{
     id::Incarnation,
-    lease::{Crash, CrashCount, Culprit, End, Ending, Frame, Task},
+    lease::{CrashCount, Culprit, End, Ending, Frame, Task},
 };
 
-/// Crashes as a suspect after which a task is given up. Since suspects are separated
-/// after the first crash, a task that only ran beside the cause is rarely a suspect
-/// twice.
-const MAX_SUSPICIONS: u32 = 2;
-
-/// Unanswered trials after which a task is given up, one less if it was also a suspect.
-/// The task may crash its upstreams before they answer; or its order was on its way when
-/// another task did, which seldom happens to a task twice.
-const MAX_UNANSWERED_TRIALS: u32 = 3;
-
-/// Crashes in all after which a task is given up: it may crash its upstreams later than
-/// a suspect would, or the same one each time.
-const MAX_CRASHES: u32 = 3;
-
-/// Why a task is given up after crashes of its upstreams.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Verdict {
-    /// It was a suspect of [`MAX_SUSPICIONS`] crashes.
-    Suspect,
-    /// It was there in [`MAX_CRASHES`] crashes.
-    Present,
-}
-
-/// The crashes of upstreams that had a run of a task.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Crashes {
-    /// Those of upstreams that had started the task.
-    all: u32,
-    /// Those of them that the task may have caused, each at another upstream than the
-    /// one before.
-    suspicions: u32,
-    /// Side of the last suspicion.
-    suspected_at: Option<Key>,
-    /// Those of upstreams that are not known to have started it.
-    unconfirmed: u32,
-    /// Those of them that left a trial unanswered.
-    unanswered_trials: u32,
-}
-
 /// Time for which the crashes of a task are remembered after its job was dropped;
 /// customers resubmit jobs within seconds.
 const MEMORY_TIME: Duration = Duration::from_mins(1);
@@ -97,59 +56,6 @@
     }
 }
 
-impl Crashes {
-    /// Returns whether any upstream has crashed.
-    pub(super) fn is_any(self) -> bool {
-        self.all > 0 || self.unconfirmed > 0
-    }
-
-    /// Returns the larger counts of two entries, which may have counted the same crashes.
-    fn merged(self, other: Self) -> Self {
-        Self {
-            all: self.all.max(other.all),
-            suspicions: self.suspicions.max(other.suspicions),
-            suspected_at: other.suspected_at.or(self.suspected_at),
-            unconfirmed: self.unconfirmed.max(other.unconfirmed),
-            unanswered_trials: self.unanswered_trials.max(other.unanswered_trials),
-        }
-    }
-
-    /// Counts a crash.
-    pub(super) fn record(&mut self, crash: Crash, side: Key) {
-        if is_seeded(Mutant::CrashForgotten) {
-            return;
-        }
-        match crash {
-            Crash::Unconfirmed => self.unconfirmed += 1,
-            Crash::UnansweredTrial => {
-                self.unconfirmed += 1;
-                self.unanswered_trials += 1;
-            }
-            Crash::Bystander => self.all += 1,
-            Crash::Suspect => {
-                self.all += 1;
-                self.suspicions += u32::from(self.suspected_at != Some(side));
-                self.suspected_at = Some(side);
-            }
-        }
-    }
-
-    /// Returns whether the task is to be started beside no other suspect.
-    pub(super) fn are_suspicious(self) -> bool {
-        self.suspicions > 0 || self.unconfirmed > 0
-    }
-
-    /// Returns whether the task is to be given up, and why.
-    pub(super) fn verdict(self) -> Option<Verdict> {
-        let evidence = self.unanswered_trials + self.suspicions.min(1);
-        if self.suspicions >= MAX_SUSPICIONS || evidence >= MAX_UNANSWERED_TRIALS {
-            Some(Verdict::Suspect)
-        } else {
-            (self.all >= MAX_CRASHES).then_some(Verdict::Present)
-        }
-    }
-}
-
 impl Dispatcher {
     /// Fails the job of a task that crashes its upstreams, and tells the other entries:
     /// its customer may resubmit it there if this entry is lost before it answers.
@@ -299,29 +205,6 @@
     }
 }
 
-impl Crashes {
-    fn of(count: CrashCount) -> Self {
-        Self {
-            all: count.all,
-            suspicions: count.suspicions,
-            suspected_at: count.suspected_at,
-            unconfirmed: count.unconfirmed,
-            unanswered_trials: count.unanswered_trials,
-        }
-    }
-
-    fn frame(self, task: Task) -> CrashCount {
-        CrashCount {
-            task,
-            all: self.all,
-            suspicions: self.suspicions,
-            suspected_at: self.suspected_at,
-            unconfirmed: self.unconfirmed,
-            unanswered_trials: self.unanswered_trials,
-        }
-    }
-}
-
 impl Evidence {
     /// Makes evidence of another entry's frame.
     fn of(culprit: Culprit, now: Duration) -> Self {
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -1,6 +1,6 @@
 //! A job and its tasks, at the entry that accepted it.
 
-use super::{backlog::Rank, crashes::Crashes, fleet::Key};
+use super::{backlog::Rank, crash_count::Crashes, fleet::Key};
 use std::time::Duration;
 use wire::lease::{Need, Queue, Run, Task};
 
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod arrivals;
 mod backlog;
 mod confinement;
+mod crash_count;
 mod crashes;
 mod exchange;
 mod fleet;
