--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -465,6 +465,12 @@
             .is_some_and(|side| side.eject(now, allowed))
     }
 
+    /// Returns whether runs at an upstream are late through no fault of their estimates.
+    pub(super) fn is_suspect(&self, key: Key) -> bool {
+        let side = self.get(key);
+        side.is_some_and(|side| side.lateness.is_suspect())
+    }
+
     /// Sums up the rates of all sides, if that is due.
     pub(super) fn review_speeds(&mut self, now: Duration) {
         if now.saturating_sub(self.speeds_reviewed_at) < RATE_REVIEW_INTERVAL {
--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -252,15 +252,8 @@
         if !self.should_move(now, progress) {
             return;
         }
-        self.stats.moved += 1;
-        self.events.push(Event::Moved {
-            run: progress.run,
-            side: from,
-            elapsed: Duration::from_millis(progress.elapsed.into()),
-            percent: progress.percent,
-            stalled: Duration::from_millis(progress.stalled.into()),
-        });
-        let ejected = if is_stalled(progress) {
+        let stalled = is_stalled(progress);
+        let ejected = if stalled {
             let allowed = self.fleet.may_eject(now, from);
             self.fleet
                 .get_mut(from)
@@ -271,6 +264,17 @@
         if ejected {
             self.report_ejection(from, progress.run);
         }
+        if !stalled && !self.fleet.is_suspect(from) {
+            return;
+        }
+        self.stats.moved += 1;
+        self.events.push(Event::Moved {
+            run: progress.run,
+            side: from,
+            elapsed: Duration::from_millis(progress.elapsed.into()),
+            percent: progress.percent,
+            stalled: Duration::from_millis(progress.stalled.into()),
+        });
         self.send(from, Frame::Stop(vec![progress.run]));
     }
 
--- a/crates/kernel/src/dispatch/lateness.rs
+++ b/crates/kernel/src/dispatch/lateness.rs
@@ -15,6 +15,9 @@
 /// such in a row occur every 20 s, and four every ten minutes.
 const JOBS: usize = 4;
 
+/// The same for the suspicion that lets a run be moved.
+const JOBS_FOR_SUSPICION: usize = 2;
+
 /// Returns whether a run is late that was expected to take `expected_ms` at its host.
 pub(super) fn is_late(expected_ms: f64, spent_ms: f64) -> bool {
     spent_ms > expected_ms * LATE_FACTOR + LATE_MARGIN_MS
@@ -40,6 +43,13 @@
         self.jobs.push_back((job, late));
     }
 
+    /// Returns whether the last two jobs were both late. A single late job may have a
+    /// bad estimate, which says nothing about the upstream.
+    pub(super) fn is_suspect(&self) -> bool {
+        let last = self.jobs.iter().rev().take(JOBS_FOR_SUSPICION);
+        self.jobs.len() >= JOBS_FOR_SUSPICION && last.into_iter().all(|(_, late)| *late)
+    }
+
     /// Returns whether the last jobs were all late.
     pub(super) fn is_slow(&self) -> bool {
         self.jobs.len() == JOBS && self.jobs.iter().all(|(_, late)| *late)
