--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -94,8 +94,7 @@
     /// Accepts a job, or refuses it if it can't be served.
     fn admit(&mut self, now: Duration, arrival: Arrival, job: Job) {
         self.confinement.record_arrival(now, &job.queue);
-        let forecast = self.forecast_job(now, &job, job.rank.level());
-        let wait = forecast.wait(job.submission.work());
+        let wait = self.expected_wait(now, &job);
         let reason = if self.may_run_past_exit(now + wait, arrival.forwarder_exit, &job) {
             Some(Reason::Leaving)
         } else {
@@ -110,6 +109,18 @@
         }
     }
 
+    /// Forecasts the wait of a job that arrives. If it is too long for the objective,
+    /// the job will be ranked behind all that can still meet theirs.
+    fn expected_wait(&self, now: Duration, job: &Job) -> Duration {
+        let work = job.submission.work();
+        let wait = self.forecast_job(now, job, job.rank.level()).wait(work);
+        if now + wait <= job.start_by {
+            return wait;
+        }
+        let late = self.forecast_job(now, job, LATE_LEVEL).wait(work);
+        wait.max(late)
+    }
+
     fn accept(&mut self, now: Duration, mut job: Job, wait: Duration) {
         self.stats.accepted += 1;
         self.events.push(Event::Accepted {
