--- a/crates/kernel/src/dispatch/backlog.rs
+++ b/crates/kernel/src/dispatch/backlog.rs
@@ -13,21 +13,21 @@
 /// Sort key of waiting tasks.
 ///
 /// Jobs that can still meet their objectives come before those that cannot.
-/// Then come higher priorities, then jobs that have started, whose work is
+/// Then come lower levels, then jobs that have started, whose work is
 /// wasted unless they end, then earlier due times.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     pub(super) late: bool,
-    pub(super) priority: u8,
+    pub(super) level: u8,
     pub(super) unstarted: bool,
     pub(super) due: Duration,
 }
 
 impl Rank {
-    /// Returns the level under which the work is counted: the priority, or
-    /// [`LATE_LEVEL`].
+    /// Returns the level under which the work is counted: the job's level,
+    /// or [`LATE_LEVEL`].
     pub(super) fn level(self) -> u8 {
-        if self.late { LATE_LEVEL } else { self.priority }
+        if self.late { LATE_LEVEL } else { self.level }
     }
 }
 
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -1,6 +1,6 @@
 //! A job and its tasks, at the entry that accepted it.
 
-use super::{backlog::Rank, crash_count::Crashes, fleet::Key};
+use super::{backlog::Rank, crash_count::Crashes, fairness::level_of, fleet::Key};
 use std::time::Duration;
 use wire::lease::{Need, Queue, Run, Task};
 
@@ -103,7 +103,8 @@
     pub(super) submission: Submission,
     pub(super) queue: String,
     pub(super) service: String,
-    pub(super) priority: u8,
+    /// Level at which it is served while it can meet its objective; 0 comes first.
+    pub(super) level: u8,
     pub(super) max_failures: u32,
     pub(super) accepted: Duration,
     /// Time that the customer has likely waited at another entry before; zero
@@ -149,7 +150,7 @@
         let mut job = Self {
             queue: queue.name.clone(),
             service: queue.service.clone(),
-            priority: queue.priority,
+            level: level_of(queue),
             max_failures: queue.attempts.max(1),
             accepted: now,
             waited,
@@ -265,7 +266,7 @@
         let unstarted = !self.may_have_run();
         Rank {
             late: unstarted && now > self.start_by,
-            priority: self.priority,
+            level: self.level,
             unstarted,
             due: self.due,
         }
--- a/crates/kernel/src/dispatch/loop_lateness.rs
+++ b/crates/kernel/src/dispatch/loop_lateness.rs
@@ -1,10 +1,7 @@
 //! The lateness of the entry's event loop: what the dispatcher does less often
 //! because of it, and what the customers' interface needs to refuse jobs unread.
 
-use super::{
-    Dispatcher, Job, Reason,
-    backlog::{LATE_LEVEL, Rank},
-};
+use super::{Dispatcher, Job, Reason, backlog::LATE_LEVEL, fairness::level_of};
 use crate::pressure::Lane;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -56,11 +53,7 @@
         let mut waits: BTreeMap<(&String, u8), Duration> = BTreeMap::new();
         let mut lanes = Vec::with_capacity(rules.queues.len());
         for queue in &rules.queues {
-            let level = Rank {
-                priority: queue.priority,
-                ..Rank::default()
-            }
-            .level();
+            let level = level_of(queue);
             let wait = *waits
                 .entry((&queue.service, queue.priority))
                 .or_insert_with(|| self.forecast(now, &queue.service, level).wait(0));
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 mod crash_count;
 mod crashes;
 mod exchange;
+mod fairness;
 mod fleet;
 mod follow;
 mod forecast;
@@ -48,6 +49,7 @@
 use admission::Admission;
 use confinement::{Confinement, Eligibility};
 use crashes::CrashMemory;
+use fairness::Fairness;
 use fleet::{Link, Side};
 use forward::Forwarding;
 use history::History;
@@ -89,6 +91,7 @@
     rules: ActiveRules,
     peers: Peers,
     admission: Admission,
+    fairness: Fairness,
     placement: Placement,
     forwarding: Forwarding,
     confinement: Confinement,
@@ -113,6 +116,7 @@
             rules: ActiveRules::new(),
             peers: Peers::new(),
             admission,
+            fairness: Fairness::default(),
             placement: Placement::new(domain, seed),
             forwarding: Forwarding::new(timing, domain, startup_ends, seed),
             confinement: Confinement::default(),
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -75,6 +75,9 @@
             .collect();
         for id in late {
             self.rerank(now, id);
+            if let Some(job) = self.jobs.get(&id) {
+                self.fairness.record_miss(now, &job.queue);
+            }
         }
     }
 
@@ -113,7 +116,7 @@
             step: Step { job: id, number },
             count,
             need: step.need,
-            priority: job.priority,
+            priority: job.level,
             slack: u32::try_from(millis(job.start_by.saturating_sub(now))).unwrap_or(u32::MAX),
             begun: job.may_have_run(),
         };
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -84,8 +84,11 @@
         let waited =
             self.admission
                 .learn_patience(&queue.name, submission.patience, resubmit_after);
+        let level = self.fairness.level(now, queue, &rules.queues);
         let mut job = Job::new(arrival.at, waited, customer, queue, submission);
+        job.level = level;
         job.rank = job.rank_at(now);
+        self.fairness.record_offer(now, &job.queue);
         if let Some(job) = self.refuse_overtaken(now, customer, job) {
             self.admit(now, arrival, job);
         }
@@ -440,6 +443,10 @@
     }
 
     pub(super) fn log_refusal(&mut self, now: Duration, job: &Job, reason: Reason, wait: Duration) {
+        // A job that was ranked as late has been counted then.
+        if reason == Reason::Overload && !job.rank.late {
+            self.fairness.record_miss(now, &job.queue);
+        }
         self.events.push(Event::Refused {
             job: job.submission.job,
             queue: job.queue.clone(),
