--- a/crates/kernel/src/dispatch/forecast.rs
+++ b/crates/kernel/src/dispatch/forecast.rs
@@ -16,35 +16,22 @@
 const MAX_OVERTAKING_LATE: f64 = 0.5;
 
 impl Dispatcher {
-    /// Forecasts the wait of a job, which may belong to a confined queue.
-    pub(super) fn forecast_job(&self, now: Duration, job: &Job, level: u8) -> Forecast {
-        if self.confinement.is_confined(&job.queue) {
-            self.forecast_confined(now, &job.service)
-        } else {
-            self.forecast(now, &job.service, level)
+    /// Returns the load that a job meets. A confined queue's job meets only the work of
+    /// the service's confined queues, on this entry's share of their hosts.
+    pub(super) fn job_load(&self, now: Duration, job: &Job) -> Load {
+        if !self.confinement.is_confined(&job.queue) {
+            return self.load(now, &job.service);
         }
-    }
-
-    /// Forecasts the wait of a confined queue's job, from this entry's share of the
-    /// hosts of the service's confined queues.
-    #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
-    fn forecast_confined(&self, now: Duration, service: &str) -> Forecast {
-        let usable = self.rules.usable(now, &self.fleet, service);
+        let usable = self.rules.usable(now, &self.fleet, &job.service);
         let share = usable
-            .filter(|(key, _)| self.confinement.is_confined_host(service, *key))
+            .filter(|(key, _)| self.confinement.is_confined_host(&job.service, *key))
             .fold(Share::default(), |sum, (_, side)| sum.plus(side.share()));
-        let of_service = |job: &&Job| job.service == service;
-        let queued_work: u64 = self
-            .confined_jobs()
-            .filter(of_service)
-            .map(waiting_work)
-            .sum();
-        Forecast {
-            startup_left: Duration::ZERO,
-            queued_work: queued_work as f64 * self.fleet.mean_slowness.max(1.0)
-                - share.free as f64 * self.fleet.mean_run_ms / 1e3,
-            overtaking: 0.0,
-            throughput: share.total.max(1) as f64,
+        let of_service = |other: &&Job| other.service == job.service;
+        let waiting = self.confined_jobs().filter(of_service).map(waiting_work);
+        Load {
+            // Their levels do not matter: all of it is ahead.
+            waiting: vec![(0, waiting.sum())],
+            ..self.load_of(share)
         }
     }
 
@@ -67,35 +54,33 @@
         })
     }
 
-    /// Forecasts a job's wait from the work at all entries and the usable sides.
-    #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
-    pub(super) fn forecast(&self, now: Duration, service: &str, level: u8) -> Forecast {
+    /// Returns the load of a service: the work at all entries, and the usable sides.
+    pub(super) fn load(&self, now: Duration, service: &str) -> Load {
         let fleet = self.fleet_share(now, service);
         if fleet.total == 0 && self.admission.is_starting(now) {
-            return Forecast {
+            return Load {
                 startup_left: self.admission.startup_left(now),
-                ..Forecast::default()
+                ..self.load_of(fleet)
             };
         }
-        let throughput = fleet.total.max(1) as f64;
-        let mean_slowness = self.fleet.mean_slowness.max(1.0);
-        let waiting = self.unconfined_work();
-        let queued_work = work_ahead(waiting.chain(self.peers.waiting()), level) as f64;
         let arriving = self.admission.arriving(now).chain(self.peers.arriving());
-        let overtaking = match level.checked_sub(1) {
-            Some(above) => work_ahead(arriving, above) as f64 * mean_slowness / throughput,
-            None => 0.0,
-        };
-        Forecast {
+        Load {
+            waiting: self.unconfined_work().chain(self.peers.waiting()).collect(),
+            arriving: arriving.collect(),
+            ..self.load_of(fleet)
+        }
+    }
+
+    /// Returns the load of hosts for which no work waits or arrives.
+    #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
+    fn load_of(&self, hosts: Share) -> Load {
+        Load {
             startup_left: Duration::ZERO,
-            queued_work: queued_work * mean_slowness
-                - fleet.free as f64 * self.fleet.mean_run_ms / 1e3,
-            overtaking: overtaking.min(if level == LATE_LEVEL {
-                MAX_OVERTAKING_LATE
-            } else {
-                MAX_OVERTAKING
-            }),
-            throughput,
+            waiting: Vec::new(),
+            arriving: Vec::new(),
+            mean_slowness: self.fleet.mean_slowness.max(1.0),
+            free_work: hosts.free as f64 * self.fleet.mean_run_ms / 1e3,
+            throughput: hosts.total.max(1) as f64,
         }
     }
 
@@ -116,8 +101,48 @@
     }
 }
 
+/// Work and hosts that a job meets, from which its wait is forecast at any level.
+#[derive(Debug)]
+pub(super) struct Load {
+    /// Remaining time in which the first sides are expected; zero after that.
+    startup_left: Duration,
+    /// Waiting work in core-milliseconds, by level.
+    waiting: Vec<(u8, u64)>,
+    /// Arriving work in core-milliseconds per second, by level.
+    arriving: Vec<(u8, u64)>,
+    /// Run time divided by estimate, at least 1.
+    mean_slowness: f64,
+    /// Work that free hosts can start at once, in core-milliseconds.
+    free_work: f64,
+    /// Capacity, in core-milliseconds per second.
+    throughput: f64,
+}
+
+impl Load {
+    /// Forecasts the wait at a level.
+    #[expect(clippy::cast_precision_loss, reason = "work stays far below 2^52")]
+    pub(super) fn forecast(&self, level: u8) -> Forecast {
+        let work_at = |levels: &[(u8, u64)], level| {
+            work_ahead(levels.iter().copied(), level) as f64 * self.mean_slowness
+        };
+        let overtaking = level.checked_sub(1).map_or(0.0, |above| {
+            work_at(&self.arriving, above) / self.throughput
+        });
+        Forecast {
+            startup_left: self.startup_left,
+            queued_work: work_at(&self.waiting, level) - self.free_work,
+            overtaking: overtaking.min(if level == LATE_LEVEL {
+                MAX_OVERTAKING_LATE
+            } else {
+                MAX_OVERTAKING
+            }),
+            throughput: self.throughput,
+        }
+    }
+}
+
 /// Inputs from which the wait of a job is estimated.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug)]
 pub(super) struct Forecast {
     /// Remaining time in which the first sides are expected; zero after that.
     startup_left: Duration,
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -1,6 +1,6 @@
 //! A job and its tasks, at the entry that accepted it.
 
-use super::{backlog::Rank, crash_count::Crashes, fairness::level_of, fleet::Key};
+use super::{backlog::Rank, crash_count::Crashes, fleet::Key};
 use std::time::Duration;
 use wire::lease::{Need, Queue, Run, Task};
 
@@ -137,20 +137,21 @@
 }
 
 impl Job {
-    /// Makes a job of a submission. `waited` is the time that the customer has
+    /// Makes a job of a submission, which is served at `level`. `waited` is the time that the customer has
     /// likely waited at another entry before.
     pub(super) fn new(
         now: Duration,
         waited: Duration,
         customer: u64,
         queue: &Queue,
+        level: u8,
         submission: Submission,
     ) -> Self {
         let target = Duration::from_millis(queue.target.into());
         let mut job = Self {
             queue: queue.name.clone(),
             service: queue.service.clone(),
-            level: level_of(queue),
+            level,
             max_failures: queue.attempts.max(1),
             accepted: now,
             waited,
--- a/crates/kernel/src/dispatch/loop_lateness.rs
+++ b/crates/kernel/src/dispatch/loop_lateness.rs
@@ -56,7 +56,7 @@
             let level = level_of(queue);
             let wait = *waits
                 .entry((&queue.service, queue.priority))
-                .or_insert_with(|| self.forecast(now, &queue.service, level).wait(0));
+                .or_insert_with(|| self.load(now, &queue.service).forecast(level).wait(0));
             lanes.push(Lane {
                 host: queue.host.clone(),
                 prefix: queue.prefix.clone(),
@@ -74,7 +74,7 @@
         let services: BTreeSet<&str> = queues.map(|queue| queue.service.as_str()).collect();
         services
             .into_iter()
-            .map(|service| self.forecast(now, service, LATE_LEVEL).wait(0))
+            .map(|service| self.load(now, service).forecast(LATE_LEVEL).wait(0))
             .max()
             .unwrap_or_default()
     }
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -85,8 +85,7 @@
             self.admission
                 .learn_patience(&queue.name, submission.patience, resubmit_after);
         let level = self.fairness.level(now, queue, &rules.queues);
-        let mut job = Job::new(arrival.at, waited, customer, queue, submission);
-        job.level = level;
+        let mut job = Job::new(arrival.at, waited, customer, queue, level, submission);
         job.rank = job.rank_at(now);
         self.fairness.record_offer(now, &job.queue);
         if let Some(job) = self.refuse_overtaken(now, customer, job) {
@@ -116,12 +115,12 @@
     /// the job will be ranked behind all that can still meet theirs.
     fn expected_wait(&self, now: Duration, job: &Job) -> Duration {
         let work = job.submission.work();
-        let wait = self.forecast_job(now, job, job.rank.level()).wait(work);
+        let load = self.job_load(now, job);
+        let wait = load.forecast(job.rank.level()).wait(work);
         if now + wait <= job.start_by {
             return wait;
         }
-        let late = self.forecast_job(now, job, LATE_LEVEL).wait(work);
-        wait.max(late)
+        wait.max(load.forecast(LATE_LEVEL).wait(work))
     }
 
     fn accept(&mut self, now: Duration, mut job: Job, wait: Duration) {
@@ -378,7 +377,7 @@
                 let confined = self.confinement.is_confined(&job.queue);
                 let forecast = forecasts
                     .entry((&job.service, confined))
-                    .or_insert_with(|| self.forecast_job(now, job, LATE_LEVEL));
+                    .or_insert_with(|| self.job_load(now, job).forecast(LATE_LEVEL));
                 let wait = forecast.wait(job.submission.work());
                 !self.is_useful(now + wait, job)
             };
@@ -421,7 +420,7 @@
                     unfinished: job.unfinished(),
                 });
             } else {
-                let forecast = self.forecast_job(now, &job, LATE_LEVEL);
+                let forecast = self.job_load(now, &job).forecast(LATE_LEVEL);
                 wait = forecast.wait(job.submission.work());
                 self.log_refusal(now, &job, reason, wait);
             }
