--- a/crates/kernel/src/dispatch/arrivals.rs
+++ b/crates/kernel/src/dispatch/arrivals.rs
@@ -44,7 +44,11 @@
     }
 
     fn decay(&self, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        (-passed / AVERAGING_WINDOW.as_secs_f64()).exp()
+        remaining(now.saturating_sub(self.at), AVERAGING_WINDOW)
     }
 }
+
+/// Returns the weight in an exponential average that is left of what lies `passed` back.
+pub(super) fn remaining(passed: Duration, window: Duration) -> f64 {
+    (-passed.as_secs_f64() / window.as_secs_f64()).exp()
+}
--- a/crates/kernel/src/dispatch/fairness.rs
+++ b/crates/kernel/src/dispatch/fairness.rs
@@ -6,6 +6,7 @@
 //! therefore served before all others until its share has risen again (max-min fairness,
 //! relative to each queue's demand).
 
+use super::arrivals::remaining;
 use std::{collections::BTreeMap, time::Duration};
 use wire::lease::Queue;
 
@@ -67,15 +68,20 @@
     /// Returns the level at which a queue's next job is served: that of its priority, or
     /// [`PROMOTED_LEVEL`] while its share is too low.
     pub(super) fn level(&self, now: Duration, queue: &Queue, queues: &[Queue]) -> u8 {
-        let of_service = || queues.iter().filter(|other| other.service == queue.service);
+        let own = self.queues.get(&queue.name);
+        let share = own.map_or(1.0, |demand| served_share(demand.offered, demand.missed));
+        // Without a shortage no sum is needed: the mean is at most 1, and rules may list a
+        // thousand queues.
+        if share >= MIN_RELATIVE_SHARE {
+            return level_of(queue);
+        }
+        let of_service = queues.iter().filter(|other| other.service == queue.service);
         let (mut offered, mut missed) = (0.0, 0.0);
-        for demand in of_service().filter_map(|other| self.queues.get(&other.name)) {
+        for demand in of_service.filter_map(|other| self.queues.get(&other.name)) {
             let decay = demand.decay(now);
             offered += demand.offered * decay;
             missed += demand.missed * decay;
         }
-        let own = self.queues.get(&queue.name);
-        let share = own.map_or(1.0, |demand| served_share(demand.offered, demand.missed));
         if share >= served_share(offered, missed) * MIN_RELATIVE_SHARE {
             level_of(queue)
         } else {
@@ -99,8 +105,7 @@
     }
 
     fn decay(&self, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        (-passed / AVERAGING_WINDOW.as_secs_f64()).exp()
+        remaining(now.saturating_sub(self.at), AVERAGING_WINDOW)
     }
 }
 
