--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -465,7 +465,7 @@
             .is_some_and(|side| side.eject(now, allowed))
     }
 
-    /// Returns whether runs at an upstream are late through no fault of their estimates.
+    /// Returns [`Lateness::is_suspect`] of an upstream.
     pub(super) fn is_suspect(&self, key: Key) -> bool {
         let side = self.get(key);
         side.is_some_and(|side| side.lateness.is_suspect())
--- a/crates/kernel/src/dispatch/lateness.rs
+++ b/crates/kernel/src/dispatch/lateness.rs
@@ -15,8 +15,9 @@
 /// such in a row occur every 20 s, and four every ten minutes.
 const JOBS: usize = 4;
 
-/// The same for the suspicion that lets a run be moved.
-const JOBS_FOR_SUSPICION: usize = 2;
+/// Number of jobs in a row whose runs must be late before a slow run is moved. A single
+/// late job may have a bad estimate, which says nothing about the upstream.
+const JOBS_TO_MOVE: usize = 2;
 
 /// Returns whether a run is late that was expected to take `expected_ms` at its host.
 pub(super) fn is_late(expected_ms: f64, spent_ms: f64) -> bool {
@@ -43,15 +44,19 @@
         self.jobs.push_back((job, late));
     }
 
-    /// Returns whether the last two jobs were both late. A single late job may have a
-    /// bad estimate, which says nothing about the upstream.
+    /// Returns whether a slow run may be the upstream's fault, and not its estimate's.
     pub(super) fn is_suspect(&self) -> bool {
-        let last = self.jobs.iter().rev().take(JOBS_FOR_SUSPICION);
-        self.jobs.len() >= JOBS_FOR_SUSPICION && last.into_iter().all(|(_, late)| *late)
+        self.are_late(JOBS_TO_MOVE)
     }
 
-    /// Returns whether the last jobs were all late.
+    /// Returns whether the upstream has become slower than its rate explains.
     pub(super) fn is_slow(&self) -> bool {
-        self.jobs.len() == JOBS && self.jobs.iter().all(|(_, late)| *late)
+        self.are_late(JOBS)
+    }
+
+    /// Returns whether the last `count` jobs were all late.
+    fn are_late(&self, count: usize) -> bool {
+        let mut last = self.jobs.iter().rev().take(count);
+        self.jobs.len() >= count && last.all(|(_, late)| *late)
     }
 }
