--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -116,7 +116,7 @@
             step: Step { job: id, number },
             count,
             need: step.need,
-            priority: job.level,
+            level: job.level,
             slack: u32::try_from(millis(job.start_by.saturating_sub(now))).unwrap_or(u32::MAX),
             begun: job.may_have_run(),
         };
--- a/crates/kernel/src/guard/queue.rs
+++ b/crates/kernel/src/guard/queue.rs
@@ -5,7 +5,7 @@
 //! task from the entry, which starts one unless all have been placed elsewhere.
 //! The steps of different entries are ranked against each other only here.
 //! Steps that can still meet their objective, or whose job has started tasks,
-//! come first; then the lower priority number; then jobs with started tasks;
+//! come first; then the lower level; then jobs with started tasks;
 //! then the earliest latest start. This is Sparrow's batch sampling with late
 //! binding (Ousterhout et al., 2013).
 
@@ -29,7 +29,7 @@
     step: Step,
     need: Need,
     count: u16,
-    priority: u8,
+    level: u8,
     begun: bool,
     /// Latest start that meets the objective.
     start_by: Duration,
@@ -38,7 +38,7 @@
 impl Waiting {
     fn rank(&self, now: Duration) -> (bool, u8, bool, Duration) {
         let is_late = now > self.start_by && !self.begun;
-        (is_late, self.priority, !self.begun, self.start_by)
+        (is_late, self.level, !self.begun, self.start_by)
     }
 }
 
@@ -79,7 +79,7 @@
             step: reserve.step,
             need: reserve.need,
             count: reserve.count,
-            priority: reserve.priority,
+            level: reserve.level,
             begun: reserve.begun,
             start_by: now + Duration::from_millis(reserve.slack.into()),
         });
@@ -123,7 +123,7 @@
     }
 
     /// Claims capacity for the highest-ranked step that fits into `free`. A step
-    /// of lower priority does not overtake one that needs more capacity, since that
+    /// of a higher level does not overtake one that needs more capacity, since that
     /// one could otherwise wait without end.
     pub(super) fn claim(&mut self, now: Duration, free: Need) -> Option<(Incarnation, Step)> {
         let first = self.waiting.iter().map(|waiting| waiting.rank(now)).min()?;
@@ -133,8 +133,8 @@
             .enumerate()
             .filter(|(_, waiting)| waiting.need.fits(free))
             .filter(|(_, waiting)| {
-                let (is_late, priority, ..) = waiting.rank(now);
-                (is_late, priority) == (first.0, first.1)
+                let (is_late, level, ..) = waiting.rank(now);
+                (is_late, level) == (first.0, first.1)
             })
             .min_by_key(|(_, waiting)| waiting.rank(now))?;
         let waiting = &mut self.waiting[index];
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -251,8 +251,9 @@
     pub count: u16,
     /// Resources that each task occupies.
     pub need: Need,
-    /// Priority of the job's queue; 0 comes first.
-    pub priority: u8,
+    /// Level at which the job is served: its queue's priority and one, or 0 before all
+    /// priorities.
+    pub level: u8,
     /// Time within which a task must start to meet the objective, in
     /// milliseconds.
     pub slack: u32,
@@ -319,10 +320,10 @@
     pub digest: u64,
     /// Number of jobs without a started task, by queue name.
     pub pending: Vec<(String, u32)>,
-    /// Waiting work in core-milliseconds, by priority; work that is late has the
-    /// lowest priority.
+    /// Waiting work in core-milliseconds, by level as in [`Reserve`]; work that is late has
+    /// the highest.
     pub waiting: Vec<(u8, u64)>,
-    /// Arriving work in core-milliseconds per second, by priority as `waiting`.
+    /// Arriving work in core-milliseconds per second, by level as `waiting`.
     pub arriving: Vec<(u8, u64)>,
     /// The sender's shares of the hosts that it uses, by service.
     pub shares: Vec<(String, Share)>,
