Logs tell why a run counts as over, which stops stay unanswered and which runs were left

The three hypotheses of the incident leave the same lines: run_over did not say by what evidence, an unanswered stop was repeated silently, and a run that a side lists for a job that is gone left no line.

run_over has evidence=listed, refused, stopped, lease_expired, all_leases_expired, gone or restarted; new events stop_unanswered (side) and runs_left (entry) with counters hyssoppost_stops_unanswered_total and hyssoppost_runs_left_total. No decision changes.

--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -199,6 +199,10 @@
             Event::RateInvalid { .. } => self.count("hyssoppost_rates_invalid_total"),
             Event::RunUnanswered { .. } => self.count("hyssoppost_orders_unanswered_total"),
             Event::RunOrphaned { .. } => self.count("hyssoppost_runs_orphaned_total"),
+            Event::StopUnanswered { .. } => self.count("hyssoppost_stops_unanswered_total"),
+            Event::RunsLeft { runs, .. } => {
+                self.add("hyssoppost_runs_left_total", u64::from(*runs));
+            }
             Event::UpstreamCrashed { .. } => self.count("hyssoppost_upstream_crashes_total"),
             _ => {}
         }
--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -93,6 +93,7 @@
             };
             self.record_end(now, from, end);
         }
+        self.report_left(from, runs);
         let unknown: Vec<Run> = runs
             .iter()
             .filter(|run| {
@@ -107,6 +108,24 @@
         }
     }
 
+    /// Reports the open runs of a side whose jobs are not open here any more.
+    fn report_left(&mut self, from: Key, runs: &[Run]) {
+        let is_left = |run: &&Run| {
+            let job = self.jobs.get(&run.task.job);
+            !job.is_some_and(|job| job.placed().contains(&(from, **run)))
+        };
+        let left = runs.iter().filter(is_left).count();
+        if let Some(side) = self.fleet.get(from)
+            && left > 0
+        {
+            self.events.push(Event::RunsLeft {
+                name: side.name.clone(),
+                side: from,
+                runs: u32::try_from(left).unwrap_or(u32::MAX),
+            });
+        }
+    }
+
     pub(super) fn record_end(&mut self, now: Duration, from: Key, end: End) {
         let known = self
             .fleet
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -31,6 +31,25 @@
     Claim,
 }
 
+/// Why a side counts a run as over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// The upstream has listed its end.
+    Listed,
+    /// The upstream has refused the only start order.
+    Refused,
+    /// The upstream has accepted a stop order, and a later list does not show the run.
+    Stopped,
+    /// The run's lease has expired on the upstream's clock, and a list does not show it.
+    LeaseExpired,
+    /// All leases have expired by the side's clock.
+    AllLeasesExpired,
+    /// The upstream's process has ended: its address refuses connections.
+    Gone,
+    /// Another process of the upstream has answered.
+    Restarted,
+}
+
 /// A decision, or a change in the view of other processes. Times are elapsed
 /// times, by the clock of the process that creates the event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -229,6 +248,16 @@
         /// Incarnation, new with each start of the process.
         side: Incarnation,
     },
+    /// A side that has connected lists runs of jobs that are not open here; they are
+    /// stopped.
+    RunsLeft {
+        /// Name in its settings.
+        name: String,
+        /// Incarnation, new with each start of the process.
+        side: Incarnation,
+        /// Number of these runs.
+        runs: u32,
+    },
     /// A disconnected side is removed; its runs count as ended.
     SideGone {
         /// Name in its settings.
@@ -314,9 +343,18 @@
         run: Run,
         /// Result of the run.
         ending: Ending,
+        /// Why it counts as over.
+        evidence: Evidence,
         /// Time since its start order.
         spent: Duration,
     },
+    /// A stop order has stayed unanswered and is sent again.
+    StopUnanswered {
+        /// Its task and attempt.
+        run: Run,
+        /// Time since the first stop order.
+        since: Duration,
+    },
     /// A run that this side has not ordered is stopped.
     RunForeign {
         /// Its task and attempt.
@@ -385,6 +423,7 @@
             | Self::RunUnanswered { run }
             | Self::RunOrphaned { run, .. }
             | Self::RunEnded { run, .. }
+            | Self::StopUnanswered { run, .. }
             | Self::RunForeign { run } => Some(run.task.job),
             Self::RateInvalid { .. }
             | Self::ForwarderLost { .. }
@@ -392,6 +431,7 @@
             | Self::QueueReleased { .. }
             | Self::Readmitted { .. }
             | Self::SideUp { .. }
+            | Self::RunsLeft { .. }
             | Self::SideGone { .. }
             | Self::LoopLate { .. }
             | Self::LoopRecovered { .. }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -1,6 +1,6 @@
 //! Formats events as lines of key=value pairs.
 
-use super::Event;
+use super::{Event, Evidence};
 use crate::millis;
 use std::fmt;
 
@@ -198,11 +198,21 @@
                 "event=run_orphaned run={run} entry={entry} silent_ms={}",
                 millis(*silent)
             ),
-            Self::RunEnded { run, ending, spent } => write!(
+            Self::RunEnded {
+                run,
+                ending,
+                evidence,
+                spent,
+            } => write!(
                 to,
-                "event=run_over run={run} ending={ending} spent_ms={}",
+                "event=run_over run={run} ending={ending} evidence={evidence} spent_ms={}",
                 millis(*spent)
             ),
+            Self::StopUnanswered { run, since } => write!(
+                to,
+                "event=stop_unanswered run={run} since_ms={}",
+                millis(*since)
+            ),
             Self::RunForeign { run } => write!(to, "event=run_foreign run={run}"),
             _ => self.write_view(to),
         }
@@ -212,6 +222,9 @@
         match self {
             Self::Readmitted { side } => write!(to, "event=back side={side}"),
             Self::SideUp { name, side } => write!(to, "event=side_up name={name} side={side}"),
+            Self::RunsLeft { name, side, runs } => {
+                write!(to, "event=runs_left name={name} side={side} runs={runs}")
+            }
             Self::SideGone {
                 name,
                 side,
@@ -290,6 +303,20 @@
     }
 }
 
+impl fmt::Display for Evidence {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(match self {
+            Self::Listed => "listed",
+            Self::Refused => "refused",
+            Self::Stopped => "stopped",
+            Self::LeaseExpired => "lease_expired",
+            Self::AllLeasesExpired => "all_leases_expired",
+            Self::Gone => "gone",
+            Self::Restarted => "restarted",
+        })
+    }
+}
+
 impl fmt::Display for Event {
     fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.write_job(to)
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -2,7 +2,7 @@
 
 use super::{Action, Guard, Hold, Phase, Receipt};
 use crate::{
-    event::Event,
+    event::{Event, Evidence},
     millis,
     mutation::{Mutant, is_seeded},
     rate::Rate,
@@ -193,8 +193,13 @@
                 || (absent && receipt == Receipt::Accepted)
                 || is_seeded(Mutant::EarlyLife)
         });
+        let evidence = if absent {
+            Evidence::Gone
+        } else {
+            Evidence::Restarted
+        };
         for task in received {
-            self.finish(now, task, Ending::Lapsed);
+            self.finish(now, task, Ending::Lapsed, evidence);
         }
         for task in unknown {
             if let Some(slot) = self.runs.get_mut(&task) {
@@ -253,7 +258,7 @@
     fn end_all(&mut self, now: Duration) {
         let tasks: Vec<Task> = self.runs.keys().copied().collect();
         for task in tasks {
-            self.finish(now, task, Ending::Lapsed);
+            self.finish(now, task, Ending::Lapsed, Evidence::AllLeasesExpired);
         }
         self.queue.clear();
         self.dirty = true;
@@ -277,7 +282,7 @@
             .get(&run.task)
             .is_some_and(|slot| slot.attempt == run.attempt);
         if is_current {
-            self.finish(now, run.task, ending);
+            self.finish(now, run.task, ending, Evidence::Listed);
         }
     }
 
@@ -343,36 +348,39 @@
     /// has revoked them or their lease has expired.
     fn end_unstarted(&mut self, now: Duration, inventory: &Inventory) {
         let stop_timeout = millis(self.timing.stop_timeout);
-        let absent: Vec<(Task, bool)> = self
+        let absent: Vec<(Task, bool, Evidence)> = self
             .runs
             .iter()
-            .filter(|(task, slot)| {
+            .filter_map(|(task, slot)| {
                 let listed = inventory
                     .running
                     .iter()
-                    .any(|listed| listed.run == slot.id(**task));
+                    .any(|listed| listed.run == slot.id(*task));
                 let is_revoked = slot
                     .revoked_at
                     .is_some_and(|clock| inventory.clock > clock + stop_timeout);
-                !listed && (is_revoked || inventory.clock > slot.lease.saturating_add(stop_timeout))
-            })
-            .map(|(task, slot)| {
-                let has_no_expiry = slot.lease == NO_EXPIRY;
-                (
-                    *task,
-                    has_no_expiry
-                        || slot.receipt == Receipt::Listed
-                        || slot.phase == Phase::Running,
-                )
+                let is_expired = inventory.clock > slot.lease.saturating_add(stop_timeout);
+                if listed || !(is_revoked || is_expired) {
+                    return None;
+                }
+                let may_have_run = slot.lease == NO_EXPIRY
+                    || slot.receipt == Receipt::Listed
+                    || slot.phase == Phase::Running;
+                let evidence = if is_revoked {
+                    Evidence::Stopped
+                } else {
+                    Evidence::LeaseExpired
+                };
+                Some((*task, may_have_run, evidence))
             })
             .collect();
-        for (task, ran) in absent {
+        for (task, ran, evidence) in absent {
             let ending = if ran {
                 Ending::Lapsed
             } else {
                 Ending::NotRun(Refusal::Unanswered)
             };
-            self.finish(now, task, ending);
+            self.finish(now, task, ending, evidence);
         }
     }
 }
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -20,7 +20,7 @@
 pub use order::Admission;
 
 use crate::{
-    event::Event,
+    event::{Event, Evidence},
     liveness::Liveness,
     millis,
     mutation::{Mutant, is_seeded},
@@ -82,6 +82,8 @@
     crash: Option<Crash>,
     /// Time of the last stop order.
     stop_sent_at: Option<Duration>,
+    /// Time of the first stop order.
+    stopped_since: Option<Duration>,
     /// The upstream's clock when it accepted a stop order, in milliseconds.
     revoked_at: Option<u64>,
     /// Estimated duration, in milliseconds.
@@ -455,7 +457,7 @@
     }
 
     /// Ends a run: frees its capacity and reports the end to its entry.
-    fn finish(&mut self, now: Duration, task: Task, ending: Ending) {
+    fn finish(&mut self, now: Duration, task: Task, ending: Ending, evidence: Evidence) {
         let Some(run) = self.runs.remove(&task) else {
             return;
         };
@@ -476,6 +478,7 @@
         self.events.push(Event::RunEnded {
             run: end.run,
             ending,
+            evidence,
             spent: now.saturating_sub(run.ordered_at),
         });
         self.queue_end(run.entry, end);
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -2,7 +2,7 @@
 
 use super::{Action, Guard, Order, Phase, Receipt, Slot};
 use crate::{
-    event::Event,
+    event::{Event, Evidence},
     millis,
     mutation::{Mutant, is_seeded},
     timing::SUSPECT_AGE,
@@ -170,6 +170,7 @@
             trial: start.trials.contains(&run),
             crash: None,
             stop_sent_at: None,
+            stopped_since: None,
             revoked_at: None,
             estimate: start.estimate,
             usual: if counts { start.usual } else { 0 },
@@ -281,7 +282,7 @@
             Admission::NoRoom => Refusal::Room,
             Admission::Refused => Refusal::Upstream,
         };
-        self.finish(now, run.task, Ending::NotRun(refusal));
+        self.finish(now, run.task, Ending::NotRun(refusal), Evidence::Refused);
     }
 
     /// Raises the fencing token beyond one that the upstream has seen.
@@ -329,6 +330,7 @@
             return;
         };
         slot.stop_sent_at = Some(now);
+        slot.stopped_since.get_or_insert(now);
         let run = slot.id(task);
         let token = self.token;
         self.actions.push(Action::Stop { run, token });
@@ -356,6 +358,12 @@
             .map(|(task, _)| *task)
             .collect();
         for task in due {
+            if let Some(slot) = self.runs.get(&task) {
+                self.events.push(Event::StopUnanswered {
+                    run: slot.id(task),
+                    since: now.saturating_sub(slot.stopped_since.unwrap_or(now)),
+                });
+            }
             self.order_stop(now, task);
         }
     }
