A paused side does not repeat a start order that its entry has given up

A start order was on its way when its side was frozen, and was lost. The entry counted the run as over after run_expiry and started the task elsewhere, correctly so far. When the side resumed, it handled the failed call first and repeated the order, 2 s after it was sent, with a new lease. The stop of the same turn was lost as well.

Cause: the repetition is a new permission to run, but had no age limit; the proof that a run is over counts only leases granted before the silence. Class: a process that was paused acts on a permission that has run out. A start order is now repeated only while it would be accepted from its entry (max_order_age), and a connection that is established after a pause does not hide the silence before it.

Evidence: order_repeated_after_pause failed before (task ...0.0.1 runs at 1 and at 0) and passes now.

--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -348,6 +348,9 @@
     /// Records a connection to an entry and sends it the pending ends of its
     /// runs, its open runs and the upstream.
     pub fn join(&mut self, now: Duration, entry: Incarnation) {
+        // A side that was paused learns of the new connection before it has noticed the
+        // silence, which the entry may have counted as the end of its runs.
+        self.stop_orphans(now);
         let peer = self.peers.entry(entry).or_insert_with(|| Peer::new(now));
         peer.last_contact = peer.last_contact.max(now);
         peer.liveness = Liveness::new(now);
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -201,10 +201,16 @@
     }
 
     /// Sends an unanswered start order once more; the upstream starts a run only
-    /// once. Returns false if the order may not be repeated.
+    /// once. Returns false if the order may not be repeated: its entry counts the run
+    /// as over [`crate::timing::Timing::run_expiry`] after the last report, which was
+    /// before the order, so a side that was paused must not grant a new lease.
     fn repeat_start(&mut self, now: Duration, task: Task) -> bool {
+        let max_age = self.timing.max_order_age();
         let order = self.runs.get_mut(&task).and_then(|slot| {
-            let may_repeat = slot.phase == Phase::Starting && slot.stop_sent_at.is_none();
+            let is_current =
+                now.saturating_sub(slot.ordered_at) <= max_age || is_seeded(Mutant::StaleRepeat);
+            let may_repeat =
+                is_current && slot.phase == Phase::Starting && slot.stop_sent_at.is_none();
             slot.order.take().filter(|_| may_repeat)
         });
         let Some(order) = order else { return false };
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -24,6 +24,8 @@
     Resend,
     /// Runs of an entry that is silent continue.
     Orphan,
+    /// An unanswered start order is repeated however old it is.
+    StaleRepeat,
     /// Leases last three times as long as allowed.
     LongLease,
     /// A run's resources are released when its stop is requested, not when it
--- a/crates/kernel/tests/overlapping_runs.rs
+++ b/crates/kernel/tests/overlapping_runs.rs
@@ -52,3 +52,20 @@
         resubmit(&mut site, entry);
     }
 }
+
+// A side that had been paused repeated an unanswered start order with a new lease, after
+// its entry had counted the run as over and had started the task elsewhere.
+#[test]
+fn order_repeated_after_pause() {
+    let mut site = site_with_long_runs();
+    site.upstreams[0].order_delay = Some(Duration::from_secs(10));
+    let customer = site.submit(0, job(1, 6, 1_000, RUN));
+    site.run(Duration::from_millis(10));
+    site.frozen_sides[0] = true;
+    site.upstreams[0].order_delay = None;
+    site.upstreams[0].stop_delay = Some(Duration::from_secs(10));
+    site.run(Duration::from_secs(2));
+    site.frozen_sides[0] = false;
+    site.run(Duration::from_secs(6));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+}
