Histories of faults that give a task two runs at once

Users saw two runs of one task. The histories did not reach it: faults of upstreams affected all calls or none, runs were shorter than the time of resubmission, and no customer left an entry that was frozen.

overlap_histories draws 18 kinds of faults, each with its own random numbers: shares of starts, stops and holds that are late, hung, refused or slow on their way, paths that are cut or refuse connections, late reports, closed connections, frozen and killed processes, customers that leave. It prints a trace of the task concerned, and can leave out kinds. The stub shortens every lease to its longest, and takes the lease of an order that it refuses as old, as its protocol says. The other histories are unchanged in kind.

--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -6,23 +6,29 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+pub mod calls;
 pub mod make;
 mod peers;
+mod trace;
 pub mod upstream;
 
+use calls::Passage;
 use make::announcement;
 pub use make::{job, rules, timing};
 
 use kernel::{
     dispatch::{Action as Entry, Answer, Dispatcher, Phase, Submission},
-    guard::{Action as Side, Guard, Timing},
+    guard::{Action as Side, Announcement, Guard, Timing},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
 };
-use std::{collections::BTreeMap, time::Duration};
 use upstream::{Call, Outcome, Stub};
 use wire::{
     frame::{Hello, Role, VERSION},
     id::Incarnation,
-    lease::Frame,
+    lease::{Frame, Run},
 };
 
 /// Host name of the queue.
@@ -83,6 +89,12 @@
     pub frozen_entries: Vec<bool>,
     /// Whether no report of an upstream arrives at its side.
     pub reports_paused: bool,
+    /// Upstreams' reports that arrive late, with the time and the side.
+    late_reports: Vec<(Duration, usize, Announcement)>,
+    /// What has happened, with the times, if it is recorded.
+    pub trace: Option<Vec<(Duration, String)>>,
+    /// Runs of each upstream as last traced.
+    traced_runs: Vec<BTreeSet<Run>>,
     /// Time from the start of a connection until its first frames are handled, as
     /// on a machine whose processors are overcommitted.
     pub join_delay: Duration,
@@ -115,6 +127,9 @@
             frozen_sides: vec![false; sides],
             frozen_entries: vec![false; entries],
             reports_paused: false,
+            late_reports: Vec::new(),
+            trace: None,
+            traced_runs: vec![BTreeSet::new(); sides],
             join_delay: Duration::ZERO,
             handling_delay: Duration::ZERO,
             connections: 0,
@@ -198,6 +213,39 @@
         self.disconnect_at_side(entry, side);
     }
 
+    /// Closes one end of a connection; the other end learns of it when it is replaced.
+    pub fn close_end(&mut self, entry: usize, side: usize, at_entry: bool) {
+        if at_entry {
+            self.disconnect_at_entry(entry, side);
+        } else {
+            self.disconnect_at_side(entry, side);
+        }
+    }
+
+    /// Has a report of an upstream arrive later.
+    pub fn delay_report(&mut self, side: usize, delay: Duration, report: Announcement) {
+        self.late_reports.push((self.now + delay, side, report));
+    }
+
+    fn deliver_late_reports(&mut self) {
+        let (now, frozen) = (self.now, &self.frozen_sides);
+        let due: Vec<(Duration, usize, Announcement)> = self
+            .late_reports
+            .extract_if(.., |(at, side, _)| *at <= now && !frozen[*side])
+            .collect();
+        for (_, side, report) in due {
+            self.note(|| {
+                format!(
+                    "fault: s{side} gets a late report of process {}",
+                    report.started_at
+                )
+            });
+            if let Some(guard) = &mut self.sides[side] {
+                guard.announce(now, report);
+            }
+        }
+    }
+
     fn reset_link(&mut self, entry: usize, side: usize) {
         let old = self.links.get(&(entry, side)).copied();
         let link = Link {
@@ -309,6 +357,7 @@
         for index in 0..self.upstreams.len() {
             self.upstreams[index].advance(now);
         }
+        self.trace_runs();
         self.check_single_runs();
         // A resumed process first reads the messages buffered on its connections.
         self.deliver();
@@ -316,6 +365,7 @@
         self.connect();
         self.connect_entries();
         self.call_upstreams();
+        self.deliver_late_reports();
         let now_ms = u64::try_from(now.as_millis()).expect("fits into 64 bits");
         let tick_ms = u64::try_from(TICK_INTERVAL.as_millis()).expect("fits into 64 bits");
         let announce_ms =
@@ -352,6 +402,7 @@
             self.update_neighbours();
         }
         self.process_actions();
+        self.trace_events();
     }
 
     fn disconnect_silent(&mut self) {
@@ -483,7 +534,11 @@
             if outcome.owner() != self.side_ids[index] {
                 continue;
             }
+            let described = self.trace.is_some().then(|| outcome.describe()).flatten();
             outcome.report(guard, now);
+            if let Some(text) = described {
+                self.note(|| format!("s{index}: {text}"));
+            }
         }
     }
 
@@ -507,7 +562,7 @@
                     Side::Hold(hold) => Call::Hold(owner, hold),
                     Side::Entries(_) => continue,
                 };
-                self.calls.push((self.now + TIME_STEP, index, call));
+                self.send_call(index, call);
             }
         }
         for index in 0..self.entries.len() {
@@ -523,6 +578,28 @@
         }
     }
 
+    /// Sends a call to an upstream over its path.
+    fn send_call(&mut self, index: usize, call: Call) {
+        self.trace_call(index, &call);
+        let faults = &mut self.upstreams[index].call_faults;
+        let failed = match faults.pass(&call) {
+            Passage::After(delay) => {
+                self.calls.push((self.now + TIME_STEP + delay, index, call));
+                return;
+            }
+            Passage::Refused => call.unconnected(),
+            Passage::Lost => call.unanswered(),
+            Passage::Late(delay) => {
+                let unanswered = call.unanswered();
+                faults.hold_in_transit(self.now + delay, call);
+                unanswered
+            }
+        };
+        if let Some((delay, outcome)) = failed {
+            self.results.push((self.now + delay, index, outcome));
+        }
+    }
+
     fn execute(&mut self, index: usize, action: Entry) {
         match action {
             Entry::Send((to, frame)) => {
--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -1,7 +1,10 @@
 //! Stub upstream that executes start and stop orders without checks of its own,
 //! and records the starts.
 
-use super::make::MAX_CAPACITY_AGE;
+use super::{
+    calls::{CallFaults, Fate},
+    make::MAX_CAPACITY_AGE,
+};
 use kernel::guard::{Admission, Guard, Hold, Inventory, Observation, Order};
 use std::{collections::BTreeMap, time::Duration};
 use wire::{
@@ -12,6 +15,7 @@
 /// Rate by which an upstream's clock is slow, in thousandths.
 const CLOCK_LAG_PER_MILLE: u64 = 20;
 
+/// Usual time from a stop order until the run has ended.
 const STOP_DELAY: Duration = Duration::from_millis(10);
 /// Time at which the first clock of an upstream starts.
 const CLOCK_START: Duration = Duration::from_mins(15);
@@ -122,6 +126,10 @@
     pub answer_when_down: Admission,
     /// Handling of hold calls.
     pub holds: Holds,
+    /// Faults that affect some of the calls.
+    pub call_faults: CallFaults,
+    /// Time from a stop order until the run has ended.
+    pub stop_delay: Duration,
     /// Number of hold calls received.
     pub hold_calls: u32,
     /// Run time of every task.
@@ -168,6 +176,8 @@
             order_delay: None,
             answer_when_down: Admission::NotSent,
             holds: Holds::Answered,
+            call_faults: CallFaults::default(),
+            stop_delay: STOP_DELAY,
             hold_calls: 0,
             run_time: Duration::from_millis(100),
             cpu: 1_000,
@@ -292,11 +302,11 @@
             self.ends
                 .push((self.last_end, Run { task, attempt }, ending));
         }
-        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.delayed)
-            .into_iter()
-            .partition(|(at, _)| *at <= now);
-        self.delayed = rest;
-        for (_, call) in due {
+        let delayed = self.delayed.extract_if(.., |(at, _)| *at <= now);
+        let mut due: Vec<Call> = delayed.map(|(_, call)| call).collect();
+        let arrived = self.call_faults.take_arrived(now);
+        due.extend(arrived.into_iter().filter(|_| self.alive));
+        for call in due {
             self.execute(now, &call);
         }
     }
@@ -307,9 +317,7 @@
     }
 
     pub fn receive(&mut self, now: Duration, call: Call) -> Vec<(Duration, Outcome)> {
-        let owner = match &call {
-            Call::Start(owner, _) | Call::Stop(owner, ..) | Call::Hold(owner, _) => *owner,
-        };
+        let owner = call.owner();
         if let Call::Hold(..) = &call {
             self.hold_calls += 1;
             if self.holds == Holds::Reset {
@@ -328,6 +336,16 @@
                 Call::Stop(..) => Vec::new(),
             };
         }
+        match self.call_faults.draw(&call) {
+            Some(Fate::Late(delay)) => {
+                let unanswered = call.unanswered();
+                self.delayed.push((now + delay, call));
+                return unanswered.into_iter().collect();
+            }
+            Some(Fate::Hung) => return call.unanswered().into_iter().collect(),
+            Some(Fate::Refused) => return call.refused().into_iter().collect(),
+            None => {}
+        }
         if let Some(delay) = self.order_delay {
             let answer_timeout = Duration::from_millis(90);
             let outcome = match &call {
@@ -344,7 +362,7 @@
                 .collect();
         }
         if let Call::Hold(owner, hold) = &call {
-            self.renew_lease(hold);
+            self.renew_lease(now, hold);
             if self
                 .ends
                 .iter()
@@ -391,16 +409,21 @@
             .collect()
     }
 
-    fn renew_lease(&mut self, hold: &Hold) {
+    fn renew_lease(&mut self, now: Duration, hold: &Hold) {
         if hold.token < self.token {
             return;
         }
         self.token = hold.token;
         if let Some(deadline) = hold.deadline {
-            self.lease = self.lease.max(deadline);
+            self.extend_lease(now, deadline);
         }
     }
 
+    fn extend_lease(&mut self, now: Duration, deadline: u64) {
+        let longest = self.clock(now) + MAX_LEASE_MS;
+        self.lease = self.lease.max(deadline.min(longest));
+    }
+
     fn take_inventory(&mut self, now: Duration, hold: &Hold) -> Inventory {
         self.ends.retain(|(number, ..)| *number > hold.acknowledged);
         let running = self.runs.iter().map(|(task, running)| {
@@ -453,12 +476,15 @@
                 if let Some(running) = self.runs.get_mut(&run.task)
                     && running.attempt <= run.attempt
                 {
-                    running.stops_at = Some(now + STOP_DELAY);
+                    running.stops_at = Some(now + self.stop_delay);
                 }
                 Some(Outcome::Stopped(*owner, *run, self.clock(now)))
             }
             Call::Hold(_, hold) => {
-                self.renew_lease(hold);
+                self.renew_lease(now, hold);
+                if hold.token >= self.token {
+                    self.ends.retain(|(number, ..)| *number > hold.acknowledged);
+                }
                 None
             }
         }
@@ -500,17 +526,21 @@
         }
         let task = order.run.task;
         if let Some(running) = self.runs.get(&task) {
-            return if running.attempt == order.run.attempt {
+            let answer = if running.attempt == order.run.attempt {
                 Admission::Accepted
             } else {
                 Admission::OldAttempt
             };
+            self.extend_lease(now, order.deadline);
+            return answer;
         }
         if self
             .revoked
             .get(&task)
             .is_some_and(|revoked| *revoked >= order.run.attempt)
         {
+            // The lease is of all that runs there.
+            self.extend_lease(now, order.deadline);
             return Admission::OldAttempt;
         }
         let used: u32 = self.runs.values().map(|running| running.cpu).sum();
@@ -519,7 +549,7 @@
             "{now:?}: start beyond the capacity of host {}",
             self.index
         );
-        self.lease = self.lease.max(order.deadline.min(clock + MAX_LEASE_MS));
+        self.extend_lease(now, order.deadline);
         self.starts.push((now, order.run));
         self.runs.insert(
             task,
