A test of an order repeated after a pause of its side

A side that resumes repeats a start order that has stayed unanswered, with a new lease, although its entry has counted the run as over meanwhile and has started the task elsewhere.

--- a/crates/kernel/tests/overlapping_runs.rs
+++ b/crates/kernel/tests/overlapping_runs.rs
@@ -166,3 +166,18 @@
     }
     assert_eq!(count_runs(&site), 0);
 }
+
+/// Guards against a side that repeats an unanswered order after a pause in which its
+/// entry has counted the run as over and started the task elsewhere.
+#[test]
+fn order_repeated_after_pause() {
+    let mut site = site(1, 2);
+    site.upstreams[0].call_faults.hung.starts = 1.0;
+    site.submit(0, job(1, 4, 1_000, RUN));
+    site.run(ms(10));
+    site.upstreams[0].call_faults.hung.starts = 0.0;
+    site.frozen_sides[0] = true;
+    site.run(ms(1_400));
+    site.frozen_sides[0] = false;
+    site.run(ms(100));
+}
