A test of a lease renewed by the clock of an earlier process

A hold sent before the side knows of a restart carries a deadline on the old clock; the new process grants it up to its longest lease. The side reckons with its own shorter one and counts the runs as over too early. The test fails on the present code.

--- a/crates/kernel/tests/overlapping_runs.rs
+++ b/crates/kernel/tests/overlapping_runs.rs
@@ -181,3 +181,26 @@
     site.frozen_sides[0] = false;
     site.run(ms(100));
 }
+
+/// Guards against counting runs as over while a lease lasts that was renewed before the
+/// side knew of a restart: by the earlier process's clock, and so as long as the present
+/// one grants.
+#[test]
+fn lease_renewed_by_earlier_clock() {
+    let mut site = site(1, 1);
+    site.submit(0, job(1, 4, 1_000, RUN));
+    site.run(ms(390));
+    let now = site.now;
+    site.upstreams[0].set_alive(now, false);
+    site.upstreams[0].set_alive(now, true);
+    // The next report, which new runs need, is 110 ms away.
+    site.run(ms(115));
+    site.submit(0, job(2, 2, 1_000, RUN));
+    site.run(ms(10));
+    assert!(count_runs(&site) > 0);
+    site.upstreams[0].call_faults.path = Path::Cut;
+    while site.sides[0].as_ref().unwrap().runs() > 0 {
+        site.run(ms(1));
+    }
+    assert_eq!(count_runs(&site), 0);
+}
