--- a/crates/kernel/tests/overlapping_runs.rs
+++ b/crates/kernel/tests/overlapping_runs.rs
@@ -7,7 +7,7 @@
     dispatch::Phase,
     mutation::{self, Mutant},
 };
-use site::{Site, job};
+use site::{Site, calls::Path, job, make::announcement};
 use std::time::Duration;
 
 /// Shortest time after which a customer submits a job again.
@@ -15,14 +15,25 @@
 /// Longer than the time until a resubmission, so that a run left behind shows.
 const RUN: Duration = Duration::from_secs(4);
 
-fn site_with_long_runs() -> Site {
-    let mut site = Site::new(2, 3);
+fn long_runs(entries: usize, sides: usize) -> Site {
+    let mut site = Site::new(entries, sides);
     for stub in &mut site.upstreams {
         stub.run_time = RUN;
     }
     site
 }
 
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+/// Has a customer leave whose entry learns of it at once.
+fn leave(site: &mut Site, entry: usize, job: u64, customer: u64) {
+    let now = site.now;
+    let dispatcher = site.entries[entry].as_mut().unwrap();
+    dispatcher.remove_customer(now, job, customer);
+}
+
 fn running(site: &Site) -> usize {
     let counts = site.upstreams.iter().map(|stub| stub.running().count());
     counts.sum()
@@ -40,11 +51,11 @@
 #[test]
 fn unanswered_stops() {
     for observed in [true, false] {
-        let mut site = site_with_long_runs();
+        let mut site = long_runs(2, 3);
         site.submit(0, job(1, 6, 1_000, RUN));
-        site.run(Duration::from_millis(50));
+        site.run(ms(50));
         for stub in &mut site.upstreams {
-            stub.stop_delay = Some(Duration::from_secs(4));
+            stub.call_faults.hung.stops = 1.0;
         }
         site.kill_entry(0, observed);
         site.run(RESUBMIT_AFTER);
@@ -58,15 +69,13 @@
 #[test]
 fn lost_stops() {
     for entry in 0..2 {
-        let mut site = site_with_long_runs();
+        let mut site = long_runs(2, 3);
         let customer = site.submit(0, job(1, 6, 1_000, RUN));
-        site.run(Duration::from_millis(50));
+        site.run(ms(50));
         for side in 0..3 {
             site.close_connection(0, side);
         }
-        let now = site.now;
-        let dispatcher = site.entries[0].as_mut().expect("running");
-        dispatcher.remove_customer(now, 1, customer);
+        leave(&mut site, 0, 1, customer);
         site.run(RESUBMIT_AFTER);
         assert_eq!(running(&site), 0);
         resubmit(&mut site, entry);
@@ -78,16 +87,16 @@
 #[test]
 fn order_repeated_after_pause() {
     for cut in [true, false] {
-        let mut site = site_with_long_runs();
+        let mut site = long_runs(2, 3);
         site.upstreams[0].order_delay = Some(Duration::from_secs(10));
         let customer = site.submit(0, job(1, 6, 1_000, RUN));
-        site.run(Duration::from_millis(10));
+        site.run(ms(10));
         site.frozen_sides[0] = true;
         for entry in 0..2 {
             site.cut(entry, 0, cut);
         }
         site.upstreams[0].order_delay = None;
-        site.upstreams[0].stop_delay = Some(Duration::from_secs(10));
+        site.upstreams[0].call_faults.hung.stops = 1.0;
         site.run(Duration::from_secs(2));
         site.frozen_sides[0] = false;
         site.run(Duration::from_secs(6));
@@ -99,18 +108,18 @@
 // that it should have stopped them.
 #[test]
 fn renewal_after_pause() {
-    let mut site = site_with_long_runs();
+    let mut site = long_runs(2, 3);
     site.submit(0, job(1, 6, 1_000, RUN));
-    site.run(Duration::from_millis(50));
+    site.run(ms(50));
     site.kill_entry(0, false);
-    site.run(Duration::from_millis(600));
+    site.run(ms(600));
     site.frozen_sides = vec![true; 3];
     for stub in &mut site.upstreams {
-        stub.stop_delay = Some(Duration::from_secs(10));
+        stub.call_faults.hung.stops = 1.0;
     }
-    site.run(Duration::from_millis(450));
+    site.run(ms(450));
     site.frozen_sides = vec![false; 3];
-    site.run(Duration::from_millis(250));
+    site.run(ms(250));
     assert_eq!(running(&site), 0);
 }
 
@@ -119,10 +128,10 @@
 #[test]
 fn heartbeat_of_another_process() {
     for started_at in [0, 7, u64::MAX] {
-        let mut site = site_with_long_runs();
+        let mut site = long_runs(2, 3);
         let customer = site.submit(0, job(1, 6, 1_000, RUN));
-        site.run(Duration::from_millis(50));
-        let mut odd = site::make::announcement(&site.upstreams[0], site.now);
+        site.run(ms(50));
+        let mut odd = announcement(&site.upstreams[0], site.now);
         odd.started_at = started_at;
         let now = site.now;
         let side = site.sides[0].as_mut().expect("running");
@@ -135,6 +144,123 @@
     }
 }
 
+// Guards against counting runs as over because of a late report of an earlier process
+// that the side never saw, at a later time of day than the present one.
+#[test]
+fn late_report_of_unseen_process() {
+    let mut site = long_runs(1, 2);
+    let now = site.now;
+    let restart = |site: &mut Site, started_at| {
+        site.upstreams[0].set_alive(now, false);
+        site.upstreams[0].set_alive(now, true);
+        site.upstreams[0].started_at = started_at;
+    };
+    restart(&mut site, 1_000);
+    let late = announcement(&site.upstreams[0], now);
+    restart(&mut site, 10);
+    site.run(ms(1_500));
+    site.submit(0, job(1, 4, 1_000, RUN));
+    site.run(ms(100));
+    site.delay_report(0, Duration::ZERO, late);
+    site.run(RESUBMIT_AFTER);
+}
+
+// Guards against an entry that starts tasks anew after a pause, before it knows that
+// their customer has left and resubmitted the job elsewhere.
+#[test]
+fn paused_entry_starts_tasks_again() {
+    let mut site = long_runs(2, 4);
+    let customer = site.submit(0, job(1, 4, 1_000, RUN));
+    site.run(ms(50));
+    site.frozen_entries[0] = true;
+    site.run(RESUBMIT_AFTER);
+    site.submit(1, job(1, 4, 1_000, RUN));
+    site.run(ms(100));
+    site.frozen_entries[0] = false;
+    // It reads what the sides have sent before it learns of the customer.
+    site.run(ms(40));
+    leave(&mut site, 0, 1, customer);
+    site.run(ms(500));
+}
+
+// Guards against an entry that starts a resubmitted job while a side with which it is in
+// contact still has runs of the earlier submission.
+#[test]
+fn unanswered_stop_before_resubmission_here() {
+    let mut site = long_runs(1, 2);
+    let customer = site.submit(0, job(1, 4, 1_000, RUN));
+    site.run(ms(100));
+    leave(&mut site, 0, 1, customer);
+    site.upstreams[0].call_faults.hung.stops = 1.0;
+    site.run(RESUBMIT_AFTER);
+    site.submit(0, job(1, 4, 1_000, RUN));
+    site.run(ms(3_000));
+}
+
+// Guards against counting a listed run as over at a restart of its upstream while its
+// first order, which stayed unanswered, may still reach the new process.
+#[test]
+fn first_order_reaches_next_process() {
+    let mut site = long_runs(1, 2);
+    let faults = &mut site.upstreams[0].call_faults;
+    faults.slow.starts = 1.0;
+    faults.slow_time = ms(200)..ms(201);
+    let start = site.now;
+    site.submit(0, job(1, 4, 1_000, RUN));
+    site.run(ms(30));
+    site.upstreams[0].call_faults.slow.starts = 0.0;
+    site.run(ms(150));
+    let now = site.now;
+    site.upstreams[0].set_alive(now, false);
+    site.run(ms(15));
+    let now = site.now;
+    assert!(
+        now < start + ms(200),
+        "the first orders are still under way"
+    );
+    site.upstreams[0].set_alive(now, true);
+    site.run(ms(500));
+}
+
+// Guards against counting all runs as over a few milliseconds before their leases have
+// ended: a lease is reckoned from the upstream's clock when last read, and that clock
+// may have run slow since.
+#[test]
+fn leases_over_on_slow_clock() {
+    let mut site = long_runs(1, 1);
+    site.submit(0, job(1, 2, 1_000, RUN));
+    site.run(ms(100));
+    // Calls are executed, and their answers are lost.
+    site.upstreams[0].order_delay = Some(Duration::ZERO);
+    while site.sides[0].as_ref().unwrap().runs() > 0 {
+        site.run(ms(1));
+    }
+    assert_eq!(running(&site), 0);
+}
+
+// Guards against counting runs as over while a lease lasts that was renewed before the
+// side knew of a restart: by the earlier process's clock, and so as long as the present
+// one grants.
+#[test]
+fn lease_renewed_by_earlier_clock() {
+    let mut site = long_runs(1, 1);
+    site.submit(0, job(1, 4, 1_000, RUN));
+    site.run(ms(390));
+    let now = site.now;
+    site.upstreams[0].set_alive(now, false);
+    site.upstreams[0].set_alive(now, true);
+    // The next report, which new runs need, is 110 ms away.
+    site.run(ms(115));
+    site.submit(0, job(2, 2, 1_000, RUN));
+    site.run(ms(10));
+    assert!(running(&site) > 0);
+    site.upstreams[0].call_faults.path = Path::Cut;
+    while site.sides[0].as_ref().unwrap().runs() > 0 {
+        site.run(ms(1));
+    }
+    assert_eq!(running(&site), 0);
+}
+
 #[test]
 fn seeded_bugs_found() {
     let directed: [(Mutant, fn()); 4] = [
