The longest lease counts that the upstream's clock may have lagged before

A side counted all leases as over up to 8 ms early: their end is reckoned from the upstream's clock as last read, up to 390 ms before, and a clock that is 2 % slow lags meanwhile. A lease now lasts 539 ms at most by the side's clock (531), and a run counts as over 1,226 ms after the last contact (1,218).

--- a/crates/kernel/src/timing.rs
+++ b/crates/kernel/src/timing.rs
@@ -74,9 +74,10 @@
     }
 
     /// Returns the longest real time that a lease lasts if the upstream's clock
-    /// runs slow.
+    /// runs slow, also since it was last read.
     pub fn real_lease(&self) -> Duration {
-        self.lease * (1_000 + MAX_CLOCK_SLOWNESS_PER_MILLE) / 1_000
+        let lag = self.max_upstream_silence() * MAX_CLOCK_SLOWNESS_PER_MILLE / 1_000;
+        (self.lease + lag) * (1_000 + MAX_CLOCK_SLOWNESS_PER_MILLE) / 1_000
     }
 
     /// Returns the longest real time that any lease lasts, including one whose
