After a restart of the upstream the longest lease counts for all runs

A hold call sent before a side had noticed the restart carries a deadline of the old clock; the new process shortens it to the longest lease, 1,000 ms, where the side counted 531 ms for the runs started there since. They counted as over up to 0.5 s early, and their tasks could start elsewhere.

--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -212,11 +212,13 @@
                 slot.usual = 0;
                 slot.lease = NO_EXPIRY;
                 if slot.stop_sent_at.is_none() {
-                    self.leases_end = self.leases_end.max(now + self.timing.real_max_lease());
                     self.order_stop(now, task);
                 }
             }
         }
+        // Calls sent before were granted by the clock of the previous process, so the
+        // present one may have granted the longest lease.
+        self.leases_end = self.leases_end.max(now + self.timing.real_max_lease());
         self.queue.clear();
         self.dirty = true;
     }
