A listed run is not over at a restart if its order was repeated

The first of two orders may still be on its way to the new process, which has seen no fencing token yet; the run was counted as over at once and its task started elsewhere. Such a run is now revoked in the new process like one that was never listed.

Evidence: first_order_reaches_next_process failed before.

--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -193,7 +193,7 @@
         self.mark_crashed(now);
         let (received, unknown): (Vec<Task>, Vec<Task>) = self.runs.keys().partition(|task| {
             let receipt = self.runs[*task].receipt;
-            receipt == Receipt::Listed
+            (receipt == Receipt::Listed && !self.runs[*task].repeated)
                 || (absent && receipt == Receipt::Accepted)
                 || is_seeded(Mutant::EarlyLife)
         });
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -76,6 +76,8 @@
     /// The start order, while it may be repeated.
     order: Option<Order>,
     receipt: Receipt,
+    /// Whether the order was sent twice; the first may still be on its way.
+    repeated: bool,
     /// Whether its task may have crashed another upstream.
     trial: bool,
     /// Set if the upstream has crashed since the start order.
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -164,6 +164,7 @@
             lease: deadline,
             order: Some(order),
             receipt: Receipt::Unknown,
+            repeated: false,
             trial: start.trials.contains(&run),
             crash: None,
             stop_sent_at: None,
@@ -211,6 +212,7 @@
         let deadline = self.send_start(now, order);
         if let Some(slot) = self.runs.get_mut(&task) {
             slot.lease = deadline;
+            slot.repeated = true;
             // Its time would include that of the lost order.
             slot.usual = 0;
         }
