Forecasts and refusals are compared with what happened

Nothing showed whether the admission of jobs is right: forecasts were logged, outcomes were logged, and no count joined them. A refusal was never looked at again.

accuracy::Accuracy records by queue and level the error of each admitted job's forecast and what became of the job. watch::Watch observes up to 64 refused jobs (16 of a queue) and adds up the processor time that is free on usable hosts, in whole tasks, until it would have sufficed or the answer has lost its use. Both are without I/O, and no decision reads them. Queues are bounded by 1,024. A clock that is set back, a pause, estimates of zero and infinite ones, and unknown jobs change no count.

The entries log `settled` and `refusal_judged` (sampled) and `decisions` (changes by queue, every 5 s at most, ten lines a second at most). Metrics: hyssoppost_admissions_total, hyssoppost_refusals_judged_total and hyssoppost_forecast_error_seconds with fixed signed buckets; `accuracy` in the dump, WRONG in `hyssopctl status`, a table in `hyssopctl losses`.

The share of refusals is an upper bound: room that is free between two claims counts.

--- a/crates/hyssopctl/src/cmd/losses.rs
+++ b/crates/hyssopctl/src/cmd/losses.rs
@@ -14,7 +14,11 @@
 Prints for each queue the jobs that were refused at once, refused after they
 had been accepted, given up after a task may have run, failed and answered late;
 then the reasons for refusals, how failed runs ended, and the seconds with the
-most losses. Reads standard input without FILE, or where FILE is -.
+most losses. From the entries' lines of decisions it prints by queue the settled
+admissions, how many of them missed their objective, were given up and were
+wrong, and how many started more than 100 ms earlier or later than forecast;
+then the refusals at arrival, those judged, and how many of these were wrong.
+Reads standard input without FILE, or where FILE is -.
 
 Options:
     -h, --help   Print this text.
--- a/crates/hyssopctl/src/cmd/status.rs
+++ b/crates/hyssopctl/src/cmd/status.rs
@@ -19,7 +19,8 @@
 IP:PORT are admin addresses. Prints a line for each process: its state, the
 configuration's revision, open jobs (running tasks of a side), queued tasks,
 sides in use and sides known, the learnt speed of a side's host (RATE, 1000 is
-usual; lowest and highest of an entry's sides in use), and the ejected sides
+usual; lowest and highest of an entry's sides in use), the shares of an entry's
+admissions and of its refusals that were wrong (WRONG), and the ejected sides
 (ASIDE). Ends with code 4 if a process was not reached; the others are still
 printed.
 
--- a/crates/hyssopctl/src/losses.rs
+++ b/crates/hyssopctl/src/losses.rs
@@ -31,6 +31,31 @@
     Cause::Late,
 ];
 
+/// Keys of the numbers of a line with decisions, in the order of the printed columns.
+const DECISIONS: [&str; 9] = [
+    "admitted",
+    "missed",
+    "given_up",
+    "wrong_admissions",
+    "earlier",
+    "later",
+    "refused",
+    "judged",
+    "wrong_refusals",
+];
+
+/// Sums of a queue's decisions.
+#[derive(Debug, Default)]
+struct Decisions([u64; DECISIONS.len()]);
+
+impl Decisions {
+    fn add(&mut self, line: &Line) {
+        for (sum, key) in self.0.iter_mut().zip(DECISIONS) {
+            *sum = sum.saturating_add(line.number(key));
+        }
+    }
+}
+
 /// Counts of lost jobs and of failed runs.
 #[derive(Debug, Default)]
 pub struct Losses {
@@ -38,6 +63,7 @@
     reasons: BTreeMap<String, u64>,
     endings: BTreeMap<String, u64>,
     seconds: BTreeMap<String, u64>,
+    decisions: BTreeMap<String, Decisions>,
     suppressed: u64,
 }
 
@@ -60,6 +86,11 @@
                 }
                 return;
             }
+            "decisions" => {
+                let queue = line.get("queue").unwrap_or("-").to_owned();
+                self.decisions.entry(queue).or_default().add(line);
+                return;
+            }
             "log_suppressed" | "log_dropped" => {
                 self.suppressed += line.number("lines");
                 return;
@@ -116,6 +147,7 @@
         for (second, count) in worst.into_iter().take(WORST_SECONDS) {
             writeln!(formatter, "worst second {second}: {count}")?;
         }
+        write_decisions(formatter, &self.decisions)?;
         if self.suppressed > 0 {
             writeln!(formatter, "lines that were not logged: {}", self.suppressed)?;
         }
@@ -132,6 +164,64 @@
     writeln!(formatter)
 }
 
+fn write_decisions(
+    formatter: &mut Formatter<'_>,
+    decisions: &BTreeMap<String, Decisions>,
+) -> Result {
+    if decisions.is_empty() {
+        return Ok(());
+    }
+    writeln!(
+        formatter,
+        "\n{:<24}{:>9}{:>9}{:>9}{:>9}{:>8}{:>9}{:>9}{:>9}{:>9}{:>9}{:>8}",
+        "decisions",
+        "admitted",
+        "missed",
+        "given up",
+        "wrong",
+        "wrong %",
+        "earlier",
+        "later",
+        "refused",
+        "judged",
+        "wrong",
+        "wrong %"
+    )?;
+    for (queue, Decisions(sums)) in decisions {
+        let [
+            admitted,
+            missed,
+            given_up,
+            wrong_admissions,
+            earlier,
+            later,
+            refused,
+            judged,
+            wrong_refusals,
+        ] = sums;
+        writeln!(
+            formatter,
+            "{queue:<24}{admitted:>9}{missed:>9}{given_up:>9}{wrong_admissions:>9}{:>8}\
+             {earlier:>9}{later:>9}{refused:>9}{judged:>9}{wrong_refusals:>9}{:>8}",
+            percentage(*wrong_admissions, *admitted),
+            percentage(*wrong_refusals, *judged)
+        )?;
+    }
+    Ok(())
+}
+
+/// Returns a part in percent with one decimal; `-` of nothing.
+fn percentage(part: u64, all: u64) -> String {
+    let per_mille = part
+        .saturating_mul(1_000)
+        .saturating_add(all / 2)
+        .checked_div(all);
+    per_mille.map_or_else(
+        || "-".to_owned(),
+        |per_mille| format!("{}.{}", per_mille / 10, per_mille % 10),
+    )
+}
+
 fn write_counts(
     formatter: &mut Formatter<'_>,
     title: &str,
--- a/crates/hyssopctl/src/status.rs
+++ b/crates/hyssopctl/src/status.rs
@@ -32,6 +32,10 @@
     pub slowest: Option<u64>,
     /// The same; of an entry the highest.
     pub fastest: Option<u64>,
+    /// Part of an entry's settled admissions that was wrong, in percent.
+    pub wrong_admissions: Option<f64>,
+    /// Part of its judged refusals that was wrong, in percent.
+    pub wrong_refusals: Option<f64>,
     /// Names of the sides that an entry has ejected.
     #[serde(rename = "aside")]
     pub ejected: Vec<String>,
@@ -75,6 +79,8 @@
             usable: sides.map(|sides| sides.iter().filter(|side| is_usable(side)).count()),
             slowest: own_rate.or(rates.iter().min().copied()),
             fastest: own_rate.or(rates.iter().max().copied()),
+            wrong_admissions: percentage(dump, "wrong_admissions", "admitted"),
+            wrong_refusals: percentage(dump, "wrong_refusals", "judged"),
             ejected: sides
                 .into_iter()
                 .flatten()
@@ -86,7 +92,7 @@
         }
     }
 
-    fn cells(&self) -> [String; 10] {
+    fn cells(&self) -> [String; 11] {
         let number = |value: Option<u64>| value.map_or_else(|| "-".to_owned(), |n| n.to_string());
         let sides = match (self.usable, self.sides) {
             (Some(usable), Some(all)) => format!("{usable}/{all}"),
@@ -101,6 +107,13 @@
         } else {
             self.ejected.join(",")
         };
+        let percent = |value: Option<f64>| {
+            value.map_or_else(|| "-".to_owned(), |value| format!("{value:.1}%"))
+        };
+        let wrong = match (self.wrong_admissions, self.wrong_refusals) {
+            (None, None) => "-".to_owned(),
+            (admissions, refusals) => format!("{}/{}", percent(admissions), percent(refusals)),
+        };
         let or_dash = |text: &str| if text.is_empty() { "-" } else { text }.to_owned();
         [
             or_dash(&self.name),
@@ -112,6 +125,7 @@
             number(self.waiting),
             sides,
             rate,
+            wrong,
             ejected,
         ]
     }
@@ -130,6 +144,21 @@
     if ready { "ready" } else { "waiting" }
 }
 
+/// Returns the part of an entry's decisions that were wrong, over all queues, in percent
+/// with one decimal; `None` without decisions.
+fn percentage(dump: &Value, wrong: &str, all: &str) -> Option<f64> {
+    let queues = dump["accuracy"]["queues"].as_object()?;
+    let sum = |key: &str| -> u64 {
+        queues
+            .values()
+            .filter_map(|queue| queue[key].as_u64())
+            .sum()
+    };
+    let all = sum(all);
+    let per_mille = (sum(wrong) * 1_000 + all / 2).checked_div(all)?;
+    Some(f64::from(u32::try_from(per_mille).ok()?) / 10.0)
+}
+
 /// The dump shows for sides of called upstreams how long they stay ejected
 /// (`aside_ms`), and for sides of leased tasks whether they are (`aside`).
 fn is_ejected(side: &Value) -> bool {
@@ -144,7 +173,8 @@
 /// Formats the processes as a table, with a line of totals at the end.
 pub fn table(rows: &[Row]) -> String {
     let header = [
-        "NAME", "ROLE", "DOMAIN", "STATE", "CONFIG", "WORK", "WAITING", "SIDES", "RATE", "ASIDE",
+        "NAME", "ROLE", "DOMAIN", "STATE", "CONFIG", "WORK", "WAITING", "SIDES", "RATE", "WRONG",
+        "ASIDE",
     ];
     let mut lines = vec![header.map(str::to_owned)];
     lines.extend(rows.iter().map(Row::cells));
--- a/crates/hyssopctl/tests/command_lines.rs
+++ b/crates/hyssopctl/tests/command_lines.rs
@@ -92,6 +92,10 @@
             {"name": "side-2", "open": true, "aside": true, "rate": 250},
             {"name": "side-3", "open": false, "aside": false},
         ],
+        "accuracy": {"queues": {
+            "r": {"admitted": 180, "wrong_admissions": 5, "judged": 32, "wrong_refusals": 1},
+            "slow": {"admitted": 20, "wrong_admissions": 1, "judged": 0, "wrong_refusals": 0},
+        }},
     });
     let called = json!({
         "role": "entry", "name": "entry-2", "domain": "nord-b", "leaving": false,
--- a/crates/hyssoppost/src/admin.rs
+++ b/crates/hyssoppost/src/admin.rs
@@ -1,6 +1,7 @@
 //! The admin interface: metrics and state dump, protected by a token.
 
 use crate::{Error, http, settings::Common};
+use kernel::dispatch::accuracy::ERROR_BOUNDS_MS;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use poem::{
     Endpoint, EndpointExt, Middleware, Request, Response, Route, get, handler,
@@ -22,6 +23,9 @@
 /// just met, at 3 it is missed.
 const RATIO_BUCKETS: [f64; 7] = [0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0];
 
+/// Name of the histogram of forecast errors, whose values have a sign.
+pub const FORECAST_ERROR: &str = "hyssoppost_forecast_error_seconds";
+
 /// A request for the process's state as JSON; the sender takes the reply.
 pub type Dump = oneshot::Sender<Value>;
 
@@ -103,14 +107,20 @@
 
 /// Configures fixed buckets for histograms; they cost less than quantiles.
 fn with_buckets(builder: PrometheusBuilder) -> PrometheusBuilder {
-    let suffixes = [
-        ("_seconds", TIME_BUCKETS_SECONDS.as_slice()),
-        ("_ratio", RATIO_BUCKETS.as_slice()),
+    let suffix = |suffix: &str| Matcher::Suffix(suffix.to_owned());
+    let error_buckets_seconds = ERROR_BOUNDS_MS.map(|bound| f64::from(bound) / 1e3);
+    let buckets = [
+        (suffix("_seconds"), TIME_BUCKETS_SECONDS.as_slice()),
+        (suffix("_ratio"), RATIO_BUCKETS.as_slice()),
+        // A full name takes precedence over a suffix.
+        (
+            Matcher::Full(FORECAST_ERROR.to_owned()),
+            error_buckets_seconds.as_slice(),
+        ),
     ];
-    suffixes
+    buckets
         .into_iter()
-        .fold(builder, |builder, (suffix, bounds)| {
-            let matcher = Matcher::Suffix(suffix.to_owned());
+        .fold(builder, |builder, (matcher, bounds)| {
             builder
                 .set_buckets_for_metric(matcher, bounds)
                 .expect("the bounds are not empty")
--- a/crates/hyssoppost/src/leased/dump.rs
+++ b/crates/hyssoppost/src/leased/dump.rs
@@ -4,7 +4,10 @@
 use super::admission::Admission;
 use crate::{entry::process, link::Local};
 use kernel::{
-    dispatch::{Dispatcher, View},
+    dispatch::{
+        Dispatcher, View,
+        accuracy::{Accuracy, Admissions, ERROR_BOUNDS_MS, LEVELS, Tally},
+    },
     guard::Guard,
     millis,
     pressure::Pressure,
@@ -53,6 +56,7 @@
             "jobs_per_second_limit": pressure.rate_limit(),
             "refused_unread": admission.refused(),
         },
+        "accuracy": accuracy(kernel.accuracy()),
         "sides": sides,
         "counts": {
             "accepted": stats.accepted,
@@ -74,6 +78,40 @@
     })
 }
 
+fn accuracy(accuracy: &Accuracy) -> Value {
+    let queues = accuracy.queues();
+    let queues: BTreeMap<_, _> = queues
+        .map(|(name, tally)| (name, decisions(tally)))
+        .collect();
+    json!({"error_bounds_ms": ERROR_BOUNDS_MS, "queues": queues})
+}
+
+fn decisions(tally: &Tally) -> Value {
+    let levels = LEVELS.iter().zip(&tally.levels);
+    let used = levels.filter(|(_, admissions)| **admissions != Admissions::default());
+    let levels: BTreeMap<String, Value> = used
+        .map(|(level, admissions)| {
+            let value = json!({
+                "in_time": admissions.in_time,
+                "missed": admissions.missed,
+                "given_up": admissions.given_up,
+                "unjudged": admissions.unjudged,
+                "errors": admissions.errors,
+            });
+            (level.to_string(), value)
+        })
+        .collect();
+    let counts = tally.counts();
+    json!({
+        "levels": levels,
+        "admitted": counts.admitted,
+        "wrong_admissions": counts.wrong_admissions,
+        "refused": counts.refused,
+        "judged": counts.judged,
+        "wrong_refusals": counts.wrong_refusals,
+    })
+}
+
 fn side_summary(side: &View<'_>) -> Value {
     json!({
         "name": side.name,
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -1,9 +1,12 @@
 //! Log lines and metrics derived from a kernel's events.
 
-use crate::{link::Local, logging, meter};
+use crate::{admin::FORECAST_ERROR, link::Local, logging, meter};
 use hashbrown::HashMap;
 use kernel::{
-    dispatch::{Dispatcher, Phase, Reason},
+    dispatch::{
+        Dispatcher, Phase, Reason,
+        accuracy::{Level, Outcome, Settlement},
+    },
     event::{Event, Severity},
     guard::Guard,
     millis,
@@ -115,6 +118,10 @@
     outcomes: Vec<(&'static str, Counter, Histogram)>,
     /// By reason, and whether the refusal was sent at once.
     refused: Vec<(Reason, bool, Counter)>,
+    admissions: Vec<(Level, Outcome, Counter)>,
+    forecast_errors: Vec<(Level, Histogram)>,
+    /// By whether the refusal was wrong.
+    judged: Vec<(bool, Counter)>,
 }
 
 #[derive(Debug)]
@@ -164,6 +171,14 @@
                 let metrics = self.queue(queue);
                 metrics.given_up.get_or_insert_with(register).increment(1);
             }
+            Event::Settled {
+                queue, settlement, ..
+            } => self.queue(queue).record_settlement(queue, settlement),
+            Event::RefusalJudged(judgement) => {
+                let queue = &judgement.queue;
+                self.queue(queue)
+                    .count_judgement(queue, judgement.is_wrong());
+            }
             Event::Culprit { .. } => self.count("hyssoppost_culprits_total"),
             Event::QueueConfined { .. } => self.count("hyssoppost_confinements_total"),
             Event::Abandoned { .. } => self.count("hyssoppost_jobs_abandoned_total"),
@@ -257,6 +272,50 @@
         self.refused[index].2.increment(1);
     }
 
+    fn record_settlement(&mut self, queue: &str, settlement: &Settlement) {
+        let Settlement { level, outcome, .. } = *settlement;
+        let same = |known: &(Level, Outcome, Counter)| (known.0, known.1) == (level, outcome);
+        let index = self.admissions.iter().position(same).unwrap_or_else(|| {
+            let labels = [
+                ("queue", queue.to_owned()),
+                ("level", level.to_string()),
+                ("outcome", outcome.to_string()),
+            ];
+            let counter = counter!("hyssoppost_admissions_total", &labels);
+            self.admissions.push((level, outcome, counter));
+            self.admissions.len() - 1
+        });
+        self.admissions[index].2.increment(1);
+        let Some(error_ms) = settlement.error_ms() else {
+            return;
+        };
+        let same = |known: &(Level, Histogram)| known.0 == level;
+        let known = self.forecast_errors.iter().position(same);
+        let index = known.unwrap_or_else(|| {
+            let labels = [("queue", queue.to_owned()), ("level", level.to_string())];
+            let histogram = histogram!(FORECAST_ERROR, &labels);
+            self.forecast_errors.push((level, histogram));
+            self.forecast_errors.len() - 1
+        });
+        self.forecast_errors[index]
+            .1
+            .record(f64::from(error_ms) / 1e3);
+    }
+
+    fn count_judgement(&mut self, queue: &str, wrong: bool) {
+        let known = self.judged.iter().position(|(known, _)| *known == wrong);
+        let index = known.unwrap_or_else(|| {
+            let labels = [
+                ("queue", queue.to_owned()),
+                ("verdict", if wrong { "wrong" } else { "right" }.to_owned()),
+            ];
+            let counter = counter!("hyssoppost_refusals_judged_total", &labels);
+            self.judged.push((wrong, counter));
+            self.judged.len() - 1
+        });
+        self.judged[index].1.increment(1);
+    }
+
     fn count_answer(
         &mut self,
         queue: &str,
--- a/crates/kernel/src/dispatch/fairness.rs
+++ b/crates/kernel/src/dispatch/fairness.rs
@@ -23,7 +23,7 @@
 
 /// Level of jobs of queues whose share is too low, before all priorities. At the level
 /// of the most urgent queue they would lose to its jobs, which are due sooner.
-const PROMOTED_LEVEL: u8 = 0;
+pub(super) const PROMOTED_LEVEL: u8 = 0;
 
 /// Recent jobs of a queue. Jobs are counted, and not their work: one estimate that is
 /// far too high would decide the share.
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 //! reported the end or refused the run, or every lease that the run could have
 //! has expired.
 
+pub mod accuracy;
 mod admission;
 mod answer;
 mod arrivals;
@@ -29,10 +30,12 @@
 mod place;
 mod placement;
 mod resubmission;
+mod review;
 mod rules;
 mod serve;
 mod takeover;
 mod usual;
+pub mod watch;
 
 pub use crate::outcome::{Phase, Reason};
 pub use answer::{Answer, Stats, View};
@@ -46,6 +49,7 @@
     mutation::{Mutant, is_seeded},
     timing::Timing,
 };
+use accuracy::Accuracy;
 use admission::Admission;
 use confinement::{Confinement, Eligibility};
 use crashes::CrashMemory;
@@ -101,6 +105,7 @@
     jobs: BTreeMap<u64, Job>,
     history: History,
     loop_lateness: LoopLateness,
+    accuracy: Accuracy,
     stats: Stats,
     actions: Vec<Action>,
     events: Vec<Event>,
@@ -126,6 +131,7 @@
             jobs: BTreeMap::new(),
             history: History::default(),
             loop_lateness: LoopLateness::default(),
+            accuracy: Accuracy::default(),
             stats: Stats::default(),
             actions: Vec::new(),
             events: Vec::new(),
@@ -327,6 +333,7 @@
         self.tick_forwarding(now);
         self.history.expire(now);
         self.crash_memory.expire(now);
+        self.review_decisions(now);
     }
 
     /// Places waiting tasks if a change since the last call may let them start.
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -226,6 +226,9 @@
     fn assign(&mut self, now: Duration, task: Task, key: Key, claimed: bool) -> Option<Run> {
         let job = self.jobs.get_mut(&task.job)?;
         let need = job.step(task).need;
+        if job.rank.unstarted {
+            self.accuracy.record_start(now, task.job);
+        }
         self.placement.dequeue(job, task);
         let slot = job.slot(task)?;
         let suspicious = slot.crashes.are_suspicious();
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -1,8 +1,8 @@
 //! Customers' requests: jobs are submitted, inspected, cancelled and answered.
 
 use super::{
-    Answer, Dispatcher, Event, Job, Phase, Reason, Submission, admission::Arrival,
-    backlog::LATE_LEVEL, forecast::Forecast, route,
+    Answer, Dispatcher, Event, Job, Phase, Reason, Submission, accuracy::Outcome,
+    admission::Arrival, backlog::LATE_LEVEL, forecast::Forecast, route,
 };
 use crate::{
     mutation::{Mutant, is_seeded},
@@ -104,6 +104,7 @@
         };
         match reason {
             Some(reason) => {
+                self.record_refusal(now, &job, reason);
                 self.log_refusal(now, &job, reason, wait);
                 self.refuse(arrival.customer, reason, wait);
             }
@@ -125,6 +126,7 @@
 
     fn accept(&mut self, now: Duration, mut job: Job, wait: Duration) {
         self.stats.accepted += 1;
+        self.record_admission(now, &job, wait);
         self.events.push(Event::Accepted {
             job: job.submission.job,
             queue: job.queue.clone(),
@@ -270,7 +272,9 @@
                 age: now.saturating_sub(open_job.accepted),
                 started: open_job.may_have_run(),
             });
-            self.drop_job(now, job);
+            if let Some(job) = self.drop_job(now, job) {
+                self.settle_abandoned(now, &job);
+            }
         }
     }
 
@@ -325,6 +329,7 @@
             Phase::Failed => self.stats.failed += 1,
             Phase::Queued | Phase::Running | Phase::Cancelled => {}
         }
+        self.settle_ended(now, &open_job, state);
         self.events.push(Event::Answered {
             job,
             queue: open_job.queue.clone(),
@@ -403,6 +408,7 @@
                 continue;
             };
             self.stats.expired += 1;
+            self.settle(now, &job, Outcome::GivenUp);
             let started = job.may_have_run();
             let reason = if self.confinement.is_confined(&job.queue) {
                 Reason::Confined
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -6,7 +6,13 @@
 
 mod text;
 
-use crate::outcome::{Phase, Reason};
+use crate::{
+    dispatch::{
+        accuracy::{Counts, Settlement},
+        watch::Judgement,
+    },
+    outcome::{Phase, Reason},
+};
 use std::time::Duration;
 use wire::{
     id::Incarnation,
@@ -136,6 +142,24 @@
         /// Number of its tasks that had not succeeded.
         unfinished: u32,
     },
+    /// An admitted job has ended; what was forecast and what happened.
+    Settled {
+        /// Identifier that its customer chose.
+        job: u64,
+        /// Name of its queue.
+        queue: String,
+        /// Forecast and outcome.
+        settlement: Settlement,
+    },
+    /// A refused job has been watched to the end of its use.
+    RefusalJudged(Judgement),
+    /// Decisions on a queue's jobs since its last such event.
+    Decisions {
+        /// Name of the queue.
+        queue: String,
+        /// Numbers of decisions.
+        counts: Counts,
+    },
     /// A task has crashed the upstreams that started it; its job is given up.
     Culprit {
         /// The task.
@@ -371,6 +395,8 @@
             | Self::Refused { job, .. }
             | Self::Answered { job, .. }
             | Self::GivenUp { job, .. }
+            | Self::Settled { job, .. }
+            | Self::RefusalJudged(Judgement { job, .. })
             | Self::Abandoned { job, .. }
             | Self::JobForwarded { job, .. }
             | Self::JobTakenOver { job, .. }
@@ -387,6 +413,7 @@
             | Self::RunEnded { run, .. }
             | Self::RunForeign { run } => Some(run.task.job),
             Self::RateInvalid { .. }
+            | Self::Decisions { .. }
             | Self::ForwarderLost { .. }
             | Self::QueueConfined { .. }
             | Self::QueueReleased { .. }
@@ -415,6 +442,9 @@
                 ..
             }
             | Self::Abandoned { .. }
+            | Self::Settled { .. }
+            | Self::RefusalJudged(_)
+            | Self::Decisions { .. }
             | Self::JobForwarded { .. }
             | Self::JobTakenOver { .. } => Severity::Routine,
             Self::Ended { ending, .. } | Self::RunEnded { ending, .. } => match ending {
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -1,7 +1,10 @@
 //! Formats events as lines of key=value pairs.
 
 use super::Event;
-use crate::millis;
+use crate::{
+    dispatch::{accuracy::Settlement, watch::Judgement},
+    millis,
+};
 use std::fmt;
 
 impl Event {
@@ -91,6 +94,40 @@
                 write!(to, "event=queue_confined queue={queue} hosts={hosts}")
             }
             Self::QueueReleased { queue } => write!(to, "event=queue_released queue={queue}"),
+            _ => self.write_decision(to),
+        }
+    }
+
+    fn write_decision(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Settled {
+                job,
+                queue,
+                settlement,
+            } => {
+                let Settlement { level, outcome, .. } = settlement;
+                let forecast = millis(settlement.forecast);
+                write!(
+                    to,
+                    "event=settled job={job:016x} queue={queue} level={level} outcome={outcome} \
+                     forecast_ms={forecast}"
+                )?;
+                match settlement.error_ms() {
+                    Some(error) => write!(to, " error_ms={error}"),
+                    None => Ok(()),
+                }
+            }
+            Self::RefusalJudged(judgement) => {
+                let Judgement { job, queue, .. } = judgement;
+                write!(to, "event=refusal_judged job={job:016x} queue={queue}")?;
+                match judgement.enough_after {
+                    Some(after) => write!(to, " wrong=yes enough_ms={}", millis(after)),
+                    None => write!(to, " wrong=no"),
+                }
+            }
+            Self::Decisions { queue, counts } => {
+                write!(to, "event=decisions queue={queue} {counts}")
+            }
             _ => self.write_forwarding(to),
         }
     }
