--- a/crates/kernel/src/dispatch/accuracy.rs
+++ b/crates/kernel/src/dispatch/accuracy.rs
@@ -158,9 +158,9 @@
     pub given_up: u64,
     /// Those of them whose admission was wrong.
     pub wrong_admissions: u64,
-    /// Those of them that started more than [`NEAR_MS`] before the forecast.
+    /// Those of them that started more than 100 ms before the forecast.
     pub earlier: u64,
-    /// Those of them that started more than [`NEAR_MS`] after the forecast.
+    /// Those of them that started more than 100 ms after the forecast.
     pub later: u64,
     /// [`Tally::refused`].
     pub refused: u64,
@@ -320,7 +320,7 @@
         self.watch.insert(now, queue, refusal);
     }
 
-    /// Returns [`Watch::is_due`].
+    /// Returns whether [`Accuracy::judge`] should be called with the hosts.
     pub fn is_due(&self, now: Duration) -> bool {
         self.watch.is_due(now)
     }
--- a/crates/kernel/src/dispatch/watch.rs
+++ b/crates/kernel/src/dispatch/watch.rs
@@ -96,7 +96,7 @@
 /// it takes at least its run time. Time that an earlier refused job would have used
 /// counts for no later one; other entries' refusals are unknown here.
 ///
-/// At most [`MAX_WATCHED`] jobs are watched at a time; the rest are not judged. What is
+/// At most 64 jobs are watched at a time, 16 of one queue; the rest are not judged. What is
 /// under observation when the clock is set back or the process pauses is not judged
 /// either.
 #[derive(Debug, Default)]
