A malformed row of an upstream's lists costs only that row

Callers saw: one row of `running` or `ended` with a malformed task name, an attempt beyond u32, a number beyond u64 or a percentage of 1e400 made the whole answer unreadable. The side renewed no more leases, took no tasks, and all runs of the host lapsed; jobs got 503. A line was logged for each call, 25 a second.

Cause: the lists were decoded as a whole, and an unreadable answer counts as none.

Rows are now decoded one by one. An unreadable one is handed to the guard as such, with its task or number if that is legible: - It proves nothing. A run that may be hidden in an unreadable row does not end because it is missing from the list: it is stopped when its lease expires, and ends with the time that an accepted stop takes. A row whose task is legible keeps that task's run. A run that ends unlisted after an unreadable row or end counts as lapsed and not as "not run". - It may be a foreign run only until no lease is left that this or an earlier side has renewed, so a new side accepts tasks after that. - The cursor passes an unreadable end only if its number is the next, or if a later end is legible. Otherwise calls are paced, since an unacknowledged end is answered at once. - Changes of the counts are logged, not each answer; dropped heartbeats and unreadable answers at most once in 10 s.

--- a/crates/hyssopctl/src/model/product.rs
+++ b/crates/hyssopctl/src/model/product.rs
@@ -7,7 +7,9 @@
 };
 use kernel::{
     dispatch::{self, Answer, Dispatcher, Phase, Step, Submission},
-    guard::{self, Admission, Announcement, Guard, Hold, Inventory, Observation, Timing},
+    guard::{
+        self, Admission, Announcement, Guard, Hold, Inventory, Observation, Timing, UnreadableRows,
+    },
     millis,
 };
 use std::{
@@ -343,6 +345,7 @@
             clock: millis(now),
             running: running.collect(),
             unacknowledged: self.ended.clone(),
+            unreadable: UnreadableRows::default(),
         }
     }
 }
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -12,6 +12,7 @@
     entry::registry,
     http,
     link::{self, Local},
+    logging::Pacer,
     mesh::Mesh,
     meter, settings,
 };
@@ -21,7 +22,7 @@
 };
 use platform::upstream::{Client, Failure, Report};
 use poem::{EndpointExt, Request, Response, endpoint::make, http::StatusCode};
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc, watch},
     task::{JoinHandle, JoinSet},
@@ -124,6 +125,7 @@
         kernel,
         mesh: Mesh::new(local, events.clone(), settings.entries.clone()),
         client,
+        unreadable_lists: Pacer::default(),
         events: events.clone(),
         isolated,
         idle,
@@ -159,9 +161,10 @@
     service: String,
     events: mpsc::Sender<Event>,
 ) -> Result<http::Handle, Error> {
+    let dropped = Arc::new(Pacer::default());
     let app = make(move |request| {
-        let (service, events) = (service.clone(), events.clone());
-        async move { Ok::<_, poem::Error>(receive_report(request, &service, &events).await) }
+        let (service, events, dropped) = (service.clone(), events.clone(), dropped.clone());
+        async move { Ok::<_, poem::Error>(receive_report(request, &service, &events, &dropped).await) }
     });
     http::bind(address, Duration::from_millis(100), app.boxed()).await
 }
@@ -170,6 +173,7 @@
     mut request: Request,
     service: &str,
     events: &mpsc::Sender<Event>,
+    dropped: &Pacer,
 ) -> Response {
     let body = request.take_body().into_bytes_limit(MAX_REPORT_BYTES).await;
     let Ok(body) = body else {
@@ -185,7 +189,9 @@
                 .body("{}")
         }
         Err(error) => {
-            log::warn!("event=report_dropped reason=\"{error}\"");
+            if dropped.is_due() {
+                log::warn!("event=report_dropped reason=\"{error}\"");
+            }
             StatusCode::BAD_REQUEST.into()
         }
     }
@@ -238,6 +244,7 @@
     kernel: Guard,
     mesh: Mesh<Event>,
     client: Client,
+    unreadable_lists: Pacer,
     events: mpsc::Sender<Event>,
     /// Whether no entry is connected.
     isolated: watch::Sender<bool>,
@@ -278,6 +285,12 @@
             Event::Inventory(Err(Failure::Gone)) => self.kernel.upstream_gone(now),
             Event::Inventory(Err(Failure::Fenced)) => self.kernel.hold_fenced(now),
             Event::Inventory(Err(Failure::Unanswered)) => self.kernel.hold_failed(now),
+            Event::Inventory(Err(Failure::Unreadable)) => {
+                if self.unreadable_lists.is_due() {
+                    log::warn!("event=lists_unreadable");
+                }
+                self.kernel.hold_failed(now);
+            }
             Event::Registry(registry::Event::Entries(entries)) => self.set_entries(&entries),
             Event::Registry(_) => {}
             Event::Leave => self.kernel.leave(),
--- a/crates/hyssoppost/src/logging.rs
+++ b/crates/hyssoppost/src/logging.rs
@@ -15,10 +15,12 @@
 use std::{
     io::{self, Write},
     sync::{
+        Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
+    time::{Duration, Instant},
 };
 
 const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} {m}{n}";
@@ -26,6 +28,9 @@
 /// Most lines queued for the writer: some seconds of a busy process.
 const MAX_QUEUED_LINES: usize = 4_096;
 
+/// Shortest interval between two lines about the same fault of another process.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(10);
+
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Returns the number of lines dropped since the start.
@@ -33,6 +38,22 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Limits the lines about a fault that recurs with every message.
+#[derive(Debug, Default)]
+pub(crate) struct Pacer(Mutex<Option<Instant>>);
+
+impl Pacer {
+    /// Returns whether a line is due, and counts it as logged.
+    pub(crate) fn is_due(&self) -> bool {
+        let mut logged_at = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_due = logged_at.is_none_or(|at| at.elapsed() >= REPEAT_INTERVAL);
+        if is_due {
+            *logged_at = Some(Instant::now());
+        }
+        is_due
+    }
+}
+
 /// Appender that queues encoded lines for the writer.
 #[derive(Debug)]
 struct Queue {
--- a/crates/hyssoppost/tests/malformed_input.rs
+++ b/crates/hyssoppost/tests/malformed_input.rs
@@ -9,6 +9,7 @@
 mod process;
 
 use pair::Pair;
+use platform_standin::upstream::Fault;
 use process::Output;
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Duration};
@@ -103,3 +104,15 @@
         "the old rules ended"
     );
 }
+
+/// Guards against runs that lapse since one row of the upstream's lists is malformed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn malformed_rows() {
+    let run_time = Duration::from_millis(1_500);
+    let pair = Pair::start("rows", 4, run_time, Output::Read).await;
+    pair.upstream.inject(Fault::MalformedRows);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(submit(&pair, "a.example", 1).await, 200);
+    let starts = pair.upstream.audit().lock().starts.len();
+    assert_eq!(starts, 2, "each task has run once");
+}
--- a/crates/hyssoppost/tests/soak/pair.rs
+++ b/crates/hyssoppost/tests/soak/pair.rs
@@ -25,7 +25,7 @@
     pub entry: Process,
     pub side: Process,
     pub store: Store,
-    _upstream: Upstream,
+    pub upstream: Upstream,
     folder: PathBuf,
 }
 
@@ -96,7 +96,7 @@
             entry,
             side,
             store,
-            _upstream: upstream,
+            upstream,
             folder,
         }
     }
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -322,6 +322,13 @@
         /// Its task and attempt.
         run: Run,
     },
+    /// The number of rows in the upstream's lists that cannot be decoded has changed.
+    RowsUnreadable {
+        /// Those of runs in progress.
+        running: u32,
+        /// Those of ends.
+        ended: u32,
+    },
     /// The upstream has restarted.
     UpstreamRestarted {
         /// Its start time, in milliseconds since the Unix epoch.
@@ -397,6 +404,7 @@
             | Self::LoopRecovered { .. }
             | Self::Readiness { .. }
             | Self::Rules { .. }
+            | Self::RowsUnreadable { .. }
             | Self::UpstreamRestarted { .. }
             | Self::UpstreamCrashed { .. }
             | Self::LeasesLapsed { .. }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -235,6 +235,9 @@
                     "event=rules revision={revision} version={version} queues={queues} out=\"{out}\" from={from}"
                 )
             }
+            Self::RowsUnreadable { running, ended } => {
+                write!(to, "event=rows_unreadable running={running} ended={ended}")
+            }
             Self::UpstreamRestarted {
                 started_at,
                 previous_start,
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -55,6 +55,38 @@
     pub running: Vec<Observation>,
     /// Ends not yet acknowledged, with their numbers, in ascending order.
     pub unacknowledged: Vec<(u64, Run, Ending)>,
+    /// Rows that could not be decoded. They prove nothing about any run.
+    pub unreadable: UnreadableRows,
+}
+
+/// Rows of an [`Inventory`] that could not be decoded.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct UnreadableRows {
+    /// Those of runs in progress.
+    pub running: Vec<UnreadableRow>,
+    /// Numbers of the unacknowledged ends; `None` for one that is malformed, too.
+    pub ended: Vec<Option<u64>>,
+}
+
+/// A row of a run in progress that could not be decoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnreadableRow {
+    /// It is of this task.
+    Task(Task),
+    /// It may be of any task.
+    AnyTask,
+}
+
+impl UnreadableRows {
+    /// Returns whether a row is that of a run of the task.
+    fn lists(&self, task: Task) -> bool {
+        self.running.contains(&UnreadableRow::Task(task))
+    }
+
+    /// Returns whether a row may be that of a run of any task.
+    fn may_list_any(&self) -> bool {
+        self.running.contains(&UnreadableRow::AnyTask)
+    }
 }
 
 impl Guard {
@@ -126,23 +158,58 @@
     /// Records an inventory and sends the next hold call.
     pub fn record_inventory(&mut self, now: Duration, inventory: &Inventory) {
         let token = self.hold_token.take();
+        let mut answers_at_once = false;
         if self.is_present(inventory.started_at) {
             self.detect_restart(now, inventory.started_at);
             self.last_received = now;
             self.failing_since = None;
-            for (number, run, ending) in &inventory.unacknowledged {
-                if *number > self.last_end {
-                    self.last_end = *number;
-                    self.record_end(now, *run, *ending);
-                }
-            }
+            self.report_unreadable(&inventory.unreadable);
+            answers_at_once = self.record_new_ends(now, inventory);
             let is_newest = self.clock.is_none_or(|(clock, _)| inventory.clock >= clock);
             if is_newest {
                 self.clock = Some((inventory.clock, now));
                 self.reconcile_running(now, inventory, token);
             }
         }
-        self.hold(now);
+        if answers_at_once {
+            self.retry_hold(now);
+        } else {
+            self.hold(now);
+        }
+    }
+
+    /// Records the ends that are new. Returns whether the next call would be answered
+    /// at once without any: an unreadable end is listed that cannot be acknowledged.
+    fn record_new_ends(&mut self, now: Duration, inventory: &Inventory) -> bool {
+        let before = self.last_end;
+        for (number, run, ending) in &inventory.unacknowledged {
+            if *number > self.last_end {
+                self.last_end = *number;
+                self.record_end(now, *run, *ending);
+            }
+        }
+        // An unreadable end is passed over only if it is the next one: a number that is
+        // far too high would acknowledge all further ends.
+        let unreadable = &inventory.unreadable.ended;
+        self.has_lost_ends |= !unreadable.is_empty();
+        for number in unreadable.iter().flatten() {
+            if self.last_end.checked_add(1) == Some(*number) {
+                self.last_end = *number;
+            }
+        }
+        let is_listed = |number: &Option<u64>| number.is_none_or(|number| number > self.last_end);
+        self.last_end == before && unreadable.iter().any(is_listed)
+    }
+
+    /// Reports a change in the numbers of unreadable rows.
+    fn report_unreadable(&mut self, rows: &UnreadableRows) {
+        let counts = (rows.running.len(), rows.ended.len());
+        if std::mem::replace(&mut self.unreadable_rows, counts) != counts {
+            self.events.push(Event::RowsUnreadable {
+                running: u32::try_from(counts.0).unwrap_or(u32::MAX),
+                ended: u32::try_from(counts.1).unwrap_or(u32::MAX),
+            });
+        }
     }
 
     /// Returns whether an inventory with this start time is of the upstream's
@@ -177,6 +244,7 @@
         self.token = (self.token + 1).max(millis(now));
         self.clock = None;
         self.last_end = 0;
+        self.has_lost_ends = false;
         self.runs_known = false;
         self.end_previous_runs(now, false);
     }
@@ -295,7 +363,9 @@
                 self.actions.push(Action::Stop { run, token });
             }
         }
-        let known = !foreign && token == Some(self.token);
+        let known = !foreign
+            && token == Some(self.token)
+            && (self.runs_known || !self.may_hide_foreign(now, inventory));
         if self.runs_known != known {
             self.runs_known = known;
             self.dirty = true;
@@ -303,6 +373,17 @@
         self.end_unstarted(now, inventory);
     }
 
+    /// Returns whether an unreadable row may be that of a run that this side has not
+    /// ordered. Such a run has lapsed once no lease is left that this side has renewed.
+    fn may_hide_foreign(&self, now: Duration, inventory: &Inventory) -> bool {
+        let is_foreign = |row: &UnreadableRow| match row {
+            UnreadableRow::Task(task) => !self.runs.contains_key(task),
+            UnreadableRow::AnyTask => true,
+        };
+        let last_lease = self.leases_end.max(self.earlier_leases_end);
+        now <= last_lease && inventory.unreadable.running.iter().any(is_foreign)
+    }
+
     /// Updates a run that the upstream lists. Returns false if this side has not
     /// ordered it.
     fn update_run(&mut self, now: Duration, listed: Observation) -> bool {
@@ -340,34 +421,39 @@
     }
 
     /// Ends the runs that are not listed and can no longer start, because a stop
-    /// has revoked them or their lease has expired.
+    /// has revoked them or their lease has expired. A run whose row may be unreadable
+    /// is stopped instead when its lease expires: only the time that an accepted stop
+    /// takes proves its end.
     fn end_unstarted(&mut self, now: Duration, inventory: &Inventory) {
         let stop_timeout = millis(self.timing.stop_timeout);
-        let absent: Vec<(Task, bool)> = self
-            .runs
-            .iter()
-            .filter(|(task, slot)| {
-                let listed = inventory
-                    .running
-                    .iter()
-                    .any(|listed| listed.run == slot.id(**task));
-                let is_revoked = slot
-                    .revoked_at
-                    .is_some_and(|clock| inventory.clock > clock + stop_timeout);
-                !listed && (is_revoked || inventory.clock > slot.lease.saturating_add(stop_timeout))
-            })
-            .map(|(task, slot)| {
-                let has_no_expiry = slot.lease == NO_EXPIRY;
-                (
-                    *task,
-                    has_no_expiry
-                        || slot.receipt == Receipt::Listed
-                        || slot.phase == Phase::Running,
-                )
-            })
-            .collect();
-        for (task, ran) in absent {
-            let ending = if ran {
+        let is_over = |at: u64| inventory.clock > at.saturating_add(stop_timeout);
+        let may_be_hidden = inventory.unreadable.may_list_any();
+        let mut unproved = Vec::new();
+        let mut ended = Vec::new();
+        for (task, slot) in &self.runs {
+            let mut listed = inventory.running.iter();
+            if listed.any(|listed| listed.run == slot.id(*task))
+                || inventory.unreadable.lists(*task)
+            {
+                continue;
+            }
+            let has_lapsed = is_over(slot.lease);
+            if slot.revoked_at.is_some_and(is_over) || (has_lapsed && !may_be_hidden) {
+                let may_have_run = slot.lease == NO_EXPIRY
+                    || slot.receipt == Receipt::Listed
+                    || slot.phase == Phase::Running
+                    || may_be_hidden
+                    || self.has_lost_ends;
+                ended.push((*task, may_have_run));
+            } else if has_lapsed {
+                unproved.push(*task);
+            }
+        }
+        for task in unproved {
+            self.stop(now, task);
+        }
+        for (task, may_have_run) in ended {
+            let ending = if may_have_run {
                 Ending::Lapsed
             } else {
                 Ending::NotRun(Refusal::Unanswered)
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -16,7 +16,7 @@
 
 pub use crate::timing::{MAX_REPORT_INTERVAL, Timing};
 pub use action::{Action, Announcement, Hold, Order};
-pub use hold::{Inventory, Observation};
+pub use hold::{Inventory, Observation, UnreadableRow, UnreadableRows};
 pub use order::Admission;
 
 use crate::{
@@ -166,6 +166,12 @@
     leases_end: Duration,
     /// Number of the last end received from the upstream.
     last_end: u64,
+    /// Whether ends of the upstream's present process were unreadable.
+    has_lost_ends: bool,
+    /// Unreadable rows of the last inventory: runs in progress, and ends.
+    unreadable_rows: (usize, usize),
+    /// Time after which the leases that an earlier side has renewed have expired.
+    earlier_leases_end: Duration,
     runs: BTreeMap<Task, Slot>,
     queue: Queue,
     /// Speed of the upstream's present process.
@@ -204,6 +210,9 @@
             runs_known: false,
             leases_end: Duration::ZERO,
             last_end: 0,
+            has_lost_ends: false,
+            unreadable_rows: (0, 0),
+            earlier_leases_end: now + timing.real_max_lease(),
             runs: BTreeMap::new(),
             queue: Queue::default(),
             rate: Rate::default(),
--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -2,7 +2,7 @@
 //! and records the starts.
 
 use super::make::MAX_CAPACITY_AGE;
-use kernel::guard::{Admission, Guard, Hold, Inventory, Observation, Order};
+use kernel::guard::{Admission, Guard, Hold, Inventory, Observation, Order, UnreadableRows};
 use std::{collections::BTreeMap, time::Duration};
 use wire::{
     id::Incarnation,
@@ -124,6 +124,10 @@
     pub holds: Holds,
     /// Number of hold calls received.
     pub hold_calls: u32,
+    /// Changes each inventory, as if rows of it could not be decoded.
+    pub distort: fn(&mut Inventory),
+    /// Whether hold calls are answered at once, as while an end is unacknowledged.
+    pub answers_at_once: bool,
     /// Run time of every task.
     pub run_time: Duration,
     /// Processor that every task occupies, in thousandths of a core.
@@ -169,6 +173,8 @@
             answer_when_down: Admission::NotSent,
             holds: Holds::Answered,
             hold_calls: 0,
+            distort: |_| {},
+            answers_at_once: false,
             run_time: Duration::from_millis(100),
             cpu: 1_000,
             speed_percent: 100,
@@ -375,7 +381,9 @@
         let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.pending_holds)
             .into_iter()
             .partition(|(at, _, hold)| {
-                *at <= now || ends.iter().any(|(number, ..)| *number > hold.acknowledged)
+                *at <= now
+                    || self.answers_at_once
+                    || ends.iter().any(|(number, ..)| *number > hold.acknowledged)
             });
         self.pending_holds = rest;
         let interrupted: Vec<Incarnation> = self
@@ -423,12 +431,15 @@
                 percent: u8::try_from(percent).expect("at most 99"),
             }
         });
-        Inventory {
+        let mut inventory = Inventory {
             started_at: self.started_at,
             clock: self.clock(now),
             running: running.collect(),
             unacknowledged: self.ends.clone(),
-        }
+            unreadable: UnreadableRows::default(),
+        };
+        (self.distort)(&mut inventory);
+        inventory
     }
 
     fn execute(&mut self, now: Duration, call: &Call) -> Option<Outcome> {
