A registration must name its own key and a usable address

Callers saw: an entry registered with port 70000, or under another entry's name, counted as an entry. A side chose it among its neighbours and no longer dialled its seeds; an entry took another's item for its own registration. Each malformed registration was logged every 2 s by every entry.

Cause: only the JSON types were checked.

A registration whose name is not its key's, or whose address is not IP:port with a port above 0, now names no entry. A malformed registration is logged once and after a change.

--- a/crates/hyssoppost/src/entry/registry.rs
+++ b/crates/hyssoppost/src/entry/registry.rs
@@ -6,7 +6,7 @@
 
 use crate::{meter, settings};
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use store::{
     Store,
     publication::{self, Current},
@@ -40,6 +40,9 @@
 /// the registered floor.
 const MIN_FLOOR_CHANGE: f64 = 0.2;
 
+/// Most patience floors of one registration; there are as many queues at most.
+const MAX_FLOORS: usize = 4_096;
+
 /// The patience floor of each queue, in milliseconds: the 2 % quantile of the time
 /// for which its customers wait.
 pub(crate) type Floors = Vec<(String, u32)>;
@@ -175,10 +178,11 @@
     events: &mpsc::Sender<E>,
 ) {
     let mut registered: Option<Registered> = None;
+    let mut reported = Reported::default();
     let mut floors_reported = false;
     let prefix = publication::entries_prefix(&instance.environment, &instance.region);
     loop {
-        if let Ok(Listed { registrations, .. }) = list(store, &prefix).await {
+        if let Ok(Listed { registrations, .. }) = list(store, &prefix, &mut reported).await {
             if registrations
                 .iter()
                 .all(|other| other.name != instance.name)
@@ -215,10 +219,11 @@
     events: &mpsc::Sender<E>,
 ) {
     let prefix = publication::entries_prefix(environment, region);
+    let mut reported = Reported::default();
     let mut retry_interval = MIN_SEARCH_INTERVAL;
     while isolated.wait_for(|isolated| *isolated).await.is_ok() {
         let listed_at = Instant::now();
-        let watched = match list(&store, &prefix).await {
+        let watched = match list(&store, &prefix, &mut reported).await {
             Ok(listed) => {
                 let event = Event::Entries(addresses(listed.registrations));
                 if events.send(event.into()).await.is_err() {
@@ -262,40 +267,61 @@
     registrations: Vec<Registration>,
 }
 
-async fn list<S: Store>(store: &S, prefix: &str) -> Result<Listed, S::Error> {
+/// The malformed registrations of the last listing, with what is wrong with each.
+type Reported = BTreeMap<String, String>;
+
+/// Lists the registrations. Those that are malformed name no entry; each is logged
+/// once and after every change.
+async fn list<S: Store>(
+    store: &S,
+    prefix: &str,
+    reported: &mut Reported,
+) -> Result<Listed, S::Error> {
     let listing = store.list(prefix).await;
     meter::count_call("entries", &listing);
     let listing = listing?;
-    let registrations = listing.items.iter().filter_map(decode);
+    let mut registrations = Vec::with_capacity(listing.items.len());
+    let mut malformed = Reported::new();
+    for item in &listing.items {
+        match decode(item, prefix) {
+            Ok(registration) => registrations.push(registration),
+            Err(reason) => {
+                if reported.get(&item.key) != Some(&reason) {
+                    log::warn!(
+                        "event=registration_invalid key={:?} reason=\"{reason}\"",
+                        item.key
+                    );
+                }
+                malformed.insert(item.key.clone(), reason);
+            }
+        }
+    }
+    *reported = malformed;
     Ok(Listed {
         revision: listing.revision,
-        registrations: registrations.collect(),
+        registrations,
     })
 }
 
-/// Decodes a registration; one that is malformed names no entry, and a processor
-/// out of range counts as unknown.
-fn decode(item: &Item) -> Option<Registration> {
-    match serde_json::from_slice::<Registration>(&item.value.bytes) {
-        Ok(mut registration) => {
-            if registration.processor > settings::MAX_PROCESSOR {
-                log::warn!(
-                    "event=registration_invalid key={:?} reason=\"processor {} out of range\"",
-                    item.key,
-                    registration.processor
-                );
-                registration.processor = 0;
-            }
-            Some(registration)
-        }
-        Err(error) => {
-            log::warn!(
-                "event=registration_invalid key={:?} reason=\"{error}\"",
-                item.key
-            );
-            None
-        }
+/// Decodes a registration. A processor out of range counts as unknown, and floors of
+/// more queues than there are count as none: this entry registers what it learns here.
+fn decode(item: &Item, prefix: &str) -> Result<Registration, String> {
+    let registration = serde_json::from_slice(&item.value.bytes);
+    let mut registration: Registration = registration.map_err(|error| error.to_string())?;
+    if item.key.strip_prefix(prefix) != Some(&registration.name) {
+        return Err("the key is another entry's".to_owned());
+    }
+    let address: Result<SocketAddr, _> = registration.address.parse();
+    if !address.is_ok_and(|address| address.port() > 0) {
+        return Err("the address is not IP:port".to_owned());
+    }
+    if registration.processor > settings::MAX_PROCESSOR {
+        registration.processor = 0;
+    }
+    if registration.floors.len() > MAX_FLOORS {
+        registration.floors.clear();
     }
+    Ok(registration)
 }
 
 fn addresses(registrations: Vec<Registration>) -> Vec<Endpoint> {
--- a/crates/hyssoppost/tests/malformed_input.rs
+++ b/crates/hyssoppost/tests/malformed_input.rs
@@ -9,7 +9,7 @@
 mod process;
 
 use pair::Pair;
-use platform_standin::upstream::Fault;
+use platform_standin::{store::Store, upstream::Fault};
 use process::Output;
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Duration};
@@ -116,3 +116,48 @@
     let starts = pair.upstream.audit().lock().starts.len();
     assert_eq!(starts, 2, "each task has run once");
 }
+
+/// Writes malformed items beside those that the processes follow.
+fn write_odd_items(store: &Store) {
+    let entries = "hyssoppost/t/entries/main/";
+    let entry = |address: Value| json!({ "name": "a", "address": address });
+    let mut deep = entry(json!("127.0.0.1:9"));
+    deep["marks"] = (0..200).fold(Value::Null, |inner, _| json!([inner]));
+    store.set(&format!("{entries}a"), &entry(json!("127.0.0.1:70000")));
+    store.set(&format!("{entries}b"), &entry(json!("127.0.0.1:9")));
+    store.set(&format!("{entries}c"), &entry(json!(1e30)));
+    store.set(&format!("{entries}d"), &deep);
+    store.set_odd(&format!("{entries}f"), json!({ "value": "!" }));
+    store.set_odd(&format!("{entries}g"), json!({ "key": null }));
+    store.set_odd("op/a", json!({ "revision": 1e30, "value": [[[]]] }));
+    store.set_odd("op/z", json!({ "key": {} }));
+}
+
+/// Guards against processes that no longer follow the store since an item there is
+/// malformed: the side finds the entry only there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn malformed_items() {
+    // Nothing listens on the discard port.
+    let seed = Some("127.0.0.1:9".parse().unwrap());
+    let pair = Pair::launch("items", 4, RUN_TIME, Output::Read, seed, write_odd_items).await;
+    assert_eq!(submit(&pair, "a.example", 1).await, 200);
+    write_odd_items(&pair.store);
+    pair.store.set("op/config", &rules(2, "b.example", 2));
+    let mut served = false;
+    for job in 2..52 {
+        served |= submit(&pair, "b.example", job).await == 200;
+        if served {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(served, "rules take effect beside malformed items");
+    // Several listings.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let lines = pair.log.lock().unwrap().clone();
+    for key in ["main/a", "main/b", "main/c", "main/d", "main/f"] {
+        let is_about = |line: &&String| line.contains("registration_invalid") && line.contains(key);
+        let count = lines.iter().filter(is_about).count();
+        assert!((1..=2).contains(&count), "{count} lines about {key}");
+    }
+}
--- a/crates/hyssoppost/tests/soak/pair.rs
+++ b/crates/hyssoppost/tests/soak/pair.rs
@@ -26,6 +26,8 @@
     pub side: Process,
     pub store: Store,
     pub upstream: Upstream,
+    /// Lines that the processes have logged.
+    pub log: Arc<Mutex<Vec<String>>>,
     folder: PathBuf,
 }
 
@@ -35,21 +37,23 @@
     /// has `slots` for tasks, each of which takes `run_time`; `output` applies to
     /// the entry.
     pub async fn start(name: &str, slots: usize, run_time: Duration, output: Output) -> Self {
-        Self::launch(name, slots, run_time, output, None).await
+        Self::launch(name, slots, run_time, output, None, |_| {}).await
     }
 
     /// Starts the processes as [`Pair::start`] does; the side's only seed is
-    /// `seed`, or the entry if it is `None`.
+    /// `seed`, or the entry if it is `None`. `prepare` writes to the store before.
     pub async fn launch(
         name: &str,
         slots: usize,
         run_time: Duration,
         output: Output,
         seed: Option<SocketAddr>,
+        prepare: fn(&Store),
     ) -> Self {
         let folder = std::env::temp_dir().join(format!("hyssop-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::bind().await;
+        prepare(&store);
         store.set(
             "op/config",
             &json!({
@@ -97,6 +101,7 @@
             side,
             store,
             upstream,
+            log,
             folder,
         }
     }
--- a/crates/hyssoppost/tests/unreachable_seeds.rs
+++ b/crates/hyssoppost/tests/unreachable_seeds.rs
@@ -16,7 +16,8 @@
     // Nothing listens on the discard port.
     let unreachable = "127.0.0.1:9".parse().unwrap();
     let run_time = Duration::from_millis(20);
-    let pair = Pair::launch("seeds", 4, run_time, Output::Read, Some(unreachable)).await;
+    let seed = Some(unreachable);
+    let pair = Pair::launch("seeds", 4, run_time, Output::Read, seed, |_| {}).await;
     let address = pair.entry.address("customers");
     let http = reqwest::Client::builder().no_proxy().build().unwrap();
     let response = http
