Numbers as large as their types allow do not overflow

Callers saw: with overflow checks, one job whose estimate and processor are the largest that their types allow ended the entry's event loop as its tasks were queued; without them its wrapped work entered every forecast. A side whose upstream answered 48 hold calls in a row with 409 overflowed its fencing token within seconds: it panicked, or wrapped to a low token. With a clock near 2^64 the end of a lease wrapped to a time long past.

Cause: unchecked sums and products of received numbers.

A task's work is at most 2^40 core-milliseconds, so that sums stay within 64 bits. Clocks, tokens and the sums of peers' numbers saturate; a token or a lease that has reached the largest value proves no end.

--- a/crates/kernel/src/dispatch/backlog.rs
+++ b/crates/kernel/src/dispatch/backlog.rs
@@ -76,6 +76,5 @@
 pub(super) fn work_ahead(levels: impl Iterator<Item = (u8, u64)>, level: u8) -> u64 {
     levels
         .filter(|(other, _)| *other <= level)
-        .map(|(_, work)| work)
-        .sum()
+        .fold(0, |sum, (_, work)| sum.saturating_add(work))
 }
--- a/crates/kernel/src/dispatch/follow.rs
+++ b/crates/kernel/src/dispatch/follow.rs
@@ -58,7 +58,8 @@
         };
         side.last_received = now;
         let known = side.last_end;
-        side.last_end = known.max(ends.first + ends.ends.len() as u64 - 1);
+        let end = ends.first.saturating_add(ends.ends.len() as u64);
+        side.last_end = known.max(end.saturating_sub(1));
         let skip = known.saturating_add(1).saturating_sub(ends.first);
         let new = ends
             .ends
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -9,6 +9,10 @@
 /// task.
 pub(super) const ESTIMATE_SAFETY_FACTOR: f64 = 1.3;
 
+/// Largest processor time of a task, in core-milliseconds: 34 years of a core. Sums over
+/// all tasks that wait stay within 64 bits.
+const MAX_TASK_WORK: u64 = 1 << 40;
+
 /// Factor on a job's objective after which the service contract counts the
 /// answer as missed.
 const USEFUL_FACTOR: u32 = 3;
@@ -378,9 +382,11 @@
 }
 
 impl Step {
-    /// Returns a task's processor time, in core-milliseconds.
+    /// Returns a task's processor time, in core-milliseconds, at most
+    /// [`MAX_TASK_WORK`].
     pub fn work(&self) -> u64 {
-        crate::millis(self.estimate) * u64::from(self.need.cpu) / 1_000
+        let work = crate::millis(self.estimate).saturating_mul(self.need.cpu.into()) / 1_000;
+        work.min(MAX_TASK_WORK)
     }
 }
 
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -172,7 +172,7 @@
         let peers = self.connected.values();
         peers
             .map(|peer| peer.pending.get(queue).copied().unwrap_or_default())
-            .sum()
+            .fold(0, u32::saturating_add)
     }
 
     /// Returns the work waiting at each entry, in core-milliseconds, by level.
@@ -234,7 +234,7 @@
     /// answer once this is known.
     pub(super) fn record_reply(&mut self, reply: Cancelled) -> Option<(u64, Answer)> {
         let call = self.cancellations.get_mut(&reply.call)?;
-        call.replies_due -= 1;
+        call.replies_due = call.replies_due.saturating_sub(1);
         let answer = if reply.found {
             Answer::State(Phase::Cancelled)
         } else if call.replies_due == 0 {
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -243,7 +243,7 @@
         let name = queue.name.clone();
         let own = self.pending_of(&name);
         let others = self.peers.pending_of(&name);
-        self.answer(customer, Answer::Pending(own + others));
+        self.answer(customer, Answer::Pending(own.saturating_add(others)));
     }
 
     /// Returns the number of a queue's jobs at this entry of which no task has
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -241,7 +241,7 @@
             self.rate = Rate::default();
         }
         self.started_at = started_at;
-        self.token = (self.token + 1).max(millis(now));
+        self.token = self.token.saturating_add(1).max(millis(now));
         self.clock = None;
         self.last_end = 0;
         self.has_lost_ends = false;
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -300,7 +300,7 @@
         let (Some(announced), Some((clock, at))) = (&self.announced, self.clock) else {
             return false;
         };
-        let clock_now = clock + millis(now.saturating_sub(at));
+        let clock_now = clock.saturating_add(millis(now.saturating_sub(at)));
         announced.started_at == self.started_at
             && clock_now.saturating_sub(announced.clock) <= millis(limit)
     }
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -225,7 +225,8 @@
         } else {
             self.timing.lease
         };
-        Some(clock + millis(now.saturating_sub(observed_at)) + millis(lease))
+        let clock_now = clock.saturating_add(millis(now.saturating_sub(observed_at)));
+        Some(clock_now.saturating_add(millis(lease)))
     }
 
     /// Records the upstream's answer to a start order.
@@ -286,7 +287,7 @@
 
     /// Raises the fencing token beyond one that the upstream has seen.
     pub(super) fn raise_token(&mut self) {
-        self.token += self.token_step;
+        self.token = self.token.saturating_add(self.token_step);
         self.token_step = self.token_step.saturating_mul(2);
     }
 
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -345,12 +345,12 @@
 }
 
 impl Share {
-    /// Returns the sum.
+    /// Returns the sum; each part saturates.
     #[must_use]
     pub fn plus(self, other: Share) -> Share {
         Share {
-            total: self.total + other.total,
-            free: self.free + other.free,
+            total: self.total.saturating_add(other.total),
+            free: self.free.saturating_add(other.free),
         }
     }
 }
