One clock that is far ahead neither ends runs nor hides later reports

Callers saw: after one list with a clock far ahead, runs that it did not list ended as lapsed while they ran, and no later list was reconciled. After one such heartbeat all later ones counted as overtaken: a host that drained or shrank was not followed, and its capacity counted as current forever.

Cause: any clock of a report was believed, and later reports compared with it.

A list whose clock is more than 10 s ahead of what the last list lets expect is not reconciled; two in a row that agree are, since the one before may have been the wrong one. Such a heartbeat is ignored, and one that was recorded before the first list hides no other. The clock of the first list of an upstream's process is still believed; if it is far ahead, later lists count as overtaken.

Evidence: clock_far_ahead fails without either check (labels of the later heartbeat not taken; the job not completed); clock_far_behind fails without the rule of two lists, and passed before, when any higher clock was believed.

--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -15,6 +15,10 @@
 /// computed on the clock of the previous process, so it never passes.
 const NO_EXPIRY: u64 = u64::MAX;
 
+/// Time by which an upstream's clock may be ahead of what its last inventory lets
+/// expect: that inventory may have been handled late.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(10);
+
 /// Longest wait of a hold call while the upstream's runs are not all known. It
 /// is short because nothing starts until they are.
 const RECONCILE_WAIT: Duration = Duration::from_millis(5);
@@ -166,7 +170,7 @@
             self.report_unreadable(&inventory.unreadable);
             answers_at_once = self.record_new_ends(now, inventory);
             let is_newest = self.clock.is_none_or(|(clock, _)| inventory.clock >= clock);
-            if is_newest {
+            if is_newest && self.believes(now, inventory.clock) {
                 self.clock = Some((inventory.clock, now));
                 self.reconcile_running(now, inventory, token);
             }
@@ -221,6 +225,31 @@
             && !self.previous_starts.contains(&started_at)
     }
 
+    /// Returns whether a clock of the upstream's present process is too far ahead of
+    /// its last one to be right. By such a clock all leases would have expired, and all
+    /// later reports would count as overtaken.
+    pub(super) fn is_ahead(&self, now: Duration, clock: u64) -> bool {
+        self.clock
+            .is_some_and(|known| is_ahead_of(known, now, clock))
+    }
+
+    /// Returns whether to use the clock of an inventory. Two in a row that agree
+    /// outweigh the one before, which may have been the wrong one.
+    fn believes(&mut self, now: Duration, clock: u64) -> bool {
+        let doubted = self.doubted_clock.take();
+        if !self.is_ahead(now, clock) {
+            return true;
+        }
+        let agrees =
+            |doubted: (u64, Duration)| clock >= doubted.0 && !is_ahead_of(doubted, now, clock);
+        let agrees = doubted.is_some_and(agrees);
+        if !agrees {
+            log::debug!("event=clock_doubted clock={clock}");
+            self.doubted_clock = Some((clock, now));
+        }
+        agrees
+    }
+
     /// Resets the state if the upstream has restarted, which ended its runs.
     pub(super) fn detect_restart(&mut self, now: Duration, started_at: u64) {
         if started_at == self.started_at {
@@ -243,6 +272,7 @@
         self.started_at = started_at;
         self.token = self.token.saturating_add(1).max(millis(now));
         self.clock = None;
+        self.doubted_clock = None;
         self.last_end = 0;
         self.has_lost_ends = false;
         self.runs_known = false;
@@ -462,3 +492,9 @@
         }
     }
 }
+
+/// Returns whether an upstream's clock is too far ahead of what it was at a known time.
+fn is_ahead_of((known, at): (u64, Duration), now: Duration, clock: u64) -> bool {
+    let passed = now.saturating_sub(at) + MAX_CLOCK_LEAD;
+    clock > known.saturating_add(millis(passed))
+}
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -156,6 +156,8 @@
     /// The upstream's clock, in milliseconds, and the own clock at the newest
     /// inventory.
     clock: Option<(u64, Duration)>,
+    /// The same of the last inventory, if it was too far ahead to be used.
+    doubted_clock: Option<(u64, Duration)>,
     /// Time of the last inventory.
     last_received: Duration,
     /// Time of the first failed hold call since the last inventory.
@@ -205,6 +207,7 @@
             previous_starts: VecDeque::new(),
             held_since_restart: false,
             clock: None,
+            doubted_clock: None,
             last_received: Duration::ZERO,
             failing_since: None,
             runs_known: false,
@@ -325,9 +328,13 @@
         let is_earlier = announcement.started_at < self.started_at
             || self.previous_starts.contains(&announcement.started_at);
         let is_overtaken = self.announced.as_ref().is_some_and(|known| {
-            known.started_at == announcement.started_at && known.clock > announcement.clock
+            known.started_at == announcement.started_at
+                && known.clock > announcement.clock
+                && !self.is_ahead(now, known.clock)
         });
-        if is_earlier || is_overtaken {
+        let is_ahead =
+            announcement.started_at == self.started_at && self.is_ahead(now, announcement.clock);
+        if is_earlier || is_overtaken || is_ahead {
             return;
         }
         self.detect_restart(now, announcement.started_at);
--- a/crates/kernel/tests/extreme_numbers.rs
+++ b/crates/kernel/tests/extreme_numbers.rs
@@ -130,6 +130,55 @@
     })
 }
 
+/// Guards against runs that count as lapsed, and later reports that count as overtaken,
+/// by one clock that is far ahead.
+#[test]
+fn clock_far_ahead() {
+    const RUN: Duration = Duration::from_secs(1);
+    let mut site = Site::new(1, 1);
+    site.upstreams[0].run_time = RUN;
+    let mut report = announcement(&site.upstreams[0], site.now);
+    let (started_at, right_clock) = (report.started_at, report.clock + 100);
+    report.clock = 1 << 50;
+    site.sides[0]
+        .as_mut()
+        .unwrap()
+        .announce(site.now, report.clone());
+    let customer = site.submit(0, job(1, 2, 1_000, RUN));
+    site.run(Duration::from_millis(100));
+    let guard = site.sides[0].as_mut().unwrap();
+    let list = Inventory {
+        started_at,
+        clock: 1 << 50,
+        running: Vec::new(),
+        unacknowledged: Vec::new(),
+        unreadable: UnreadableRows::default(),
+    };
+    guard.record_inventory(site.now, &list);
+    report.clock = right_clock;
+    report.upstream.labels = vec!["new".to_owned()];
+    guard.announce(site.now, report);
+    assert_eq!(guard.announced().unwrap().upstream.labels, ["new"]);
+    site.run(RUN * 2);
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+    assert_eq!(site.upstreams[0].starts.len(), 2, "no run counts as lapsed");
+}
+
+/// Guards against a host that is no longer followed since one clock was far behind.
+#[test]
+fn clock_far_behind() {
+    let mut site = Site::new(1, 1);
+    site.run(RUN);
+    site.upstreams[0].distort = |inventory| inventory.clock += 60_000;
+    site.run(RUN);
+    let mut report = announcement(&site.upstreams[0], site.now);
+    report.clock += 60_000;
+    report.upstream.labels = vec!["new".to_owned()];
+    let guard = site.sides[0].as_mut().unwrap();
+    guard.announce(site.now, report);
+    assert_eq!(guard.announced().unwrap().upstream.labels, ["new"]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
