--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -16,7 +16,7 @@
 
 pub use crate::timing::{MAX_REPORT_INTERVAL, Timing};
 pub use action::{Action, Announcement, Hold, Order};
-pub use hold::{Inventory, Observation};
+pub use hold::{Inventory, Observation, UnreadableRow, UnreadableRows};
 pub use order::Admission;
 
 use crate::{
@@ -162,6 +162,8 @@
     /// The upstream's clock, in milliseconds, and the own clock at the newest
     /// inventory.
     clock: Option<(u64, Duration)>,
+    /// The same of the last inventory, if it was too far ahead to be used.
+    doubted_clock: Option<(u64, Duration)>,
     /// Time of the last inventory.
     last_received: Duration,
     /// Time of the first failed hold call since the last inventory.
@@ -172,6 +174,12 @@
     leases_end: Duration,
     /// Number of the last end received from the upstream.
     last_end: u64,
+    /// Whether ends of the upstream's present process were unreadable.
+    has_lost_ends: bool,
+    /// Unreadable rows of the last inventory: runs in progress, and ends.
+    unreadable_rows: (usize, usize),
+    /// Time after which the leases that an earlier side has renewed have expired.
+    earlier_leases_end: Duration,
     runs: BTreeMap<Task, Slot>,
     queue: Queue,
     /// Speed of the upstream's present process.
@@ -206,11 +214,15 @@
             previous_starts: VecDeque::new(),
             held_since_restart: false,
             clock: None,
+            doubted_clock: None,
             last_received: Duration::ZERO,
             failing_since: None,
             runs_known: false,
             leases_end: Duration::ZERO,
             last_end: 0,
+            has_lost_ends: false,
+            unreadable_rows: (0, 0),
+            earlier_leases_end: now + timing.real_max_lease(),
             runs: BTreeMap::new(),
             queue: Queue::default(),
             rate: Rate::default(),
@@ -299,7 +311,7 @@
         let (Some(announced), Some((clock, at))) = (&self.announced, self.clock) else {
             return false;
         };
-        let clock_now = clock + millis(now.saturating_sub(at));
+        let clock_now = clock.saturating_add(millis(now.saturating_sub(at)));
         announced.started_at == self.started_at
             && clock_now.saturating_sub(announced.clock) <= millis(limit)
     }
@@ -333,9 +345,11 @@
             return;
         }
         let is_overtaken = self.announced.as_ref().is_some_and(|known| {
-            known.started_at == announcement.started_at && known.clock > announcement.clock
+            known.started_at == announcement.started_at
+                && known.clock > announcement.clock
+                && !self.is_ahead(now, known.clock)
         });
-        if is_overtaken {
+        if is_overtaken || self.is_ahead(now, announcement.clock) {
             return;
         }
         let known = self.announced.as_ref();
