A customer's departure is not lost while the event queue is full

The report of a customer that has disconnected was dropped with a warning when the queue of 16,384 events was full, so its job went on beside the resubmitted one. It is now sent once there is room. Found in review; no run or test has shown a full queue.

--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -18,7 +18,13 @@
     },
     time::Duration,
 };
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::{
+    runtime::Handle,
+    sync::{
+        mpsc::{self, error::TrySendError},
+        oneshot, watch,
+    },
+};
 use wire::Payload;
 
 /// Queues of the process: customers' calls wait behind all other events.
@@ -50,10 +56,17 @@
     fn drop(&mut self) {
         // Before the report, since the process may handle this before the call.
         self.response.close();
-        if let Some((job, customer)) = self.unanswered.take()
-            && let Err(error) = self.events.try_send(Event::Disconnected { job, customer })
-        {
-            log::warn!("event=departure_not_taken job={job:016x} reason=\"{error}\"");
+        let Some((job, customer)) = self.unanswered.take() else {
+            return;
+        };
+        let departure = Event::Disconnected { job, customer };
+        // Fails otherwise only if the process has ended.
+        if let Err(TrySendError::Full(departure)) = self.events.try_send(departure) {
+            log::warn!("event=departure_delayed job={job:016x}");
+            let events = self.events.clone();
+            if let Ok(runtime) = Handle::try_current() {
+                runtime.spawn(async move { events.send(departure).await });
+            }
         }
     }
 }
