--- a/crates/hyssoppost/src/admin.rs
+++ b/crates/hyssoppost/src/admin.rs
@@ -1,7 +1,7 @@
 //! The admin interface: metrics and state dump, protected by a token.
 
 use crate::{Error, http, settings::Common};
-use kernel::dispatch::accuracy::ERROR_BOUNDS_MS;
+use kernel::accuracy::ERROR_BOUNDS_MS;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use poem::{
     Endpoint, EndpointExt, Middleware, Request, Response, Route, get, handler,
--- a/crates/hyssoppost/src/leased/dump.rs
+++ b/crates/hyssoppost/src/leased/dump.rs
@@ -4,10 +4,8 @@
 use super::admission::Admission;
 use crate::{entry::process, link::Local};
 use kernel::{
-    dispatch::{
-        Dispatcher, View,
-        accuracy::{Accuracy, Admissions, ERROR_BOUNDS_MS, LEVELS, Tally},
-    },
+    accuracy::{Accuracy, Admissions, ERROR_BOUNDS_MS, LEVELS, Tally},
+    dispatch::{Dispatcher, View},
     guard::Guard,
     millis,
     pressure::Pressure,
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -3,10 +3,8 @@
 use crate::{admin::FORECAST_ERROR, link::Local, logging, meter};
 use hashbrown::HashMap;
 use kernel::{
-    dispatch::{
-        Dispatcher, Phase, Reason,
-        accuracy::{Level, Outcome, Settlement},
-    },
+    accuracy::{Level, Outcome, Settlement},
+    dispatch::{Dispatcher, Phase, Reason},
     event::{Event, Severity},
     guard::Guard,
     millis,
--- a/crates/kernel/src/dispatch/accuracy.rs
+++ b/crates/kernel/src/accuracy/mod.rs
@@ -4,12 +4,14 @@
 //! forecast would have met. When a refusal is wrong is defined in [`Watch`]. No decision
 //! reads this state.
 
-use super::watch::{Host, Judgement, Refusal, Watch};
+pub mod watch;
+
 use std::{
     collections::BTreeMap,
     fmt::{Display, Formatter, Result},
     time::Duration,
 };
+use watch::{Host, Judgement, Refusal, Watch};
 
 /// Upper bounds of the buckets of forecast errors, in milliseconds. A start later than
 /// forecast is positive; the last bucket has no bound.
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -7,7 +7,6 @@
 //! reported the end or refused the run, or every lease that the run could have
 //! has expired.
 
-pub mod accuracy;
 mod admission;
 mod answer;
 mod arrivals;
@@ -36,7 +35,6 @@
 mod serve;
 mod takeover;
 mod usual;
-pub mod watch;
 
 pub use crate::outcome::{Phase, Reason};
 pub use answer::{Answer, Stats, View};
@@ -46,11 +44,11 @@
 pub use rules::route;
 
 use crate::{
+    accuracy::Accuracy,
     event::{Event, Way},
     mutation::{Mutant, is_seeded},
     timing::Timing,
 };
-use accuracy::Accuracy;
 use admission::Admission;
 use confinement::{Confinement, Eligibility};
 use crashes::CrashMemory;
--- a/crates/kernel/src/dispatch/review.rs
+++ b/crates/kernel/src/dispatch/review.rs
@@ -1,9 +1,8 @@
 //! Review of admissions and refusals: passes what happens to jobs to [`Accuracy`].
 
-use super::{
-    Dispatcher, Event, Job, Phase, Reason,
-    accuracy::{Accuracy, Level, Outcome},
-    fairness::PROMOTED_LEVEL,
+use super::{Dispatcher, Event, Job, Phase, Reason, fairness::PROMOTED_LEVEL};
+use crate::accuracy::{
+    Accuracy, Level, Outcome,
     watch::{Host, Refusal},
 };
 use std::time::Duration;
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -1,10 +1,11 @@
 //! Customers' requests: jobs are submitted, inspected, cancelled and answered.
 
 use super::{
-    Answer, Dispatcher, Event, Job, Phase, Reason, Submission, accuracy::Outcome,
-    admission::Arrival, backlog::LATE_LEVEL, forecast::Forecast, route,
+    Answer, Dispatcher, Event, Job, Phase, Reason, Submission, admission::Arrival,
+    backlog::LATE_LEVEL, forecast::Forecast, route,
 };
 use crate::{
+    accuracy::Outcome,
     mutation::{Mutant, is_seeded},
     pressure::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
 };
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -7,10 +7,7 @@
 mod text;
 
 use crate::{
-    dispatch::{
-        accuracy::{Counts, Settlement},
-        watch::Judgement,
-    },
+    accuracy::{Counts, Settlement, watch::Judgement},
     outcome::{Phase, Reason},
 };
 use std::time::Duration;
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -2,7 +2,7 @@
 
 use super::{Event, Evidence};
 use crate::{
-    dispatch::{accuracy::Settlement, watch::Judgement},
+    accuracy::{Settlement, watch::Judgement},
     millis,
 };
 use std::fmt;
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -1,6 +1,6 @@
 //! Renewal of leases, and reconciliation with the upstream's inventory.
 
-use super::{Action, Guard, Hold, Phase, Receipt};
+use super::{Action, Guard, Hold, Phase, Receipt, UnreadableRows};
 use crate::{
     event::{Event, Evidence},
     millis,
@@ -15,10 +15,6 @@
 /// computed on the clock of the previous process, so it never passes.
 const NO_EXPIRY: u64 = u64::MAX;
 
-/// Time by which an upstream's clock may be ahead of what its last inventory lets
-/// expect: that inventory may have been handled late.
-const MAX_CLOCK_LEAD: Duration = Duration::from_secs(10);
-
 /// Longest wait of a hold call while the upstream's runs are not all known. It
 /// is short because nothing starts until they are.
 const RECONCILE_WAIT: Duration = Duration::from_millis(5);
@@ -63,36 +59,6 @@
     pub unreadable: UnreadableRows,
 }
 
-/// Rows of an [`Inventory`] that could not be decoded.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct UnreadableRows {
-    /// Those of runs in progress.
-    pub running: Vec<UnreadableRow>,
-    /// Numbers of the unacknowledged ends; `None` for one that is malformed, too.
-    pub ended: Vec<Option<u64>>,
-}
-
-/// A row of a run in progress that could not be decoded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum UnreadableRow {
-    /// It is of this task.
-    Task(Task),
-    /// It may be of any task.
-    AnyTask,
-}
-
-impl UnreadableRows {
-    /// Returns whether a row is that of a run of the task.
-    fn lists(&self, task: Task) -> bool {
-        self.running.contains(&UnreadableRow::Task(task))
-    }
-
-    /// Returns whether a row may be that of a run of any task.
-    fn may_list_any(&self) -> bool {
-        self.running.contains(&UnreadableRow::AnyTask)
-    }
-}
-
 impl Guard {
     /// Sends the next hold call, unless one is in progress.
     pub(super) fn hold(&mut self, now: Duration) {
@@ -186,40 +152,6 @@
         }
     }
 
-    /// Records the ends that are new. Returns whether the next call would be answered
-    /// at once without any: an unreadable end is listed that cannot be acknowledged.
-    fn record_new_ends(&mut self, now: Duration, inventory: &Inventory) -> bool {
-        let before = self.last_end;
-        for (number, run, ending) in &inventory.unacknowledged {
-            if *number > self.last_end {
-                self.last_end = *number;
-                self.record_end(now, *run, *ending);
-            }
-        }
-        // An unreadable end is passed over only if it is the next one: a number that is
-        // far too high would acknowledge all further ends.
-        let unreadable = &inventory.unreadable.ended;
-        self.has_lost_ends |= !unreadable.is_empty();
-        for number in unreadable.iter().flatten() {
-            if self.last_end.checked_add(1) == Some(*number) {
-                self.last_end = *number;
-            }
-        }
-        let is_listed = |number: &Option<u64>| number.is_none_or(|number| number > self.last_end);
-        self.last_end == before && unreadable.iter().any(is_listed)
-    }
-
-    /// Reports a change in the numbers of unreadable rows.
-    fn report_unreadable(&mut self, rows: &UnreadableRows) {
-        let counts = (rows.running.len(), rows.ended.len());
-        if std::mem::replace(&mut self.unreadable_rows, counts) != counts {
-            self.events.push(Event::RowsUnreadable {
-                running: u32::try_from(counts.0).unwrap_or(u32::MAX),
-                ended: u32::try_from(counts.1).unwrap_or(u32::MAX),
-            });
-        }
-    }
-
     /// Returns whether an inventory with this start time is of the upstream's
     /// present process. A restart may show an earlier time than the process before
     /// it, since the time of day can be set back. The answer is of the present
@@ -229,31 +161,6 @@
             && !self.previous_starts.contains(&started_at)
     }
 
-    /// Returns whether a clock of the upstream's present process is too far ahead of
-    /// its last one to be right. By such a clock all leases would have expired, and all
-    /// later reports would count as overtaken.
-    pub(super) fn is_ahead(&self, now: Duration, clock: u64) -> bool {
-        self.clock
-            .is_some_and(|known| is_ahead_of(known, now, clock))
-    }
-
-    /// Returns whether to use the clock of an inventory. Two in a row that agree
-    /// outweigh the one before, which may have been the wrong one.
-    fn believes(&mut self, now: Duration, clock: u64) -> bool {
-        let doubted = self.doubted_clock.take();
-        if !self.is_ahead(now, clock) {
-            return true;
-        }
-        let agrees =
-            |doubted: (u64, Duration)| clock >= doubted.0 && !is_ahead_of(doubted, now, clock);
-        let agrees = doubted.is_some_and(agrees);
-        if !agrees {
-            log::debug!("event=clock_doubted clock={clock}");
-            self.doubted_clock = Some((clock, now));
-        }
-        agrees
-    }
-
     /// Resets the state if the upstream has restarted, which ended its runs.
     pub(super) fn detect_restart(&mut self, now: Duration, started_at: u64) {
         if started_at == self.started_at {
@@ -383,7 +290,7 @@
         }
     }
 
-    fn record_end(&mut self, now: Duration, run: Run, ending: Ending) {
+    pub(super) fn record_end(&mut self, now: Duration, run: Run, ending: Ending) {
         let is_current = self
             .runs
             .get(&run.task)
@@ -417,17 +324,6 @@
         self.end_unstarted(now, inventory);
     }
 
-    /// Returns whether an unreadable row may be that of a run that this side has not
-    /// ordered. Such a run has lapsed once no lease is left that this side has renewed.
-    fn may_hide_foreign(&self, now: Duration, inventory: &Inventory) -> bool {
-        let is_foreign = |row: &UnreadableRow| match row {
-            UnreadableRow::Task(task) => !self.runs.contains_key(task),
-            UnreadableRow::AnyTask => true,
-        };
-        let last_lease = self.leases_end.max(self.earlier_leases_end);
-        now <= last_lease && inventory.unreadable.running.iter().any(is_foreign)
-    }
-
     /// Updates a run that the upstream lists. Returns false if this side has not
     /// ordered it.
     fn update_run(&mut self, now: Duration, listed: Observation) -> bool {
@@ -511,9 +407,3 @@
         }
     }
 }
-
-/// Returns whether an upstream's clock is too far ahead of what it was at a known time.
-fn is_ahead_of((known, at): (u64, Duration), now: Duration, clock: u64) -> bool {
-    let passed = now.saturating_sub(at) + MAX_CLOCK_LEAD;
-    clock > known.saturating_add(millis(passed))
-}
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -8,16 +8,21 @@
 //! through another entry never runs beside its own earlier runs.
 
 mod action;
+mod announce;
+mod clock;
 mod hold;
 mod order;
+mod peer;
 mod queue;
 mod release;
 mod report;
+mod rows;
 
 pub use crate::timing::{MAX_REPORT_INTERVAL, Timing};
 pub use action::{Action, Announcement, Hold, Order};
-pub use hold::{Inventory, Observation, UnreadableRow, UnreadableRows};
+pub use hold::{Inventory, Observation};
 pub use order::Admission;
+pub use rows::{UnreadableRow, UnreadableRows};
 
 use crate::{
     event::{Event, Evidence},
@@ -33,7 +38,7 @@
 };
 use wire::{
     id::Incarnation,
-    lease::{Crash, Echo, End, Ending, Ends, Frame, Need, Refusal, Run, Task},
+    lease::{Crash, End, Ending, Frame, Need, Refusal, Run, Task},
 };
 
 /// Time after the last contact for which the ends of a disconnected entry's
@@ -299,23 +304,6 @@
             && !self.has_overdue_stop(now)
     }
 
-    /// Returns whether the capacity is one that the upstream's present process has
-    /// reported, and not too long ago on its own clock: this side may have been paused.
-    fn is_capacity_current(&self, now: Duration) -> bool {
-        let Some(limit) = self.timing.max_capacity_age else {
-            return true;
-        };
-        if is_seeded(Mutant::OldCapacity) {
-            return true;
-        }
-        let (Some(announced), Some((clock, at))) = (&self.announced, self.clock) else {
-            return false;
-        };
-        let clock_now = clock.saturating_add(millis(now.saturating_sub(at)));
-        announced.started_at == self.started_at
-            && clock_now.saturating_sub(announced.clock) <= millis(limit)
-    }
-
     /// Returns the host's capacity that neither runs nor claims occupy.
     pub fn free(&self) -> Need {
         let Some(announced) = &self.announced else {
@@ -330,119 +318,6 @@
         announced.upstream.capacity.minus(used)
     }
 
-    /// Records an announcement of the upstream. One of another process than the one that
-    /// has answered last waits until that process answers: it may be delayed, or of
-    /// another sender, while the runs of the present process go on. Before any has
-    /// answered, nothing runs.
-    pub fn announce(&mut self, now: Duration, announcement: Announcement) {
-        if self.started_at == 0 {
-            self.detect_restart(now, announcement.started_at);
-        }
-        if announcement.started_at != self.started_at {
-            if !self.previous_starts.contains(&announcement.started_at) {
-                self.unconfirmed = Some(announcement);
-            }
-            return;
-        }
-        let is_overtaken = self.announced.as_ref().is_some_and(|known| {
-            known.started_at == announcement.started_at
-                && known.clock > announcement.clock
-                && !self.is_ahead(now, known.clock)
-        });
-        if is_overtaken || self.is_ahead(now, announcement.clock) {
-            return;
-        }
-        let known = self.announced.as_ref();
-        let changed = known.is_none_or(|known| {
-            known.upstream != announcement.upstream || known.leaving != announcement.leaving
-        });
-        self.announced = Some(announcement);
-        if changed {
-            self.dirty = true;
-            self.send_upstream(None);
-        }
-        self.claim(now);
-    }
-
-    /// Adopts an announcement that waited for the process that has just answered, and
-    /// discards one of any other process.
-    fn confirm_announcement(&mut self, now: Duration) {
-        let Some(announcement) = self.unconfirmed.take() else {
-            return;
-        };
-        if announcement.started_at == self.started_at {
-            self.announce(now, announcement);
-        } else {
-            self.events.push(Event::AnnouncementIgnored {
-                started_at: announcement.started_at,
-                present_start: self.started_at,
-            });
-        }
-    }
-
-    /// Records that the upstream has announced its shutdown.
-    pub fn withdraw(&mut self) {
-        if let Some(announced) = &mut self.announced {
-            announced.leaving = true;
-            self.dirty = true;
-        }
-        self.queue.clear();
-    }
-
-    /// Records a connection to an entry and sends it the pending ends of its
-    /// runs, its open runs and the upstream.
-    pub fn join(&mut self, now: Duration, entry: Incarnation) {
-        // A side that was paused learns of the new connection before it has noticed the
-        // silence, which the entry may have counted as the end of its runs.
-        self.stop_orphans(now);
-        let peer = self.peers.entry(entry).or_insert_with(|| Peer::new(now));
-        peer.last_contact = peer.last_contact.max(now);
-        peer.liveness = Liveness::new(now);
-        peer.connected = true;
-        peer.received = 0;
-        if !is_seeded(Mutant::LostEnd) {
-            peer.next_unsent = peer.first_end;
-        }
-        self.send_ends(entry);
-        let open = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.entry == entry)
-            .map(|(task, run)| run.id(*task))
-            .collect();
-        self.send(entry, Frame::OpenRuns(open));
-        self.send_upstream(Some(entry));
-        self.dirty = true;
-    }
-
-    /// Records that the connection to an entry is lost.
-    pub fn lose(&mut self, entry: Incarnation) {
-        if let Some(peer) = self.peers.get_mut(&entry) {
-            peer.connected = false;
-        }
-        self.queue.remove_entry(entry);
-    }
-
-    /// Records that bytes have arrived from a connected entry. They keep the
-    /// connection; they are no contact that keeps the entry's runs.
-    pub fn record_bytes(&mut self, now: Duration, from: Incarnation) {
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.liveness.record_bytes(now);
-        }
-    }
-
-    /// Returns the connected entries that are silent by
-    /// [`Timing::connection_limits`].
-    pub fn silent(&self, now: Duration) -> Vec<Incarnation> {
-        let limits = self.timing.connection_limits();
-        self.peers
-            .iter()
-            .filter(|(_, peer)| peer.connected)
-            .filter(|(_, peer)| peer.liveness.is_silent(now, peer.last_contact, &limits))
-            .map(|(entry, _)| *entry)
-            .collect()
-    }
-
     /// Handles a frame from an entry.
     pub fn frame(&mut self, now: Duration, from: Incarnation, frame: Frame) {
         if let Some(peer) = self.peers.get_mut(&from) {
@@ -476,18 +351,6 @@
         });
     }
 
-    fn echo(&mut self, from: Incarnation, echo: Echo) {
-        let Some(peer) = self.peers.get_mut(&from) else {
-            return;
-        };
-        peer.last_contact = peer.last_contact.max(Duration::from_millis(echo.clock));
-        peer.requested_interval = Duration::from_millis(echo.report_interval_ms.into());
-        while peer.first_end <= echo.acknowledged && peer.ends.pop_front().is_some() {
-            peer.first_end += 1;
-        }
-        peer.next_unsent = peer.next_unsent.max(peer.first_end);
-    }
-
     fn send_upstream(&mut self, entry: Option<Incarnation>) {
         let upstream = self
             .announced
@@ -542,53 +405,11 @@
         self.queue_end(entry, end);
     }
 
-    fn queue_end(&mut self, entry: Incarnation, end: End) {
-        if let Some(peer) = self.peers.get_mut(&entry) {
-            peer.ends.push_back(end);
-            self.send_ends(entry);
-        }
-    }
-
-    fn send_ends(&mut self, entry: Incarnation) {
-        let Some(peer) = self.peers.get_mut(&entry) else {
-            return;
-        };
-        let next = peer.first_end + peer.ends.len() as u64;
-        if !peer.connected || peer.next_unsent >= next {
-            return;
-        }
-        let skip = usize::try_from(peer.next_unsent - peer.first_end).unwrap_or(usize::MAX);
-        let ends = Ends {
-            first: peer.next_unsent,
-            ends: peer.ends.iter().skip(skip).copied().collect(),
-        };
-        peer.next_unsent = next;
-        self.send(entry, Frame::Ends(ends));
-    }
-
     fn send(&mut self, to: Incarnation, frame: Frame) {
         self.actions.push(Action::Send((to, frame)));
     }
 }
 
-impl Peer {
-    fn new(now: Duration) -> Self {
-        Self {
-            last_contact: now,
-            liveness: Liveness::new(now),
-            connected: false,
-            received: 0,
-            ends: VecDeque::new(),
-            first_end: 1,
-            next_unsent: 0,
-            surplus_since: None,
-            reported_at: Duration::ZERO,
-            unreported: false,
-            requested_interval: Duration::ZERO,
-        }
-    }
-}
-
 impl Slot {
     fn id(&self, task: Task) -> Run {
         Run {
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -3,7 +3,6 @@
 use super::{Action, Guard, Order, Phase, Receipt, Slot};
 use crate::{
     event::{Event, Evidence},
-    millis,
     mutation::{Mutant, is_seeded},
     timing::SUSPECT_AGE,
 };
@@ -219,19 +218,6 @@
         true
     }
 
-    /// Returns the end of a lease granted now, on the upstream's clock in
-    /// milliseconds; `None` while that clock is unknown.
-    pub(super) fn lease_end(&self, now: Duration) -> Option<u64> {
-        let (clock, observed_at) = self.clock?;
-        let lease = if is_seeded(Mutant::LongLease) {
-            self.timing.lease * 3
-        } else {
-            self.timing.lease
-        };
-        let clock_now = clock.saturating_add(millis(now.saturating_sub(observed_at)));
-        Some(clock_now.saturating_add(millis(lease)))
-    }
-
     /// Records the upstream's answer to a start order.
     pub fn record_admission(&mut self, now: Duration, run: Run, answer: Admission) {
         let Some(slot) = self.runs.get_mut(&run.task) else {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -6,6 +6,7 @@
 //! decreases within a process. Randomness comes from a seeded generator. The
 //! same code therefore runs in production, in tests and in the model checker.
 
+pub mod accuracy;
 pub mod dispatch;
 pub mod document;
 pub mod entry;
--- a/crates/kernel/tests/forecast_accuracy.rs
+++ b/crates/kernel/tests/forecast_accuracy.rs
@@ -5,8 +5,8 @@
 
 mod site;
 
-use kernel::dispatch::{
-    accuracy::{Accuracy, Counts, Level, Outcome},
+use kernel::accuracy::{
+    Accuracy, Counts, Level, Outcome,
     watch::{Host, Refusal},
 };
 use site::{PATH, SERVICE, Site, job};
@@ -201,7 +201,7 @@
         accuracy.record_start(started, id);
         accuracy.settle(ended, id, "quick", true, Outcome::InTime)
     };
-    let error = |settled: Option<kernel::dispatch::accuracy::Settlement>| {
+    let error = |settled: Option<kernel::accuracy::Settlement>| {
         settled.and_then(|settlement| settlement.error_ms())
     };
     assert_eq!(error(settle(1, Duration::MAX, NOW, NOW)), Some(i32::MIN));
