An entry that was paused sends no echoes before it has read what arrived

An echo lets the runs at a side go on. After a pause of 600 ms an entry echoed, and was lost before it knew that a customer had left meanwhile: its runs were over 1,311 ms after that, 11 ms too late. A pause now counts from half of the orphan timeout, and neither starts nor echoes precede the 100 ms after it.

Evidence: echo_before_departure failed before at 600 and 630 ms.

--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -132,7 +132,7 @@
             jobs: BTreeMap::new(),
             history: History::default(),
             loop_lateness: LoopLateness::default(),
-            pause: Pause::new(now, timing.orphan_timeout),
+            pause: Pause::new(now, timing.orphan_timeout / 2),
             accuracy: Accuracy::default(),
             stats: Stats::default(),
             actions: Vec::new(),
@@ -398,6 +398,10 @@
     }
 
     fn send_echoes(&mut self, now: Duration) {
+        // An echo lets the runs of a job go on whose customer may have left.
+        if self.pause.is_catching_up(now) {
+            return;
+        }
         let mut frames = Vec::new();
         let interval = self.echo_interval();
         let report_interval_ms = self.fleet.report_interval_ms();
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -290,8 +290,7 @@
         /// Number of its unfinished runs.
         runs: u32,
     },
-    /// The process was paused for longer than the sides keep its runs; no task starts
-    /// before it has read what arrived meanwhile.
+    /// The process was paused; no task starts before it has read what arrived meanwhile.
     Resumed {
         /// Length of the pause.
         lasted: Duration,
