Answers and connections of another time prove nothing about a run

A start order is repeated only while the upstream has answered recently, as for other grants, and no clock beyond the present counts as contact.

--- a/crates/hyssopctl/src/model/product.rs
+++ b/crates/hyssopctl/src/model/product.rs
@@ -286,7 +286,7 @@
                 match action {
                     guard::Action::Send((to, frame)) => self.send(side_id(index), to, frame),
                     guard::Action::Start(order) => self.start(index, order.run),
-                    guard::Action::Stop { run, .. } => self.stop(index, run),
+                    guard::Action::Stop { run, token } => self.stop(index, run, token),
                     guard::Action::Hold(hold) => {
                         let until = self.now + hold.wait;
                         self.upstreams[index].pending_hold = Some((until, hold));
@@ -316,14 +316,14 @@
         self.sides[host].record_admission(self.now, run, Admission::Accepted);
     }
 
-    fn stop(&mut self, host: usize, run: Run) {
+    fn stop(&mut self, host: usize, run: Run, token: u64) {
         let now = self.now;
         let state = &mut self.upstreams[host];
         if let Some(running) = state.running.iter_mut().find(|running| running.run == run) {
             running.ends = now + STOP_DELAY;
             running.ending = Ending::Stopped;
         }
-        self.sides[host].record_stop(run, millis(now));
+        self.sides[host].record_stop(run, token, millis(now));
     }
 }
 
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -51,7 +51,11 @@
     Admission(Run, Admission),
     /// The upstream has executed a stop, at this time on its clock in
     /// milliseconds.
-    Stopped(Run, u64),
+    Stopped {
+        run: Run,
+        token: u64,
+        at: u64,
+    },
     /// The upstream's list of its runs, or why the call for it failed.
     Inventory(Result<Inventory, Failure>),
     Registry(registry::Event),
@@ -280,7 +284,7 @@
                 self.kernel.withdraw();
             }
             Event::Admission(run, answer) => self.kernel.record_admission(now, run, answer),
-            Event::Stopped(run, at) => self.kernel.record_stop(run, at),
+            Event::Stopped { run, token, at } => self.kernel.record_stop(run, token, at),
             Event::Inventory(Ok(inventory)) => self.kernel.record_inventory(now, &inventory),
             Event::Inventory(Err(Failure::Gone)) => self.kernel.upstream_gone(now),
             Event::Inventory(Err(Failure::Fenced)) => self.kernel.hold_fenced(now),
@@ -350,7 +354,7 @@
                     tokio::spawn(async move {
                         if let Some(at) = client.stop(run, token).await {
                             // The send fails only if the process has ended.
-                            let _ = events.send(Event::Stopped(run, at)).await;
+                            let _ = events.send(Event::Stopped { run, token, at }).await;
                         }
                     });
                 }
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -107,6 +107,8 @@
 struct Peer {
     /// Latest time, on the own clock, at which the entry is known to have run.
     last_contact: Duration,
+    /// Start of the latest connection.
+    joined_at: Duration,
     liveness: Liveness,
     connected: bool,
     /// Runs received in start frames on this connection.
@@ -324,7 +326,7 @@
             peer.liveness.record_frame(now);
         }
         match frame {
-            Frame::Echo(echo) => self.echo(from, echo),
+            Frame::Echo(echo) => self.echo(now, from, echo),
             Frame::Start(start) => self.start(now, from, &start),
             Frame::Stop(runs) => self.stop_runs(now, from, &runs),
             Frame::Reserve(reserve) => self.enqueue_step(now, from, &reserve),
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -44,7 +44,7 @@
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
-        let clock = Duration::from_millis(start.clock);
+        let clock = Duration::from_millis(start.clock).min(now);
         peer.last_contact = peer.last_contact.max(clock);
         let runs = u32::try_from(start.runs.len()).unwrap_or(u32::MAX);
         peer.received = peer.received.wrapping_add(runs);
@@ -109,7 +109,7 @@
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
-        let clock = Duration::from_millis(reserve.clock);
+        let clock = Duration::from_millis(reserve.clock).min(now);
         peer.last_contact = peer.last_contact.max(clock);
         let is_current = now.saturating_sub(clock) <= self.timing.max_order_age();
         if is_current && self.is_accepting(now) && !self.is_released(now, from) {
@@ -200,7 +200,9 @@
     /// Sends an unanswered start order once more; the upstream starts a run only
     /// once. Returns false if the order may not be repeated.
     fn repeat_start(&mut self, now: Duration, task: Task) -> bool {
-        if self.has_overdue_stop(now) {
+        let silent = now.saturating_sub(self.last_received);
+        let may_grant = self.runs_known && silent <= self.timing.max_upstream_silence();
+        if !may_grant || self.has_overdue_stop(now) {
             return false;
         }
         let order = self.runs.get_mut(&task).and_then(|slot| {
@@ -257,8 +259,12 @@
             | Admission::LeaseExpired
             | Admission::NoRoom
             | Admission::Refused
+            | Admission::Fenced
                 if slot.order.is_none() && !is_seeded(Mutant::RepeatTrusted) =>
             {
+                if answer == Admission::Fenced {
+                    self.raise_token();
+                }
                 self.revoke(now, run.task);
                 return;
             }
@@ -325,9 +331,13 @@
         self.actions.push(Action::Stop { run, token });
     }
 
-    /// Records that the upstream has accepted a stop order at `clock`, the
-    /// upstream's clock in milliseconds.
-    pub fn record_stop(&mut self, run: Run, clock: u64) {
+    /// Records that the upstream has accepted a stop order with this fencing token at
+    /// `clock`, the upstream's clock in milliseconds. An answer to an order with an
+    /// earlier token may be of an earlier process.
+    pub fn record_stop(&mut self, run: Run, token: u64, clock: u64) {
+        if token != self.token {
+            return;
+        }
         if let Some(slot) = self.runs.get_mut(&run.task)
             && slot.attempt == run.attempt
         {
--- a/crates/kernel/src/guard/peer.rs
+++ b/crates/kernel/src/guard/peer.rs
@@ -19,7 +19,8 @@
         // silence, which the entry may have counted as the end of its runs.
         self.stop_orphans(now);
         let peer = self.peers.entry(entry).or_insert_with(|| Peer::new(now));
-        peer.last_contact = peer.last_contact.max(now);
+        // No contact that keeps runs: this may be handled long after it arrived.
+        peer.joined_at = now;
         peer.liveness = Liveness::new(now);
         peer.connected = true;
         peer.received = 0;
@@ -61,16 +62,20 @@
         self.peers
             .iter()
             .filter(|(_, peer)| peer.connected)
-            .filter(|(_, peer)| peer.liveness.is_silent(now, peer.last_contact, &limits))
+            .filter(|(_, peer)| {
+                let contact = peer.last_contact.max(peer.joined_at);
+                peer.liveness.is_silent(now, contact, &limits)
+            })
             .map(|(entry, _)| *entry)
             .collect()
     }
 
-    pub(super) fn echo(&mut self, from: Incarnation, echo: Echo) {
+    pub(super) fn echo(&mut self, now: Duration, from: Incarnation, echo: Echo) {
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
-        peer.last_contact = peer.last_contact.max(Duration::from_millis(echo.clock));
+        let clock = Duration::from_millis(echo.clock).min(now);
+        peer.last_contact = peer.last_contact.max(clock);
         peer.requested_interval = Duration::from_millis(echo.report_interval_ms.into());
         while peer.first_end <= echo.acknowledged && peer.ends.pop_front().is_some() {
             peer.first_end += 1;
@@ -107,6 +112,7 @@
     pub(super) fn new(now: Duration) -> Self {
         Self {
             last_contact: now,
+            joined_at: now,
             liveness: Liveness::new(now),
             connected: false,
             received: 0,
--- a/crates/kernel/tests/extreme_numbers.rs
+++ b/crates/kernel/tests/extreme_numbers.rs
@@ -245,11 +245,12 @@
         };
         report.clock = clock;
         report.upstream.capacity.memory = memory;
+        let token = site.upstreams[0].token();
         let side = site.sides[0].as_mut().unwrap();
         let mut run = Run { task: Task { job: 1, occurrence: 0, step: 0, index: 0 }, attempt: 1 };
-        side.record_stop(run, clock);
+        side.record_stop(run, token, clock);
         run.attempt = u32::MAX;
-        side.record_stop(run, clock);
+        side.record_stop(run, token, clock);
         for _ in 0..100 {
             side.hold_fenced(now);
         }
--- a/crates/kernel/tests/site/trace.rs
+++ b/crates/kernel/tests/site/trace.rs
@@ -87,7 +87,9 @@
     pub(super) fn describe(&self) -> Option<String> {
         match self {
             Self::Admission(_, run, answer) => Some(format!("answer to start {run}: {answer:?}")),
-            Self::Stopped(_, run, clock) => Some(format!("answer to stop {run} at clock {clock}")),
+            Self::Stopped(_, run, _, clock) => {
+                Some(format!("answer to stop {run} at clock {clock}"))
+            }
             Self::Gone(_) => Some("fault: hold gets no connection".to_owned()),
             Self::Inventory(..) | Self::HoldFailed(_) => None,
         }
--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -32,7 +32,7 @@
 /// Result of a call, with the incarnation of the side that made it.
 pub enum Outcome {
     Admission(Incarnation, Run, Admission),
-    Stopped(Incarnation, Run, u64),
+    Stopped(Incarnation, Run, u64, u64),
     Inventory(Incarnation, Inventory),
     HoldFailed(Incarnation),
     Gone(Incarnation),
@@ -52,7 +52,7 @@
     pub fn report(self, guard: &mut Guard, now: Duration) {
         match self {
             Self::Admission(_, run, answer) => guard.record_admission(now, run, answer),
-            Self::Stopped(_, run, clock) => guard.record_stop(run, clock),
+            Self::Stopped(_, run, token, clock) => guard.record_stop(run, token, clock),
             Self::Inventory(_, inventory) => guard.record_inventory(now, &inventory),
             Self::HoldFailed(_) => guard.hold_failed(now),
             Self::Gone(_) => guard.upstream_gone(now),
@@ -225,6 +225,11 @@
         elapsed - elapsed * CLOCK_LAG_PER_MILLE / 1_000
     }
 
+    /// Returns the highest fencing token seen.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
     /// Raises the highest fencing token seen, as by a side whose clock was ahead.
     pub fn raise_token(&mut self, ahead: Duration) {
         self.token += u64::try_from(ahead.as_millis()).expect("fits into 64 bits");
@@ -490,7 +495,7 @@
                 {
                     running.stops_at = Some(now + self.stop_delay);
                 }
-                Some(Outcome::Stopped(*owner, *run, self.clock(now)))
+                Some(Outcome::Stopped(*owner, *run, *token, self.clock(now)))
             }
             Call::Hold(_, hold) => {
                 self.renew_lease(now, hold);
