One condition for all grants of a lease; a job's objective is computed once

The rereading found the same three checks (runs known, upstream heard, no overdue stop) in hold calls, repeated start orders and admission: now Guard::may_grant. A job that ends had its objective and response time computed for the log and again for the accuracy of its admission. Whether a run is revoked was looked up twice for each list. The comments on Timing and Pause say what holds since the fixes.

--- a/crates/kernel/src/dispatch/pause.rs
+++ b/crates/kernel/src/dispatch/pause.rs
@@ -2,7 +2,8 @@
 //!
 //! While a process is paused its customers may disconnect and submit their jobs
 //! elsewhere. After it has resumed it may read what its sides have sent, such as the ends
-//! of runs that they stopped meanwhile, before it learns of that.
+//! of runs that they stopped meanwhile, before it learns of that. Until then it starts
+//! nothing, and sends no echoes, which let runs go on.
 
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
     /// Shortest time without a call that counts as a pause.
     limit: Duration,
     last_run: Duration,
-    /// Time until which no task starts.
+    /// Time until which no task starts and no echo is sent.
     caught_up_at: Duration,
 }
 
--- a/crates/kernel/src/dispatch/review.rs
+++ b/crates/kernel/src/dispatch/review.rs
@@ -56,14 +56,10 @@
         self.accuracy.record_refusal(now, &job.queue, refusal);
     }
 
-    /// Records that a job has ended in `state`.
-    pub(super) fn settle_ended(&mut self, now: Duration, job: &Job, state: Phase) {
-        let objective = job.objective_for(job.sum_longest_runs());
-        let response_time = now.saturating_sub(job.accepted);
+    /// Records that a job has ended in `state`, and whether within its objective.
+    pub(super) fn settle_ended(&mut self, now: Duration, job: &Job, state: Phase, in_time: bool) {
         let outcome = match state {
-            Phase::Completed if response_time <= objective.saturating_sub(job.waited) => {
-                Outcome::InTime
-            }
+            Phase::Completed if in_time => Outcome::InTime,
             Phase::Completed => Outcome::Missed,
             _ => Outcome::Unjudged,
         };
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -329,16 +329,19 @@
             Phase::Failed => self.stats.failed += 1,
             Phase::Queued | Phase::Running | Phase::Cancelled => {}
         }
-        self.settle_ended(now, &open_job, state);
+        let longest_runs = open_job.sum_longest_runs();
+        let response_time = now.saturating_sub(open_job.accepted);
+        let objective = open_job
+            .objective_for(longest_runs)
+            .saturating_sub(open_job.waited);
+        self.settle_ended(now, &open_job, state, response_time <= objective);
         self.events.push(Event::Answered {
             job,
             queue: open_job.queue.clone(),
             state,
-            response_time: now.saturating_sub(open_job.accepted),
-            objective: open_job
-                .objective_for(open_job.sum_longest_runs())
-                .saturating_sub(open_job.waited),
-            longest_runs: open_job.sum_longest_runs(),
+            response_time,
+            objective,
+            longest_runs,
             reruns: open_job.reruns(),
         });
         self.history.insert(now, job, state);
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -68,13 +68,7 @@
         self.hold_token = Some(self.token);
         self.held_since_restart = true;
         self.hold_sent_at = now;
-        let is_responsive =
-            now.saturating_sub(self.last_received) <= self.timing.max_upstream_silence();
-        let renews_leases = is_responsive
-            && self.runs_known
-            && !self.runs.is_empty()
-            && !self.has_overdue_stop(now);
-        let deadline = if renews_leases {
+        let deadline = if !self.runs.is_empty() && self.may_grant(now) {
             self.lease_end(now)
         } else {
             None
@@ -378,13 +372,14 @@
                 continue;
             }
             let has_lapsed = is_over(slot.lease);
-            if slot.revoked_at.is_some_and(is_over) || (has_lapsed && !may_be_hidden) {
+            let is_revoked = slot.revoked_at.is_some_and(is_over);
+            if is_revoked || (has_lapsed && !may_be_hidden) {
                 let may_have_run = slot.lease == NO_EXPIRY
                     || slot.receipt == Receipt::Listed
                     || slot.phase == Phase::Running
                     || may_be_hidden
                     || self.has_lost_ends;
-                let evidence = if slot.revoked_at.is_some_and(is_over) {
+                let evidence = if is_revoked {
                     Evidence::Stopped
                 } else {
                     Evidence::LeaseExpired
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -298,12 +298,7 @@
     /// Returns whether a task may start now.
     pub fn is_accepting(&self, now: Duration) -> bool {
         let leaving = self.announced.as_ref().is_none_or(|known| known.leaving);
-        !self.leaving
-            && !leaving
-            && self.runs_known
-            && now.saturating_sub(self.last_received) <= self.timing.max_upstream_silence()
-            && self.is_capacity_current(now)
-            && !self.has_overdue_stop(now)
+        !self.leaving && !leaving && self.is_capacity_current(now) && self.may_grant(now)
     }
 
     /// Returns the host's capacity that neither runs nor claims occupy.
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -200,9 +200,7 @@
     /// Sends an unanswered start order once more; the upstream starts a run only
     /// once. Returns false if the order may not be repeated.
     fn repeat_start(&mut self, now: Duration, task: Task) -> bool {
-        let silent = now.saturating_sub(self.last_received);
-        let may_grant = self.runs_known && silent <= self.timing.max_upstream_silence();
-        if !may_grant || self.has_overdue_stop(now) {
+        if !self.may_grant(now) {
             return false;
         }
         let order = self.runs.get_mut(&task).and_then(|slot| {
@@ -345,11 +343,19 @@
         }
     }
 
+    /// Returns whether leases may be granted and renewed: all runs at the upstream are
+    /// known, it has answered recently, and none of them should have been stopped.
+    pub(super) fn may_grant(&self, now: Duration) -> bool {
+        self.runs_known
+            && now.saturating_sub(self.last_received) <= self.timing.max_upstream_silence()
+            && !self.has_overdue_stop(now)
+    }
+
     /// Returns whether a run that should have been stopped by now may still go on. A
     /// lease is common to all runs of an upstream, so none is granted or renewed until
     /// the upstream has accepted the stop: the run ends with its lease if every stop
     /// order is lost, or if this side was paused when it was due.
-    pub(super) fn has_overdue_stop(&self, now: Duration) -> bool {
+    fn has_overdue_stop(&self, now: Duration) -> bool {
         if is_seeded(Mutant::RenewedStop) {
             return false;
         }
--- a/crates/kernel/src/timing.rs
+++ b/crates/kernel/src/timing.rs
@@ -41,8 +41,9 @@
 ///
 /// A customer may resubmit a job through another entry `resubmit_after` after
 /// the first entry fell silent. All its runs have ended by then, since
-/// `orphan_timeout + lease * 1.02 < resubmit_after`: the side stops them after
-/// `orphan_timeout`, and if the side has failed too, their leases expire.
+/// `orphan_timeout + answer_timeout + real_lease < resubmit_after`: the side stops them
+/// after `orphan_timeout`, and if it has failed too, or the upstream does not answer the
+/// stops, their leases expire.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
     /// Length of each lease that the side requests.
