--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -24,6 +24,7 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -69,10 +70,20 @@
     template: String,
 }
 
+/// A machine of the site: its role, zone, number within the zone and address.
+#[derive(Debug, Clone)]
+struct Machine {
+    role: &'static str,
+    zone: u8,
+    number: u8,
+    ip: IpAddr,
+}
+
 /// A process of the product.
 #[derive(Debug)]
 struct Process {
     name: String,
+    machine: Machine,
     child: Child,
 }
 
@@ -87,6 +98,7 @@
     folder: PathBuf,
     network: [u8; 2],
     ports: Ports,
+    roles: BTreeMap<String, Role>,
     processes: Vec<Process>,
 }
 
@@ -132,33 +144,44 @@
             folder,
             network,
             ports,
+            roles: roles()?,
             processes: Vec::new(),
         };
         site.store.put("op/config", CONFIG);
-        let roles = roles()?;
+        let seeds = (0..3).map(|zone| ip(network, entry_host(zone, 1))).collect::<Vec<_>>();
         for zone in 0..3 {
-            site.spawn("entry", &roles["entry"], zone, 0)?;
+            site.start_entry(zone, 1, &seeds)?;
         }
         for zone in 0..3 {
-            for number in 0..sides {
-                site.spawn("side", &roles["side"], zone, number + 1)?;
+            for number in 1..=sides {
+                site.start_side(zone, number, &seeds)?;
             }
         }
-        site.await_service()?;
+        site.await_service(1)?;
         Ok(site)
     }
 
-    /// Returns the name and the customers' address of the entry of a zone.
+    /// Returns the name and the customers' address of the first entry of a zone.
     pub fn entry(&self, zone: u8) -> (&'static str, SocketAddr) {
         let name = ["edge-nord-a-1", "edge-nord-b-1", "edge-nord-c-1"][usize::from(zone)];
-        (name, SocketAddr::new(ip(self.network, entry_host(zone)), self.ports.frontend))
+        (name, self.customers(zone, 1))
+    }
+
+    /// Returns the customers' address of an entry.
+    pub fn customers(&self, zone: u8, number: u8) -> SocketAddr {
+        SocketAddr::new(ip(self.network, entry_host(zone, number)), self.ports.frontend)
+    }
+
+    /// Returns the address of an entry's machine.
+    pub fn entry_ip(&self, zone: u8, number: u8) -> IpAddr {
+        ip(self.network, entry_host(zone, number))
     }
 
     /// Starts to probe the entries' readiness, as the platform does.
     pub fn balance(&self) -> Balancer {
         let balancer = Balancer(Arc::default());
         for zone in 0..3 {
-            let host = ip(self.network, entry_host(zone));
+            let host = ip(self.network, entry_host(zone, 1));
             let address = SocketAddr::new(host, self.ports.readiness);
             let (probes, record) = (balancer.clone(), self.record.clone());
             let name = self.entry(zone).0;
@@ -184,16 +207,69 @@
             .all(|process| matches!(process.child.try_wait(), Ok(None)))
     }
 
-    fn spawn(&mut self, kind: &str, role: &Role, zone: u8, number: u8) -> Result<(), String> {
-        let host = match kind {
-            "entry" => entry_host(zone),
-            _ => 50 + zone * 20 + number,
+    /// Starts the machine of an entry. `seeds` are the addresses of entries' machines.
+    pub fn start_entry(&mut self, zone: u8, number: u8, seeds: &[IpAddr]) -> Result<(), String> {
+        let machine = Machine {
+            role: "entry",
+            zone,
+            number,
+            ip: ip(self.network, entry_host(zone, number)),
         };
-        let ip = ip(self.network, host);
-        let name = match kind {
-            "entry" => self.entry(zone).0.to_owned(),
-            _ => format!("side-{}-{number}", ZONES[usize::from(zone)]),
+        self.launch(machine, seeds)
+    }
+
+    /// Starts the machine of a side and the worker on it.
+    fn start_side(&mut self, zone: u8, number: u8, seeds: &[IpAddr]) -> Result<(), String> {
+        let ip = ip(self.network, 50 + zone * 20 + number);
+        let machine = Machine {
+            role: "side",
+            zone,
+            number,
+            ip,
         };
+        self.launch(machine, seeds)?;
+        let worker = Worker {
+            id: format!("i-{}-{number}", ZONES[usize::from(zone)]),
+            zone: ZONES[usize::from(zone)].to_owned(),
+            service: SERVICE.to_owned(),
+            app: SocketAddr::new(ip, self.ports.app),
+            control: SocketAddr::new(ip, self.ports.control),
+            cpu: 64_000,
+            ram_mb: 262_144,
+        };
+        let started = worker.run(self.runs.clone(), self.record.clone());
+        started.map_err(|error| error.to_string())
+    }
+
+    /// Returns the names of the processes of a role.
+    pub fn names(&self, role: &str) -> Vec<String> {
+        let of_role = self.processes.iter().filter(|process| process.machine.role == role);
+        of_role.map(|process| process.name.clone()).collect()
+    }
+
+    /// Returns the exit status of a process that has ended.
+    pub fn ended(&mut self, name: &str) -> Option<String> {
+        let process = self.processes.iter_mut().find(|process| process.name == name)?;
+        let status = process.child.try_wait().ok()??;
+        Some(status.to_string())
+    }
+
+    /// Starts a process anew that has ended, with the seeds of this moment.
+    pub fn restart(&mut self, name: &str, seeds: &[IpAddr]) -> Result<(), String> {
+        let at = self.processes.iter().position(|process| process.name == name);
+        let process = self.processes.remove(at.ok_or("no such process")?);
+        self.launch(process.machine, seeds)
+    }
+
+    fn launch(&mut self, machine: Machine, seeds: &[IpAddr]) -> Result<(), String> {
+        let Machine {
+            role,
+            zone,
+            number,
+            ip,
+        } = machine;
+        let class = if role == "entry" { "edge" } else { "side" };
+        let name = format!("{class}-{}-{number}", ZONES[usize::from(zone)]);
         let Ports {
             frontend,
             readiness,
@@ -202,9 +278,7 @@
             admin,
             store,
         } = self.ports;
-        let seeds: Vec<String> = (0..3)
-            .map(|zone| format!("{}:{control}", self::ip(self.network, entry_host(zone))))
-            .collect();
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:{control}")).collect();
         let fields: BTreeMap<String, String> = [
             ("node_name", name.clone()),
             ("region", "ro-nord".to_owned()),
@@ -231,15 +305,17 @@
         .into_iter()
         .map(|(key, value)| (key.to_owned(), value))
         .collect();
-        let template = fs::read_to_string(&role.template).map_err(|error| error.to_string())?;
+        let commands = &self.roles[role];
+        let template = fs::read_to_string(&commands.template).map_err(|error| error.to_string())?;
         let settings = self.folder.join(format!("{name}.ini"));
         fs::write(&settings, template::render(&template, &fields))
             .map_err(|error| error.to_string())?;
-        let output = fs::File::create(self.folder.join(format!("{name}.log")));
+        let log = self.folder.join(format!("{name}.log"));
+        let output = fs::File::options().create(true).append(true).open(log);
         let output = output.map_err(|error| error.to_string())?;
         let errors = output.try_clone().map_err(|error| error.to_string())?;
-        let mut command = Command::new(&role.run[0]);
-        command.args(&role.run[1..]).env_clear();
+        let mut command = Command::new(&commands.run[0]);
+        command.args(&commands.run[1..]).env_clear();
         for key in ["PATH", "HOME", "LANG"] {
             if let Ok(value) = std::env::var(key) {
                 command.env(key, value);
@@ -251,33 +327,23 @@
             .stdout(output)
             .stderr(errors)
             .spawn()
-            .map_err(|error| format!("{}: {error}", role.run[0]))?;
+            .map_err(|error| format!("{}: {error}", commands.run[0]))?;
+        let list = seeds.join(",");
+        self.record.note(&format!("platform: {name} starts, seeds = [{list}]"));
         self.processes.push(Process {
-            name: name.clone(),
+            name,
+            machine,
             child,
         });
-        if kind == "side" {
-            let worker = Worker {
-                id: format!("i-{}-{number}", ZONES[usize::from(zone)]),
-                zone: ZONES[usize::from(zone)].to_owned(),
-                service: SERVICE.to_owned(),
-                app: SocketAddr::new(ip, app),
-                control: SocketAddr::new(ip, control),
-                cpu: 64_000,
-                ram_mb: 262_144,
-            };
-            let started = worker.run(self.runs.clone(), self.record.clone());
-            started.map_err(|error| error.to_string())?;
-        }
         Ok(())
     }
 
-    /// Waits until all entries are ready and complete a job.
-    fn await_service(&self) -> Result<(), String> {
+    /// Waits until the entries of this number are ready and complete a job.
+    pub fn await_service(&self, number: u8) -> Result<(), String> {
         let until = Instant::now() + STARTUP;
         for zone in 0..3 {
             let address = SocketAddr::new(
-                ip(self.network, entry_host(zone)),
+                ip(self.network, entry_host(zone, number)),
                 self.ports.readiness,
             );
             let second = Duration::from_secs(1);
@@ -296,7 +362,7 @@
         let client = Client::new(self);
         for zone in 0..3 {
             let job = Job {
-                id: format!("00000000000000f{zone}"),
+                id: format!("00000000000000{number}{zone}"),
                 tasks: 2,
                 cpu: 6_200,
                 estimate_ms: 100,
@@ -304,7 +370,7 @@
                 deadline_ms: 3_000,
             };
             let (_, answer) = client
-                .submit(self.entry(zone), &job)
+                .submit(("the entry", self.customers(zone, number)), &job)
                 .join()
                 .map_err(|_| "a client has failed")?;
             let (status, body) = answer?;
@@ -372,8 +438,8 @@
     }
 }
 
-fn entry_host(zone: u8) -> u8 {
-    11 + zone
+fn entry_host(zone: u8, number: u8) -> u8 {
+    10 * number + zone + 1
 }
 
 fn ip(network: [u8; 2], host: u8) -> IpAddr {
