A side starts no runs in a failure domain that is out of service

Cause: only entries knew which domains are out, and nothing limited the age of what they knew. A side executed each order of a connected entry, though others told it more or it could have asked.

Change: echoes tell a side whether its domain is in service, with the store's revision and the time since the store was asked; the highest revision counts. A side without a report within a fifth of the evacuation bound asks the store itself, and starts nothing, repeated orders included, once what it knows is older than two fifths, unless the store does not answer it. Logged as domain_out, availability_unknown and the refusal "domain"; the age is a metric.

--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -99,7 +99,7 @@
     let customers = frontend::bind(&settings, shared).await?;
     let readiness = frontend::bind_readiness(lease.readiness, watched.clone()).await?;
     let store = platform::store::Client::open(settings.store)?;
-    services.spawn(rules::follow(store.clone(), events.clone()));
+    services.spawn(rules::follow(store.clone(), clock, events.clone()));
     let (floors, floor_updates) = watch::channel(registry::Floors::new());
     services.spawn(keep_registered(
         store,
@@ -353,9 +353,10 @@
             }
             Event::Rules(update) => {
                 self.rules_read_at = Some(now);
-                if let rules::Update::Rules(rules) = update {
-                    self.kernel.adopt(now, &rules, None);
+                if let Some(rules) = &update.rules {
+                    self.kernel.adopt(now, rules, None);
                 }
+                self.kernel.confirm(update.revision, update.asked_at);
             }
             Event::Registry(registry::Event::Entries(entries)) => {
                 self.mesh.set_registered(entries);
--- a/crates/hyssoppost/src/leased/mod.rs
+++ b/crates/hyssoppost/src/leased/mod.rs
@@ -2,6 +2,7 @@
 //! [`kernel::dispatch`] and [`kernel::guard`].
 
 mod admission;
+mod availability;
 mod dump;
 pub mod entry;
 mod event;
--- a/crates/hyssoppost/src/leased/rules.rs
+++ b/crates/hyssoppost/src/leased/rules.rs
@@ -1,7 +1,7 @@
 //! Follows the operators' rules in the store: lists their keys once, and from
 //! then on receives the changes.
 
-use crate::meter;
+use crate::{clock::Clock, meter};
 use std::time::Duration;
 use store::{History, store::Listing};
 use tokio::sync::mpsc;
@@ -21,26 +21,35 @@
 /// Timeout of the first call after a failure, in addition to its wait; it doubles
 /// with each further failure. Calls sent while the store is unreachable never
 /// return, so a short timeout is needed to notice a recovered store soon.
-const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Longest timeout of a call, in addition to its wait: many times the response
 /// time of a slow store.
-const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+pub(super) const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// What a call to the store has shown.
 #[derive(Debug)]
-pub(super) enum Update {
-    /// The rules have changed, or are read for the first time.
-    Rules(Rules),
-    /// The last rules are the current ones.
-    Confirmed,
+pub(super) struct Update {
+    /// The rules, if they have changed or are read for the first time; the last ones are
+    /// the current ones otherwise.
+    pub rules: Option<Rules>,
+    /// Revision of the store.
+    pub revision: u64,
+    /// When the store was asked.
+    pub asked_at: Duration,
 }
 
 /// Follows the store until the task is aborted.
-pub(super) async fn follow<S: History, E: From<Update>>(store: S, events: mpsc::Sender<E>) {
+pub(super) async fn follow<S: History, E: From<Update>>(
+    store: S,
+    clock: Clock,
+    events: mpsc::Sender<E>,
+) {
     let mut follower = Follower {
         store,
+        clock,
         listing: None,
+        valid: false,
         failing: false,
         call_timeout: MIN_CALL_TIMEOUT,
     };
@@ -64,9 +73,12 @@
 
 struct Follower<S> {
     store: S,
+    clock: Clock,
     /// The operators' keys as last read; `None` before the first listing and
     /// once the store has discarded the history since.
     listing: Option<Listing>,
+    /// Whether `listing` holds valid rules.
+    valid: bool,
     failing: bool,
     call_timeout: Duration,
 }
@@ -75,11 +87,13 @@
     /// Makes one call. Returns `None` if the keys hold no valid rules.
     async fn read(&mut self) -> Result<Option<Update>, String> {
         let prefix = platform::operator::PREFIX;
+        let asked_at = self.clock.now();
         let Some(listing) = &mut self.listing else {
-            let listing = call(self.call_timeout, self.store.list(prefix)).await?;
-            let rules = decode(&listing);
+            let list = self.store.list(prefix);
+            let listing = call("rules", self.call_timeout, list).await?;
+            let update = self.decode(&listing, asked_at);
             self.listing = Some(listing);
-            return Ok(rules.map(Update::Rules));
+            return Ok(update);
         };
         let wait = if self.failing {
             PROBE_WAIT
@@ -87,14 +101,21 @@
             CHANGE_WAIT
         };
         let changes = self.store.changes(prefix, listing.revision, wait);
-        match call(self.call_timeout + wait, changes).await? {
+        match call("rules", self.call_timeout + wait, changes).await? {
             Some(changes) if changes.changes.is_empty() => {
                 listing.revision = changes.revision;
-                Ok(Some(Update::Confirmed))
+                Ok(self.valid.then_some(Update {
+                    rules: None,
+                    revision: changes.revision,
+                    asked_at,
+                }))
             }
             Some(changes) => {
+                let mut listing = listing.clone();
                 listing.apply(changes);
-                Ok(decode(listing).map(Update::Rules))
+                let update = self.decode(&listing, asked_at);
+                self.listing = Some(listing);
+                Ok(update)
             }
             None => {
                 self.listing = None;
@@ -103,6 +124,26 @@
         }
     }
 
+    /// Decodes the rules; keys that hold none are logged, and the rules in force stay.
+    fn decode(&mut self, listing: &Listing, asked_at: Duration) -> Option<Update> {
+        let rules = platform::operator::decode(listing);
+        self.valid = rules.is_ok();
+        match rules {
+            Ok(rules) => Some(Update {
+                revision: rules.revision,
+                rules: Some(rules),
+                asked_at,
+            }),
+            Err(error) => {
+                log::error!(
+                    "event=rules_invalid revision={} reason=\"{error}\"",
+                    listing.revision
+                );
+                None
+            }
+        }
+    }
+
     fn record_success(&mut self) {
         if self.failing {
             let revision = self.listing.as_ref().map_or(0, |listing| listing.revision);
@@ -123,7 +164,9 @@
     }
 }
 
-async fn call<T, E: std::fmt::Display>(
+/// Makes a call to the store, which counts for `purpose`.
+pub(super) async fn call<T, E: std::fmt::Display>(
+    purpose: &'static str,
     timeout: Duration,
     call: impl Future<Output = Result<T, E>>,
 ) -> Result<T, String> {
@@ -131,20 +174,6 @@
         Ok(result) => result.map_err(|error| error.to_string()),
         Err(_) => Err(format!("no answer in {timeout:?}")),
     };
-    meter::count_call("rules", &result);
+    meter::count_call(purpose, &result);
     result
 }
-
-/// Decodes the rules; keys that hold none are logged, and the rules in force stay.
-fn decode(listing: &Listing) -> Option<Rules> {
-    match platform::operator::decode(listing) {
-        Ok(rules) => Some(rules),
-        Err(error) => {
-            log::error!(
-                "event=rules_invalid revision={} reason=\"{error}\"",
-                listing.revision
-            );
-            None
-        }
-    }
-}
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -2,7 +2,8 @@
 //! beside it.
 
 use super::{
-    EVENT_QUEUE_CAPACITY, EXIT_MARGIN, SeedSender, Seeds, TICK_INTERVAL, dump, event_loop, hello,
+    EVENT_QUEUE_CAPACITY, EXIT_MARGIN, SeedSender, Seeds, TICK_INTERVAL, availability, dump,
+    event_loop, hello,
     telemetry::{self, Recorder},
     timing,
 };
@@ -40,6 +41,11 @@
 /// Interval at which surplus connections are looked for.
 const SURPLUS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Age of the knowledge that the failure domain is in service beyond which no run starts,
+/// as a share of the time in which an evacuation must take effect. The rest is for the
+/// orders that are on their way to the upstream.
+const MAX_AVAILABILITY_AGE_PERCENT: u32 = 40;
+
 /// An event that the process handles.
 #[derive(Debug)]
 enum Event {
@@ -59,6 +65,8 @@
     /// The upstream's list of its runs, or why the call for it failed.
     Inventory(Result<Inventory, Failure>),
     Registry(registry::Event),
+    /// An answer of the store on the side's failure domain, or the lack of one.
+    Availability(availability::Update),
     Leave,
 }
 
@@ -74,6 +82,12 @@
     }
 }
 
+impl From<availability::Update> for Event {
+    fn from(update: availability::Update) -> Self {
+        Self::Availability(update)
+    }
+}
+
 impl From<link::Event> for Event {
     fn from(event: link::Event) -> Self {
         Self::Link(event)
@@ -103,16 +117,26 @@
     let admin = admin::bind(&settings.common, dump_requests).await?;
     let metrics = admin::bind_metrics(&settings.common).await?;
     let reports = bind_reports(settings.upstream, leased.service.clone(), events.clone()).await?;
+    let clock = Clock::default();
     let mut timing = timing(&leased.lease);
     timing.max_capacity_age = leased.max_capacity_age;
     let client =
         Client::open(leased.address, timing.answer_timeout()).map_err(store::Error::from)?;
-    let clock = Clock::default();
     let (idle, watched) = watch::channel(false);
     let (isolated, isolation) = watch::channel(true);
+    let (uninformed, reads_due) = watch::channel(false);
     let mut services = JoinSet::new();
     if let Some(address) = leased.store {
+        timing.max_availability_age =
+            Some(leased.evacuation_bound * MAX_AVAILABILITY_AGE_PERCENT / 100);
         let store = platform::store::Client::open(address)?;
+        services.spawn(availability::follow(
+            store.clone(),
+            settings.common.domain.clone(),
+            clock,
+            reads_due,
+            events.clone(),
+        ));
         let (environment, region) = (settings.common.environment.clone(), leased.region.clone());
         let events = events.clone();
         services.spawn(async move {
@@ -132,6 +156,7 @@
         unreadable_lists: Pacer::default(),
         events: events.clone(),
         isolated,
+        uninformed,
         idle,
     };
     // A side has no customers.
@@ -252,6 +277,8 @@
     events: mpsc::Sender<Event>,
     /// Whether no entry is connected.
     isolated: watch::Sender<bool>,
+    /// Whether no entry has reported on the failure domain recently.
+    uninformed: watch::Sender<bool>,
     idle: watch::Sender<bool>,
 }
 
@@ -297,6 +324,14 @@
             }
             Event::Registry(registry::Event::Entries(entries)) => self.set_entries(&entries),
             Event::Registry(_) => {}
+            Event::Availability(availability::Update::Read {
+                asked_at,
+                revision,
+                out,
+            }) => self.kernel.record_store_read(asked_at, revision, out),
+            Event::Availability(availability::Update::Failed) => {
+                self.kernel.record_store_failure(now);
+            }
             Event::Leave => self.kernel.leave(),
         }
     }
@@ -328,9 +363,12 @@
         }
         self.release_surplus(now);
         self.kernel.tick(now);
+        let uninformed = self.kernel.needs_store_read(now);
+        self.uninformed
+            .send_if_modified(|current| std::mem::replace(current, uninformed) != uninformed);
         if now.saturating_sub(self.published_at) >= meter::PUBLISH_INTERVAL {
             self.published_at = now;
-            telemetry::publish_side(&self.kernel, self.mesh.local());
+            telemetry::publish_side(&self.kernel, self.mesh.local(), now);
         }
     }
 
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -216,6 +216,7 @@
             Event::RunsLeft { runs, .. } => {
                 self.add("hyssoppost_runs_left_total", u64::from(*runs));
             }
+            Event::DomainOut { .. } => self.count("hyssoppost_domain_changes_total"),
             Event::UpstreamCrashed { .. } => self.count("hyssoppost_upstream_crashes_total"),
             _ => {}
         }
@@ -390,11 +391,13 @@
 }
 
 /// Publishes a side's gauges.
-pub(super) fn publish_side(kernel: &Guard, local: &Local) {
+pub(super) fn publish_side(kernel: &Guard, local: &Local, now: Duration) {
     meter::publish(&local.hello.name, local);
     publish_logging();
     gauge!("hyssoppost_runs_here").set(meter::count(kernel.runs()));
     gauge!("hyssoppost_upstream_rate").set(f64::from(kernel.rate()) / 1e3);
+    let availability_age = kernel.availability_age(now).as_secs_f64();
+    gauge!("hyssoppost_availability_age_seconds").set(availability_age);
     gauge!("hyssoppost_room_mcpu").set(f64::from(kernel.free().cpu));
     counter!("hyssoppost_upstream_lives_total").absolute(kernel.stats().restarts);
     counter!("hyssoppost_runs_foreign_total").absolute(kernel.stats().foreign);
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -110,6 +110,8 @@
     /// Age beyond which the upstream's capacity, as it reported it, is not used;
     /// `None` for no limit.
     pub max_capacity_age: Option<Duration>,
+    /// Time after which no run starts in a failure domain that was taken out of service.
+    pub evacuation_bound: Duration,
 }
 
 /// Settings of a side.
@@ -134,6 +136,8 @@
 const DEFAULT_BODY_BYTES: usize = 4 << 20;
 const DEFAULT_ARCHIVE_BYTES: usize = 64 << 20;
 const DEFAULT_DRAIN_MS: u64 = 30_000;
+/// Default of the time in which an evacuation must take effect.
+const DEFAULT_EVACUATION_BOUND: Duration = Duration::from_secs(5);
 const EXPECTED_MILLISECONDS: &str = "milliseconds";
 const EXPECTED_SECONDS: &str = "seconds";
 const EXPECTED_BYTES: &str = "a number of bytes";
@@ -337,6 +341,7 @@
     let region = reader.optional("side", "region", EXPECTED_REGION);
     let contact_ms: Option<u64> = reader.optional("upstream", "contact_ms", EXPECTED_MILLISECONDS);
     let report_ms: Option<u64> = reader.optional("upstream", "report_ms", EXPECTED_MILLISECONDS);
+    let evacuate_ms: Option<u64> = reader.optional("store", "evacuate_ms", EXPECTED_MILLISECONDS);
     let max_capacity_age = contact_ms
         .zip(report_ms)
         .map(|(contact_ms, report_ms)| Duration::from_millis(contact_ms + report_ms));
@@ -347,6 +352,7 @@
         store,
         region: region.unwrap_or_else(|| DEFAULT_REGION.to_owned()),
         max_capacity_age,
+        evacuation_bound: evacuate_ms.map_or(DEFAULT_EVACUATION_BOUND, Duration::from_millis),
     })
 }
 
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -75,9 +75,13 @@
     /// store has not sent them: rules that every entry sent to every other would
     /// fill the links of all.
     pub fn adopt(&mut self, now: Duration, rules: &Rules, from: Option<Incarnation>) -> bool {
+        let was_out = self.rules.get().map(|old| old.out.clone());
         if !self.rules.adopt(rules) {
             return false;
         }
+        if was_out.as_ref() != Some(&rules.out) {
+            self.fleet.expedite_echoes();
+        }
         self.events.push(Event::Rules {
             revision: rules.revision,
             version: rules.version,
@@ -90,6 +94,12 @@
         true
     }
 
+    /// Records that the store, asked at `asked_at`, has shown the rules in force at this
+    /// revision.
+    pub fn confirm(&mut self, revision: u64, asked_at: Duration) {
+        self.rules.confirm(revision, asked_at);
+    }
+
     pub(super) fn peer_frame(&mut self, now: Duration, from: Incarnation, frame: Frame) {
         self.forwarding.hear(now, from);
         match frame {
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -554,6 +554,14 @@
         left.min(MAX_ECHO_INTERVAL).max(self.echo_interval())
     }
 
+    /// Makes the echoes to all sides due, also to those that have not reported since.
+    pub(super) fn expedite_echoes(&mut self) {
+        for side in self.sides.values_mut() {
+            side.last_echo_at = Duration::ZERO;
+            side.echoed = 0;
+        }
+    }
+
     /// Returns the interval between two echoes to the same side.
     pub(super) fn echo_interval(&self) -> Duration {
         let sides = u32::try_from(self.sides.len()).unwrap_or(u32::MAX);
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -417,6 +417,7 @@
                 clock: status.clock,
                 acknowledged: side.last_end,
                 report_interval_ms,
+                availability: self.rules.availability(now, &side.domain),
             };
             frames.push((key, Frame::Echo(echo)));
         }
--- a/crates/kernel/src/dispatch/rules.rs
+++ b/crates/kernel/src/dispatch/rules.rs
@@ -2,9 +2,12 @@
 //! newer ones.
 
 use super::fleet::{Fleet, Key, Side};
-use crate::mutation::{Mutant, is_seeded};
+use crate::{
+    millis,
+    mutation::{Mutant, is_seeded},
+};
 use std::time::Duration;
-use wire::lease::{Queue, Rules};
+use wire::lease::{Availability, Queue, Rules};
 
 /// Time for which an entry that has rules waits for newer ones from the store
 /// before it requests them from another entry. The store tells all entries of a
@@ -20,9 +23,19 @@
     current: Option<Rules>,
     /// [`Rules::digest`] of the rules in force; 0 without rules.
     digest: u64,
+    /// The last read of the store that has shown these rules.
+    read: Option<Read>,
     pull: Pull,
 }
 
+/// A read of the store.
+#[derive(Debug, Clone, Copy)]
+struct Read {
+    revision: u64,
+    /// When the store was asked.
+    at: Duration,
+}
+
 /// Requests for newer rules to other entries.
 #[derive(Debug, Default)]
 struct Pull {
@@ -38,6 +51,7 @@
         Self {
             current: None,
             digest: 0,
+            read: None,
             pull: Pull::default(),
         }
     }
@@ -69,6 +83,27 @@
         true
     }
 
+    /// Records that the store, asked at `at`, has shown the rules in force at `revision`.
+    /// An answer that is older than the rules, which another entry may have sent, shows
+    /// nothing of them.
+    pub(super) fn confirm(&mut self, revision: u64, at: Duration) {
+        if self.current.is_some() && revision >= self.revision() {
+            self.read = Some(Read { revision, at });
+        }
+    }
+
+    /// Returns whether a failure domain is in service; `None` without rules.
+    pub(super) fn availability(&self, now: Duration, domain: &str) -> Option<Availability> {
+        let rules = self.current.as_ref()?;
+        let read = self.read.filter(|read| read.revision >= rules.revision);
+        let age = read.map_or(u64::MAX, |read| millis(now.saturating_sub(read.at)));
+        Some(Availability {
+            revision: read.map_or(rules.revision, |read| read.revision),
+            out: self.is_out(domain),
+            age: u32::try_from(age).unwrap_or(u32::MAX),
+        })
+    }
+
     /// Compares the rules with those of another entry, and returns whether to
     /// request them: they are newer and the store has not sent them in time.
     pub(super) fn compare(&mut self, now: Duration, revision: u64, digest: u64) -> bool {
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -53,6 +53,15 @@
     Restarted,
 }
 
+/// Where a process has learnt something from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// An entry.
+    Entry,
+    /// The platform's store.
+    Store,
+}
+
 /// A decision, or a change in the view of other processes. Times are elapsed
 /// times, by the clock of the process that creates the event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -428,10 +437,23 @@
         /// Time since its last answer.
         silent: Duration,
     },
+    /// The side learns that operators took its failure domain out of service or back.
+    DomainOut {
+        /// Whether it is out of service now.
+        out: bool,
+        /// Revision of the store at which it was so.
+        revision: u64,
+        /// Where the side has learnt it.
+        source: Source,
+    },
     /// The side starts or stops accepting tasks.
     Accepting {
         /// Whether it accepts tasks now.
         accepting: bool,
+        /// Whether the failure domain is known to be in service.
+        in_service: bool,
+        /// Time since a process asked the store whether it is.
+        availability_age: Duration,
         /// Whether the upstream is leaving.
         leaving: bool,
         /// Whether all runs at the upstream are known.
@@ -486,6 +508,7 @@
             | Self::AnnouncementIgnored { .. }
             | Self::UpstreamCrashed { .. }
             | Self::LeasesLapsed { .. }
+            | Self::DomainOut { .. }
             | Self::Accepting { .. } => None,
         }
     }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -1,6 +1,6 @@
 //! Formats events as lines of key=value pairs.
 
-use super::{Event, Evidence};
+use super::{Event, Evidence, Source};
 use crate::{
     accuracy::{Settlement, watch::Judgement},
     millis,
@@ -318,14 +318,26 @@
                 "event=leases_lapsed runs={runs} silent_ms={}",
                 millis(*silent)
             ),
+            Self::DomainOut {
+                out,
+                revision,
+                source,
+            } => write!(
+                to,
+                "event=domain_out value={out} revision={revision} source={source}"
+            ),
             Self::Accepting {
                 accepting,
+                in_service,
+                availability_age,
                 leaving,
                 runs_known,
                 silent,
             } => write!(
                 to,
-                "event=accepting value={accepting} leaving={leaving} clean={runs_known} silent_ms={}",
+                "event=accepting value={accepting} leaving={leaving} clean={runs_known} \
+                 in_service={in_service} availability_ms={} silent_ms={}",
+                millis(*availability_age),
                 millis(*silent)
             ),
             _ => self.write_loop(to),
@@ -367,6 +379,15 @@
     }
 }
 
+impl fmt::Display for Source {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(match self {
+            Self::Entry => "entry",
+            Self::Store => "store",
+        })
+    }
+}
+
 impl fmt::Display for Event {
     fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.write_job(to)
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -9,6 +9,7 @@
 
 mod action;
 mod announce;
+mod availability;
 mod clock;
 mod hold;
 mod order;
@@ -31,6 +32,7 @@
     mutation::{Mutant, is_seeded},
     rate::Rate,
 };
+use availability::Availability;
 use queue::Queue;
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -189,6 +191,7 @@
     earlier_leases_end: Duration,
     runs: BTreeMap<Task, Slot>,
     queue: Queue,
+    availability: Availability,
     /// Speed of the upstream's present process.
     rate: Rate,
     peers: BTreeMap<Incarnation, Peer>,
@@ -232,6 +235,7 @@
             earlier_leases_end: now + timing.real_max_lease(),
             runs: BTreeMap::new(),
             queue: Queue::default(),
+            availability: Availability::default(),
             rate: Rate::default(),
             peers: BTreeMap::new(),
             hold_token: None,
@@ -298,7 +302,11 @@
     /// Returns whether a task may start now.
     pub fn is_accepting(&self, now: Duration) -> bool {
         let leaving = self.announced.as_ref().is_none_or(|known| known.leaving);
-        !self.leaving && !leaving && self.is_capacity_current(now) && self.may_grant(now)
+        !self.leaving
+            && !leaving
+            && self.is_in_service(now)
+            && self.is_capacity_current(now)
+            && self.may_grant(now)
     }
 
     /// Returns the host's capacity that neither runs nor claims occupy.
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -84,7 +84,9 @@
     }
 
     fn refusal(&self, now: Duration, run: Run, start: &Start) -> Option<Refusal> {
-        if !self.is_accepting(now) {
+        if !self.is_in_service(now) {
+            Some(Refusal::Domain)
+        } else if !self.is_accepting(now) {
             Some(Refusal::Closed)
         } else if self.runs.contains_key(&run.task) {
             Some(Refusal::Duplicate)
@@ -200,7 +202,7 @@
     /// Sends an unanswered start order once more; the upstream starts a run only
     /// once. Returns false if the order may not be repeated.
     fn repeat_start(&mut self, now: Duration, task: Task) -> bool {
-        if !self.may_grant(now) {
+        if !self.may_grant(now) || !self.is_in_service(now) {
             return false;
         }
         let order = self.runs.get_mut(&task).and_then(|slot| {
--- a/crates/kernel/src/guard/peer.rs
+++ b/crates/kernel/src/guard/peer.rs
@@ -77,6 +77,12 @@
         let clock = Duration::from_millis(echo.clock).min(now);
         peer.last_contact = peer.last_contact.max(clock);
         peer.requested_interval = Duration::from_millis(echo.report_interval_ms.into());
+        if let Some(report) = echo.availability {
+            self.record_availability(clock, report);
+        }
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
         while peer.first_end <= echo.acknowledged && peer.ends.pop_front().is_some() {
             peer.first_end += 1;
         }
--- a/crates/kernel/src/guard/report.rs
+++ b/crates/kernel/src/guard/report.rs
@@ -47,6 +47,8 @@
             self.reported_accepting = accepting;
             self.events.push(Event::Accepting {
                 accepting,
+                in_service: self.is_in_service(now),
+                availability_age: self.availability_age(now),
                 leaving: self.leaving || self.announced.as_ref().is_some_and(|known| known.leaving),
                 runs_known: self.runs_known,
                 silent: now.saturating_sub(self.last_received),
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -66,6 +66,12 @@
     CrashForgotten,
     /// A host's capacity is used however old its report is.
     OldCapacity,
+    /// What the store had at an older revision replaces what it had at a newer one.
+    OldAvailability,
+    /// A side relies on a failure domain being in service however old that knowledge is.
+    StaleAvailability,
+    /// A side starts runs although it knows that its failure domain is out of service.
+    SideDomainOut,
 }
 
 #[cfg(feature = "mutation")]
--- a/crates/kernel/src/timing.rs
+++ b/crates/kernel/src/timing.rs
@@ -59,6 +59,9 @@
     /// Age beyond which a host's capacity, as it reported it, is not used; `None` for
     /// no limit.
     pub max_capacity_age: Option<Duration>,
+    /// Age beyond which a side doesn't rely on its failure domain being in service;
+    /// `None` for no limit.
+    pub max_availability_age: Option<Duration>,
 }
 
 impl Timing {
@@ -71,6 +74,7 @@
             max_lease,
             resubmit_after,
             max_capacity_age: None,
+            max_availability_age: None,
         }
     }
 
--- a/crates/kernel/tests/delayed_evidence.rs
+++ b/crates/kernel/tests/delayed_evidence.rs
@@ -149,6 +149,7 @@
                 clock: now - 5,
                 acknowledged: 0,
                 report_interval_ms: 0,
+                availability: None,
             }),
         );
         g.record_inventory(ms(now), &inv(2, 15 + i * 20, &[run]));
--- a/crates/kernel/tests/extreme_numbers.rs
+++ b/crates/kernel/tests/extreme_numbers.rs
@@ -10,8 +10,8 @@
 use site::{SERVICE, Site, job, make::announcement};
 use std::time::Duration;
 use wire::lease::{
-    self, Echo, Ends, Frame, Heartbeat, Need, Progress, Pulse, Reserve, Run, Share, Start, Status,
-    Task, Upstream,
+    self, Availability, Echo, Ends, Frame, Heartbeat, Need, Progress, Pulse, Reserve, Run, Share,
+    Start, Status, Task, Upstream,
 };
 
 const RUN: Duration = Duration::from_millis(100);
@@ -66,6 +66,11 @@
             clock,
             acknowledged: clock,
             report_interval_ms: small,
+            availability: Some(Availability {
+                revision: clock,
+                out: false,
+                age: u32::MAX,
+            }),
         }),
         Frame::Start(Start {
             clock,
--- a/crates/kernel/tests/lease_histories.rs
+++ b/crates/kernel/tests/lease_histories.rs
@@ -279,9 +279,10 @@
     /// Puts new rules in force with the failure domains `out`.
     fn publish(&mut self, out: &[&str]) {
         self.version += 1;
-        let (now, rules) = (self.site.now, rules(self.version, out));
+        let now = self.site.now;
+        self.site.rules = rules(self.version, out);
         for entry in self.site.entries.iter_mut().flatten() {
-            entry.adopt(now, &rules, None);
+            entry.adopt(now, &self.site.rules, None);
         }
     }
 
@@ -391,6 +392,7 @@
         history.resubmit_due();
     }
     let (now, version) = (history.site.now, history.version);
+    history.site.rules = rules(version + 2, &[]);
     let older_adopted = history.site.entries.iter_mut().flatten().any(|entry| {
         entry.adopt(now, &rules(version + 2, &[]), None);
         entry.adopt(now, &rules(version + 1, &["d0"]), None)
--- a/crates/kernel/tests/many_entries.rs
+++ b/crates/kernel/tests/many_entries.rs
@@ -70,6 +70,7 @@
         clock: 0,
         acknowledged: 0,
         report_interval_ms: interval_ms,
+        availability: None,
     };
     guard.frame(Duration::ZERO, entry, Frame::Echo(echo));
     count_reports(&mut guard)
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -28,7 +28,7 @@
 use wire::{
     frame::{Hello, Role, VERSION},
     id::Incarnation,
-    lease::{Frame, Run},
+    lease::{Frame, Rules, Run},
 };
 
 /// Host name of the queue.
@@ -74,6 +74,8 @@
 pub struct Site {
     pub now: Duration,
     pub timing: Timing,
+    /// The store's rules, which an entry reads when it starts.
+    pub rules: Rules,
     pub entries: Vec<Option<Dispatcher>>,
     entry_ids: Vec<Incarnation>,
     pub sides: Vec<Option<Guard>>,
@@ -113,6 +115,7 @@
         let mut site = Self {
             now: Duration::from_secs(1_000),
             timing: timing(),
+            rules: rules(1, &[]),
             entries: Vec::new(),
             entry_ids: Vec::new(),
             sides: Vec::new(),
@@ -178,7 +181,7 @@
     pub fn start_entry(&mut self, index: usize) {
         self.entry_ids[index] = self.new_incarnation();
         let mut entry = Dispatcher::new(self.now, "d0", self.timing, self.next_id);
-        entry.adopt(self.now, &rules(1, &[]), None);
+        entry.adopt(self.now, &self.rules, None);
         self.entries[index] = Some(entry);
         for side in 0..self.sides.len() {
             self.reset_link(index, side);
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -153,6 +153,8 @@
     Lost,
     /// Another task that may have crashed an upstream has just started at the host.
     Trial,
+    /// The host's failure domain is out of service, or not known to be in service.
+    Domain,
 }
 
 impl fmt::Display for Refusal {
@@ -167,6 +169,7 @@
             Self::Unanswered => "unanswered",
             Self::Lost => "lost",
             Self::Trial => "trial",
+            Self::Domain => "domain",
         })
     }
 }
@@ -215,6 +218,19 @@
     /// Shortest time between two load reports that the sender can keep up with, in
     /// milliseconds; 0 if its processor is unknown.
     pub report_interval_ms: u16,
+    /// What the sender knows of the side's failure domain; `None` without rules.
+    pub availability: Option<Availability>,
+}
+
+/// Whether a failure domain is in service, as the store had it at one revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Availability {
+    /// The store's revision; what it had at a higher one replaces this.
+    pub revision: u64,
+    /// Whether operators have taken the domain out of service.
+    pub out: bool,
+    /// Time since the store was asked, in milliseconds; saturates.
+    pub age: u32,
 }
 
 /// Entry to side: start these tasks of one step.
