Soak: the entries lose the store while the sides keep it

Now the entries' path to the store is cut at random, by random numbers of its own: what the seeds did before stays.

--- a/crates/hyssoppost/tests/soak/mod.rs
+++ b/crates/hyssoppost/tests/soak/mod.rs
@@ -32,6 +32,8 @@
 const MAX_STARTS_AFTER_CRASHES: usize = 2;
 /// Keeps the sizes of hosts independent of the other choices of a seed.
 const SIZE_SEED: u64 = 0x5349_5a45;
+/// The same for the entries' path to the store.
+const STORE_PATH_SEED: u64 = 0x5041_5448;
 const ONE_WAY_DELAY: Duration = Duration::from_millis(1);
 const LOAD_DURATION: Duration = Duration::from_secs(9);
 /// Time after which no task may start in an evacuated domain, even under faults.
@@ -69,6 +71,8 @@
     entries: Vec<Entry>,
     sides: Vec<Side>,
     store: Store,
+    /// The entries' path to the store; sides have their own.
+    entries_store: Relay,
     audit: Audit,
     shared: Shared,
     log: Arc<Mutex<Vec<String>>>,
@@ -96,12 +100,17 @@
         let store = Store::bind().await;
         store.set("op/config", &rules(1));
         let timer = Timer::spawn();
+        let entries_store = Relay::bind(Duration::ZERO, &timer)
+            .await
+            .expect("a free port");
+        entries_store.set_target(Some(store.server.address));
         let audit = Audit::default();
         let mut site = Self {
             folder,
             entries: Vec::new(),
             sides: Vec::new(),
             store,
+            entries_store,
             audit,
             shared: Shared::default(),
             log: Arc::default(),
@@ -159,7 +168,7 @@
              advertise = {advertised}\nadmin = 127.0.0.1:0\n\
              [store]\naddress = {}\n[lease]\nlongest_ms = 1000\nresend_ms = 1300\nstop_ms = 50\n\
              [security]\nkey = soak-soak-soak-soak\nadmin_token = soak\n{limits}",
-            self.store.server.address
+            self.entries_store.address()
         );
         write_ini(&self.folder, &format!("e{index}"), &text)
     }
@@ -174,10 +183,11 @@
             "[side]\nname = s{index}\nenvironment = soak\ndomain = d{}\nrack = r\ndrain_s = 6\n\
              [listen]\nupstream = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
              [upstream]\naddress = {upstream}\nservice = desk\n\
-             contact_ms = 600\nreport_ms = 300\n[entries]\nseeds = {}\n\
+             contact_ms = 600\nreport_ms = 300\n[store]\naddress = {}\n[entries]\nseeds = {}\n\
              [lease]\nlongest_ms = 1000\nresend_ms = 1300\nstop_ms = 50\n\
              [security]\nkey = soak-soak-soak-soak\nadmin_token = soak\n",
             index % 3,
+            self.store.server.address,
             seeds.join(",")
         );
         write_ini(&self.folder, &format!("s{index}"), &text)
@@ -213,8 +223,12 @@
         let end = Instant::now() + LOAD_DURATION;
         let customers = tokio::spawn(customers::generate_load(self.shared.clone(), seed, end));
         let mut sizes = SmallRng::seed_from_u64(seed ^ SIZE_SEED);
+        let mut store_paths = SmallRng::seed_from_u64(seed ^ STORE_PATH_SEED);
         while Instant::now() < end {
             self.inject_fault(&mut random).await;
+            if store_paths.random_bool(0.2) {
+                self.entries_store.partition(store_paths.random_bool(0.6));
+            }
             if sizes.random_bool(0.3) {
                 let upstream = &self.sides[sizes.random_range(0..SIDES)].upstream;
                 upstream.resize(sizes.random_range(1..=SLOTS), MAX_CAPACITY_AGE);
@@ -399,6 +413,7 @@
     async fn repair(&mut self) {
         self.store.inject(StoreFault::None);
         self.store_healthy = true;
+        self.entries_store.partition(false);
         for entry in &self.entries {
             entry.links.partition(false);
         }
