An entry that reaches no domain in service takes no more customers

Cause: readiness asked for any connected side, the refusal of what can't be served for any known upstream, whether or not its domain is in service; and readiness moves new connections only.

Change: both count only sides whose domain is in service by the entry's rules and by the side, which may know more (Status.out). An entry that can serve nothing closes its customers' connections after the response, as a leaving one does, so that they reach another entry.

Result: nothing_in_service failed before.

--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -547,8 +547,10 @@
     }
 
     fn publish_status(&self) {
+        let serves = self.kernel.is_ready();
         let status = Status {
-            ready: self.kernel.is_ready() && self.pressure.is_ready(),
+            ready: serves && self.pressure.is_ready(),
+            serves,
             wants_requests: self.kernel.wants_requests(self.clock.now()),
             leaving: self.kernel.is_leaving(),
             idle: self.kernel.open_jobs() == 0 && self.kernel.open_forwards() == 0,
--- a/crates/hyssoppost/src/leased/event.rs
+++ b/crates/hyssoppost/src/leased/event.rs
@@ -78,7 +78,10 @@
     reason = "the conditions are independent"
 )]
 pub(super) struct Status {
+    /// Whether the entry should get new connections.
     pub(super) ready: bool,
+    /// Whether it can serve jobs at all; it may be too late to be ready.
+    pub(super) serves: bool,
     /// Whether submissions are passed on with their bodies as received.
     pub(super) wants_requests: bool,
     pub(super) leaving: bool,
--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -107,8 +107,8 @@
 async fn handle(shared: &Shared, mut request: Request) -> Response {
     let result = shared.serve(&mut request).await;
     let mut response = result.unwrap_or_else(|response| response);
-    if shared.status.borrow().leaving {
-        // The customer sends its next request through another entry.
+    if !shared.status.borrow().serves {
+        // Readiness affects new connections only. The customer sends its next request through another entry.
         response
             .headers_mut()
             .insert("connection", poem::http::HeaderValue::from_static("close"));
--- a/crates/kernel/benches/decisions.rs
+++ b/crates/kernel/benches/decisions.rs
@@ -284,6 +284,7 @@
         received,
         free: LEASED_CAPACITY,
         accepting: true,
+        out: false,
         runs: 0,
         entries: 8,
         rate,
--- a/crates/kernel/benches/dispatcher.rs
+++ b/crates/kernel/benches/dispatcher.rs
@@ -142,6 +142,7 @@
                         accelerators: 0,
                     },
                     accepting: true,
+                    out: false,
                     runs: 0,
                     entries: 1,
                     rate: 1_000,
--- a/crates/kernel/src/dispatch/rules.rs
+++ b/crates/kernel/src/dispatch/rules.rs
@@ -155,6 +155,13 @@
             .filter(move |(_, side)| self.may_run(now, side, service, None))
     }
 
+    /// Returns whether a side's domain is in service by the rules and by the side, which
+    /// may know more.
+    pub(super) fn is_in_service(&self, side: &Side) -> bool {
+        let out_there = side.status.is_some_and(|status| status.out);
+        !out_there && !self.is_out(&side.domain)
+    }
+
     /// Returns whether a failure domain is out of use; all are without rules.
     pub(super) fn is_out(&self, domain: &str) -> bool {
         let rules = self.current.as_ref();
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -188,7 +188,9 @@
     fn lacks_upstream(&self, now: Duration, service: &str) -> bool {
         let mut sides = self.fleet.iter();
         !self.admission.is_starting(now)
-            && !sides.any(|(key, _)| self.fleet.service(key) == Some(service))
+            && !sides.any(|(key, side)| {
+                self.fleet.service(key) == Some(service) && self.rules.is_in_service(side)
+            })
     }
 
     /// Returns whether a job that starts at `start` may run past the exit of this entry
--- a/crates/kernel/src/dispatch/takeover.rs
+++ b/crates/kernel/src/dispatch/takeover.rs
@@ -103,8 +103,9 @@
 
     /// Returns whether this entry could serve a job itself.
     pub(super) fn can_serve(&self) -> bool {
-        let connected = self.fleet.iter().any(|(_, side)| side.link == Link::Up);
-        self.rules.get().is_some() && connected
+        let mut sides = self.fleet.iter().map(|(_, side)| side);
+        self.rules.get().is_some()
+            && sides.any(|side| side.link == Link::Up && self.rules.is_in_service(side))
     }
 
     /// Drops the jobs of entries without recent contact.
--- a/crates/kernel/src/guard/availability.rs
+++ b/crates/kernel/src/guard/availability.rs
@@ -102,6 +102,11 @@
         now.saturating_sub(self.availability.asked_at)
     }
 
+    /// Returns whether the failure domain is known to be out of service.
+    pub(super) fn is_known_out(&self) -> bool {
+        self.availability.out
+    }
+
     /// Returns whether the failure domain is in service as far as can be known.
     pub(super) fn is_in_service(&self, now: Duration) -> bool {
         let known = &self.availability;
--- a/crates/kernel/src/guard/report.rs
+++ b/crates/kernel/src/guard/report.rs
@@ -54,7 +54,7 @@
                 silent: now.saturating_sub(self.last_received),
             });
         }
-        let rate = self.rate();
+        let (rate, out) = (self.rate(), self.is_known_out());
         let runs = u16::try_from(self.runs.len()).unwrap_or(u16::MAX);
         let is_used = |entry: &Incarnation| !self.is_released(now, *entry);
         let connected = self.peers.iter().filter(|(_, peer)| peer.connected);
@@ -67,6 +67,7 @@
                     received: self.peers[entry].received,
                     free,
                     accepting: accepting && is_used(entry),
+                    out,
                     runs,
                     entries: u16::try_from(used).unwrap_or(u16::MAX),
                     rate,
--- a/crates/kernel/tests/entry_lateness.rs
+++ b/crates/kernel/tests/entry_lateness.rs
@@ -115,6 +115,7 @@
             received: 0,
             free: Need::default(),
             accepting: true,
+            out: false,
             runs: 0,
             entries: 1,
             rate: 1_000,
--- a/crates/kernel/tests/evacuated_domain.rs
+++ b/crates/kernel/tests/evacuated_domain.rs
@@ -3,7 +3,10 @@
 
 mod site;
 
-use kernel::mutation::{self, Mutant};
+use kernel::{
+    dispatch::Answer,
+    mutation::{self, Mutant},
+};
 use site::{Site, calls::Shares, job, rules};
 use std::time::Duration;
 
@@ -137,3 +140,24 @@
     site.run(RUN * 4);
     assert_eq!(site.upstreams[0].starts.len(), 0);
 }
+
+/// Guards against an entry that stays ready, and keeps jobs, while all sides that it
+/// reaches know that their domain is out of service.
+#[test]
+fn nothing_in_service() {
+    let mut site = site(2);
+    publish(&mut site, 4, &["d0"], 1..2);
+    site.cut(0, 1, true);
+    site.cut(0, 2, true);
+    site.run(Duration::from_secs(2));
+    assert!(!site.entries[0].as_ref().unwrap().is_ready());
+    let customer = site.submit(0, job(1, 1, 1_000, RUN));
+    let refused = site.answers.get(&customer);
+    assert!(
+        matches!(refused, Some((_, Answer::Refused { .. }))),
+        "{refused:?}"
+    );
+    site.cut(0, 1, false);
+    site.run(Duration::from_secs(1));
+    assert!(site.entries[0].as_ref().unwrap().is_ready());
+}
--- a/crates/kernel/tests/extreme_numbers.rs
+++ b/crates/kernel/tests/extreme_numbers.rs
@@ -58,6 +58,7 @@
             received: number,
             free: need,
             accepting: true,
+            out: false,
             runs: small,
             entries: small,
             rate: small,
--- a/crates/kernel/tests/fleet_shares.rs
+++ b/crates/kernel/tests/fleet_shares.rs
@@ -53,6 +53,7 @@
         received: 0,
         free: Need::default(),
         accepting: true,
+        out: false,
         runs: 4,
         entries: 2,
         rate: 1_000,
--- a/crates/kernel/tests/room_refusals.rs
+++ b/crates/kernel/tests/room_refusals.rs
@@ -76,6 +76,7 @@
             received: self.received,
             free: CAPACITY,
             accepting: true,
+            out: false,
             runs: 0,
         };
         self.entry.frame(self.now, SIDE, Frame::Status(status));
--- a/crates/kernel/tests/starved_loop.rs
+++ b/crates/kernel/tests/starved_loop.rs
@@ -257,6 +257,7 @@
             received: side.received,
             free: need(CORES - 100 * u32::try_from(side.running.len()).expect("few runs")),
             accepting: true,
+            out: false,
             runs: 0,
             entries: 1,
             rate: 1_000,
--- a/crates/kernel/tests/unequal_placement.rs
+++ b/crates/kernel/tests/unequal_placement.rs
@@ -33,6 +33,7 @@
         received: 0,
         free: cores(free),
         accepting: true,
+        out: false,
         runs: 0,
         entries: 1,
         rate,
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -200,6 +200,8 @@
     pub free: Need,
     /// Whether the side accepts tasks.
     pub accepting: bool,
+    /// Whether the side knows that its failure domain is out of service.
+    pub out: bool,
     /// Runs of all entries at the host.
     pub runs: u16,
     /// Number of entries that the side takes tasks from, the receiver included.
