Time in which a host was suspended proves no lease to be over

Cause: a side reckons by CLOCK_BOOTTIME, which counts a suspension, and its upstream's leases by a steady clock, which doesn't (DEPLOY.md, PROTOCOL.md). After 0.5 to 1.2 s of suspension the side counted all leases as expired, told the entry that the runs were over, and the entry started the tasks elsewhere; where the upstream's clock had stood still, they went on until a stop arrived.

Change: the side measures suspensions as what the one clock has counted more than the other, adds them to the ends of all leases, and grants none until the upstream has answered. Where the upstream ran on, its own list ends the runs a little later. Logged as suspended, with a counter.

Result: leases_during_suspension fails with the mutant SuspensionCounted, which restores the behaviour before. An entry that has heard nothing for 1.2 s still counts the runs as over; it can't tell a suspended host from a lost one.

--- a/crates/hyssoppost/src/clock.rs
+++ b/crates/hyssoppost/src/clock.rs
@@ -32,7 +32,17 @@
 
 /// Returns the time since the host booted, including suspension.
 fn uptime() -> Duration {
-    let time = clock_gettime(ClockId::Boottime);
+    read(ClockId::Boottime)
+}
+
+/// Returns the time for which the host has been suspended since it booted.
+pub fn suspended() -> Duration {
+    let all = uptime();
+    all.saturating_sub(read(ClockId::Monotonic))
+}
+
+fn read(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
     // Neither number is ever negative.
     Duration::new(
         time.tv_sec.try_into().unwrap_or_default(),
--- a/crates/hyssoppost/src/leased/event_loop.rs
+++ b/crates/hyssoppost/src/leased/event_loop.rs
@@ -3,7 +3,7 @@
 use super::TICK_INTERVAL;
 use crate::{
     admin,
-    clock::Clock,
+    clock::{self, Clock},
     link::{self, Joined},
     mesh::Mesh,
 };
@@ -16,6 +16,10 @@
 use tokio::sync::mpsc;
 use wire::{Frame, frame::Hello, id::Incarnation, lease};
 
+/// Shortest time that counts as a suspension of the host. Two clocks that are read one
+/// after the other may differ by what passes between.
+const MIN_SUSPENSION: Duration = Duration::from_millis(1);
+
 /// A process that the event loop drives.
 pub(super) trait Process {
     type Event: From<link::Event> + Send + 'static;
@@ -25,6 +29,10 @@
     /// Passes an event to the kernel.
     fn handle(&mut self, now: Duration, event: Self::Event);
 
+    /// Records that the host has been suspended for so long; called before what has
+    /// arrived since is handled.
+    fn record_suspension(&mut self, _lasted: Duration) {}
+
     /// Updates the kernel after a batch of events.
     fn settle(&mut self, now: Duration);
 
@@ -119,6 +127,7 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut check = SilenceCheck::default();
     let mut batch = Vec::with_capacity(MAX_TURN_EVENTS);
+    let mut suspended = clock::suspended();
     process.mesh().update_dialers();
     loop {
         let settle_delay = process.settle_delay();
@@ -139,6 +148,11 @@
             () = tokio::time::sleep(settle_delay.unwrap_or_default()), if settle_delay.is_some() => {}
         }
         let mut is_full = fill(&mut batch, &mut event_queue, MAX_TURN_EVENTS);
+        let lasted = clock::suspended().saturating_sub(suspended);
+        if lasted >= MIN_SUSPENSION {
+            suspended += lasted;
+            process.record_suspension(lasted);
+        }
         let now = clock.now();
         for event in batch.drain(..) {
             process.handle(now, event);
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -289,6 +289,10 @@
         &mut self.mesh
     }
 
+    fn record_suspension(&mut self, lasted: Duration) {
+        self.kernel.record_suspension(lasted);
+    }
+
     fn settle(&mut self, now: Duration) {
         self.kernel.flush(now);
     }
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -216,6 +216,7 @@
             Event::RunsLeft { runs, .. } => {
                 self.add("hyssoppost_runs_left_total", u64::from(*runs));
             }
+            Event::Suspended { .. } => self.count("hyssoppost_suspensions_total"),
             Event::DomainOut { .. } => self.count("hyssoppost_domain_changes_total"),
             Event::UpstreamCrashed { .. } => self.count("hyssoppost_upstream_crashes_total"),
             _ => {}
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -437,6 +437,11 @@
         /// Time since its last answer.
         silent: Duration,
     },
+    /// The side's host was suspended.
+    Suspended {
+        /// For how long.
+        lasted: Duration,
+    },
     /// The side learns that operators took its failure domain out of service or back.
     DomainOut {
         /// Whether it is out of service now.
@@ -508,6 +513,7 @@
             | Self::AnnouncementIgnored { .. }
             | Self::UpstreamCrashed { .. }
             | Self::LeasesLapsed { .. }
+            | Self::Suspended { .. }
             | Self::DomainOut { .. }
             | Self::Accepting { .. } => None,
         }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -318,6 +318,9 @@
                 "event=leases_lapsed runs={runs} silent_ms={}",
                 millis(*silent)
             ),
+            Self::Suspended { lasted } => {
+                write!(to, "event=suspended lasted_ms={}", millis(*lasted))
+            }
             Self::DomainOut {
                 out,
                 revision,
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -263,6 +263,19 @@
         }
     }
 
+    /// Records that the host has been suspended. The upstream's clock may have stood still
+    /// all the while, and its leases and runs with it, so leases end later by the own
+    /// clock, and none is granted by a clock of before.
+    pub fn record_suspension(&mut self, lasted: Duration) {
+        if is_seeded(Mutant::SuspensionCounted) {
+            return;
+        }
+        self.leases_end += lasted;
+        self.earlier_leases_end += lasted;
+        self.last_received = Duration::ZERO;
+        self.events.push(Event::Suspended { lasted });
+    }
+
     fn end_all(&mut self, now: Duration) {
         let tasks: Vec<Task> = self.runs.keys().copied().collect();
         for task in tasks {
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -72,6 +72,8 @@
     StaleAvailability,
     /// A side starts runs although it knows that its failure domain is out of service.
     SideDomainOut,
+    /// Time in which a host was suspended counts for the leases of its upstream.
+    SuspensionCounted,
 }
 
 #[cfg(feature = "mutation")]
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -203,6 +203,19 @@
         }
     }
 
+    /// Suspends the host of a side: its processes stand still, and the upstream's clock,
+    /// which doesn't count the time. The side's clock does.
+    pub fn suspend_host(&mut self, side: usize, time: Duration) {
+        self.frozen_sides[side] = true;
+        self.upstreams[side].suspended = true;
+        self.run(time);
+        self.upstreams[side].resume(time);
+        self.frozen_sides[side] = false;
+        if let Some(guard) = &mut self.sides[side] {
+            guard.record_suspension(time);
+        }
+    }
+
     /// Cuts or restores the network between an entry and a side.
     pub fn cut(&mut self, entry: usize, side: usize, cut: bool) {
         if let Some(link) = self.links.get_mut(&(entry, side)) {
--- a/crates/kernel/tests/site/upstream.rs
+++ b/crates/kernel/tests/site/upstream.rs
@@ -110,10 +110,16 @@
 }
 
 /// An upstream that executes orders and records the starts.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the conditions are independent"
+)]
 pub struct Stub {
     pub index: usize,
     pub started_at: u64,
     pub alive: bool,
+    /// Whether its host is suspended: its clock and its runs stand still.
+    pub suspended: bool,
     pub leaving: bool,
     pub capacity: Need,
     /// Processor that starts may still count on after the capacity has shrunk, and
@@ -169,6 +175,7 @@
             index,
             started_at: 1,
             alive: true,
+            suspended: false,
             leaving: false,
             capacity: Need {
                 cpu: 4_000,
@@ -286,7 +293,22 @@
         self.restarts_at = Some(now + self.restart_after);
     }
 
+    /// Ends a suspension of the host that has lasted so long.
+    pub fn resume(&mut self, lasted: Duration) {
+        self.suspended = false;
+        self.clock_start += lasted;
+        for running in self.runs.values_mut() {
+            running.ends_at += lasted;
+        }
+        for (due, ..) in &mut self.pending_holds {
+            *due += lasted;
+        }
+    }
+
     pub fn advance(&mut self, now: Duration) {
+        if self.suspended {
+            return;
+        }
         self.crash_or_restart(now);
         let clock = self.clock(now);
         let lapsed = clock > self.lease;
@@ -398,7 +420,7 @@
 
     /// Answers the pending hold calls that have new ends or whose wait is over.
     pub fn answer_holds(&mut self, now: Duration) -> Vec<Outcome> {
-        if self.holds == Holds::Dropped {
+        if self.suspended || self.holds == Holds::Dropped {
             return Vec::new();
         }
         let ends = &self.ends;
--- /dev/null
+++ b/crates/kernel/tests/suspended_hosts.rs
@@ -0,0 +1,42 @@
+//! Hosts that are suspended and resume: a clock that counts the time proves nothing about
+//! runs whose leases are reckoned by one that doesn't.
+
+mod site;
+
+use kernel::{
+    dispatch::Phase,
+    mutation::{self, Mutant},
+};
+use site::{Site, job};
+use std::time::Duration;
+
+/// Longer than everything that bounds a run that is left behind.
+const RUN: Duration = Duration::from_secs(4);
+
+/// Suspends a host with runs, whose upstream leaves stops unanswered; every step asserts
+/// that no task has two runs.
+fn suspend_and_resume(lasted: Duration) {
+    let mut site = Site::new(1, 3);
+    for stub in &mut site.upstreams {
+        stub.run_time = RUN;
+        stub.call_faults.hung.stops = 1.0;
+    }
+    let customer = site.submit(0, job(1, 6, 1_000, RUN));
+    site.run(Duration::from_millis(100));
+    site.suspend_host(0, lasted);
+    site.run(RUN * 2);
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+}
+
+/// Guards against a side that counts runs as over because their leases have expired by its
+/// own clock, while the upstream's has stood still.
+#[test]
+fn leases_during_suspension() {
+    for lasted in [300, 600, 800, 1_000] {
+        suspend_and_resume(Duration::from_millis(lasted));
+    }
+    mutation::seed(Some(Mutant::SuspensionCounted));
+    let outcome = std::panic::catch_unwind(|| suspend_and_resume(Duration::from_millis(800)));
+    mutation::seed(None);
+    assert!(outcome.is_err(), "the mutant is not found");
+}
