A pause within the time to catch up is no time to catch up

Cause: an entry that was paused starts nothing for 100 ms, in which it reads that customers have left. The 100 ms passed by the clock: a second pause shorter than what counts as one by itself ended them, and the entry started tasks again that it had hardly read anything about.

Change: a gap of more than one tick between two calls prolongs the time by what exceeds the tick.

Result: pauses_in_a_row fails with the mutant PausedCatchUp, which restores the behaviour before: pauses of 1.6 s and 0.3 s, 10 ms apart.

--- a/crates/kernel/src/dispatch/pause.rs
+++ b/crates/kernel/src/dispatch/pause.rs
@@ -5,11 +5,15 @@
 //! of runs that they stopped meanwhile, before it learns of that. Until then it starts
 //! nothing, and sends no echoes, which let runs go on.
 
+use crate::mutation::{Mutant, is_seeded};
 use std::time::Duration;
 
 /// Time in which a process that has resumed reads what has arrived on its connections.
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 
+/// Longest time between two calls in which the process counts as running.
+const MAX_RUNNING_GAP: Duration = Duration::from_millis(20);
+
 /// When the process has run.
 #[derive(Debug)]
 pub(super) struct Pause {
@@ -33,8 +37,13 @@
     /// ended, if any.
     pub(super) fn record_run(&mut self, now: Duration) -> Option<Duration> {
         let paused = now.saturating_sub(self.last_run);
+        let was_catching_up = self.is_catching_up(self.last_run);
         self.last_run = self.last_run.max(now);
         if paused < self.limit {
+            if was_catching_up && !is_seeded(Mutant::PausedCatchUp) {
+                // Nothing was read in the part of the time in which it did not run.
+                self.caught_up_at += paused.saturating_sub(MAX_RUNNING_GAP);
+            }
             return None;
         }
         self.caught_up_at = now + CATCH_UP_TIME;
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -74,6 +74,8 @@
     SideDomainOut,
     /// Time in which a host was suspended counts for the leases of its upstream.
     SuspensionCounted,
+    /// A pause while an entry reads what has arrived in an earlier one counts as reading.
+    PausedCatchUp,
 }
 
 #[cfg(feature = "mutation")]
--- a/crates/kernel/tests/suspended_hosts.rs
+++ b/crates/kernel/tests/suspended_hosts.rs
@@ -40,3 +40,39 @@
     mutation::seed(None);
     assert!(outcome.is_err(), "the mutant is not found");
 }
+
+/// Returns the starts at all upstreams.
+fn starts(site: &Site) -> usize {
+    site.upstreams.iter().map(|stub| stub.starts.len()).sum()
+}
+
+/// Starts at an entry that is paused, runs for 10 ms, and is paused again for less than
+/// what counts as a pause by itself.
+fn starts_between_pauses() -> usize {
+    let mut site = Site::new(1, 3);
+    for stub in &mut site.upstreams {
+        stub.run_time = RUN;
+    }
+    site.submit(0, job(1, 6, 1_000, RUN));
+    site.run(Duration::from_millis(100));
+    let before = starts(&site);
+    for paused in [1_600, 300] {
+        site.frozen_entries[0] = true;
+        site.run(Duration::from_millis(paused));
+        site.frozen_entries[0] = false;
+        site.run(Duration::from_millis(10));
+    }
+    site.run(Duration::from_millis(50));
+    starts(&site) - before
+}
+
+/// Guards against an entry that starts tasks again before it has read, in the time in
+/// which it ran, that their customers have left.
+#[test]
+fn pauses_in_a_row() {
+    assert_eq!(starts_between_pauses(), 0);
+    mutation::seed(Some(Mutant::PausedCatchUp));
+    let started = starts_between_pauses();
+    mutation::seed(None);
+    assert!(started > 0, "the mutant is not found");
+}
