A side without seeds finds the entries in the store

Cause: an empty list of seeds was a fault of the settings, also for a side that has a store, where it looks for entries whenever none is connected.

Change: seeds are required only without a store.

Result: settings_faults::no_seeds failed before.

--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -245,11 +245,14 @@
         let rack = reader.required("side", "rack", "the rack's name");
         let upstream = reader.required("listen", "upstream", EXPECTED_ADDRESS);
         let entries = read_addresses(&mut reader, "seeds");
-        if entries.is_empty() {
+        let leased = read_leased(&mut reader);
+        let has_store = leased.as_ref().is_some_and(|leased| leased.store.is_some());
+        // The entries that are registered in the store need no seeds. A platform fills in
+        // none while no entry is there.
+        if entries.is_empty() && !has_store {
             reader.fault("entries", "seeds", "at least one address as IP:port");
         }
         let discover: Option<Toggle> = reader.optional("entries", "discover", "yes or no");
-        let leased = read_leased(&mut reader);
         reader.finish()?;
         let missing = || Faults(Vec::new());
         Ok(Self {
--- a/crates/hyssoppost/tests/settings_faults.rs
+++ b/crates/hyssoppost/tests/settings_faults.rs
@@ -184,3 +184,23 @@
         assert!(line.starts_with("event=bad_settings file="), "{line}");
     }
 }
+
+/// Guards against a side that ends at each start while the platform has no seeds to fill
+/// in: it finds the entries in the store. Without a store it could not.
+#[test]
+fn no_seeds() {
+    let text = SIDE.replace("seeds = 127.0.0.1:7100, 127.0.0.1:7101", "seeds = ");
+    let leased = format!(
+        "{text}\n[upstream]\naddress = 127.0.0.1:1\n[store]\naddress = 127.0.0.1:2\n\
+         [lease]\nlongest_ms = 1000\nstop_ms = 50\n"
+    );
+    let side = settings::Side::parse(&leased).unwrap();
+    assert!(side.entries.is_empty());
+    for without in [
+        text.clone(),
+        leased.replace("[store]\naddress = 127.0.0.1:2\n", ""),
+    ] {
+        let faults = settings::Side::parse(&without).unwrap_err().to_string();
+        assert!(faults.contains("key=\"seeds\""), "{faults}");
+    }
+}
