No entry and no side starts a task of a cancelled job

Cause: only the entry that owned a job knew that it was cancelled. Nobody else kept anything: not an entry that passed the cancelling on, and not one that answered 410 without having reached the owner.

Change: entries tell each other of cancelled jobs, in batches and when they connect, and answer a later submission with the state cancelled. If no entry is known to have had the job, the sides learn of it too and refuse its tasks, which ends the job at an owner that comes back.

--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -1,6 +1,6 @@
 //! Exchange with other entries: heartbeats, rules and cancellations.
 
-use super::{Answer, Dispatcher, Event, Phase};
+use super::{Answer, Dispatcher, Event, Phase, peers::Cancellation};
 use crate::millis;
 use std::{collections::BTreeMap, time::Duration};
 use wire::{
@@ -20,6 +20,7 @@
             self.pull(now, hello.incarnation);
         }
         self.send_evidence(now, hello.incarnation);
+        self.tell_cancellations(now, hello.incarnation, true);
     }
 
     /// Requests the rules of an entry, unless a request is in progress.
@@ -117,14 +118,17 @@
             }
             Frame::Cancel(cancel) => {
                 let found = self.cancel_here(now, cancel.job);
+                self.learn_cancellations(now, &[cancel.job], false);
                 let call = cancel.call;
                 self.send(from, Frame::Cancelled(Cancelled { call, found }));
             }
             Frame::Cancelled(reply) => {
-                if let Some((customer, answer)) = self.peers.record_reply(reply) {
-                    self.answer(customer, answer);
+                if let Some((cancellation, found)) = self.peers.record_reply(reply) {
+                    self.answer_cancellation(now, &cancellation, found);
                 }
             }
+            Frame::CancelledJobs(jobs) => self.learn_cancellations(now, &jobs, false),
+            Frame::Forbid(jobs) => self.learn_cancellations(now, &jobs, true),
             Frame::Forwarded(reply) => self.forwarding.record_reply(now, from, reply),
             Frame::Withdraw(withdraw) => self.forwarding.record_withdrawal(from, withdraw),
             Frame::Pulse(pulse) => self.forwarding.record_pulse(now, from, pulse),
@@ -160,8 +164,8 @@
                 self.send(entry, Frame::Heartbeat(heartbeat));
             }
         }
-        for customer in self.peers.take_overdue_cancellations(now) {
-            self.answer(customer, Answer::NoJob);
+        for cancellation in self.peers.take_overdue_cancellations(now) {
+            self.answer_cancellation(now, &cancellation, false);
         }
     }
 
@@ -209,18 +213,27 @@
 
     /// Cancels a job at this entry or, if it is unknown here, at the others.
     pub fn cancel(&mut self, now: Duration, customer: u64, job: u64) {
-        if self.cancel_here(now, job) {
-            self.answer(customer, Answer::State(Phase::Cancelled));
-            return;
-        }
+        let found = self.cancel_here(now, job);
         let peers = self.peers.connected();
-        if peers.is_empty() {
-            self.answer(customer, Answer::NoJob);
+        if found || peers.is_empty() {
+            let cancellation = Cancellation::new(now, customer, job);
+            self.answer_cancellation(now, &cancellation, found);
             return;
         }
-        let call = self.peers.start_cancellation(now, customer);
+        let cancellation = Cancellation::new(now, customer, job);
+        let call = self.peers.start_cancellation(cancellation);
         for peer in peers {
             self.send(peer, Frame::Cancel(Cancel { call, job }));
         }
     }
+
+    fn answer_cancellation(&mut self, now: Duration, cancellation: &Cancellation, found: bool) {
+        self.record_cancellation(now, cancellation.job, !found);
+        let answer = if found {
+            Answer::State(Phase::Cancelled)
+        } else {
+            Answer::NoJob
+        };
+        self.answer(cancellation.customer, answer);
+    }
 }
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod arrivals;
 mod backlog;
+mod cancellation;
 mod confinement;
 mod crash_count;
 mod crashes;
@@ -50,6 +51,7 @@
     timing::Timing,
 };
 use admission::Admission;
+use cancellation::Cancellations;
 use confinement::{Confinement, Eligibility};
 use crashes::CrashMemory;
 use fairness::Fairness;
@@ -104,6 +106,7 @@
     usual: Usual,
     jobs: BTreeMap<u64, Job>,
     history: History,
+    cancellations: Cancellations,
     loop_lateness: LoopLateness,
     pause: Pause,
     accuracy: Accuracy,
@@ -131,6 +134,7 @@
             usual: Usual::default(),
             jobs: BTreeMap::new(),
             history: History::default(),
+            cancellations: Cancellations::default(),
             loop_lateness: LoopLateness::default(),
             pause: Pause::new(now, timing.orphan_timeout / 2),
             accuracy: Accuracy::default(),
@@ -259,10 +263,11 @@
     pub fn join_side(&mut self, now: Duration, hello: &Hello) {
         if let Some(side) = self.fleet.get_mut(hello.incarnation) {
             side.reconnect(now);
-            return;
+        } else {
+            let side = Side::new(&hello.name, &hello.domain, now);
+            self.fleet.insert(hello.incarnation, side);
         }
-        let side = Side::new(&hello.name, &hello.domain, now);
-        self.fleet.insert(hello.incarnation, side);
+        self.tell_cancellations(now, hello.incarnation, false);
     }
 
     /// Records that the connection to a side is lost.
@@ -334,6 +339,7 @@
         self.send_heartbeats(now);
         self.tick_forwarding(now);
         self.history.expire(now);
+        self.send_cancellations(now);
         self.crash_memory.expire(now);
         self.review_decisions(now);
     }
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -1,7 +1,6 @@
 //! The other entries: what they last reported, the list of all entries, and
 //! cancellations that they were asked for.
 
-use super::{Answer, Phase};
 use std::{collections::BTreeMap, time::Duration};
 use wire::{
     frame::Endpoint,
@@ -66,12 +65,24 @@
 
 /// A customer's cancellation that was sent to the other entries.
 #[derive(Debug)]
-struct Cancellation {
-    customer: u64,
+pub(super) struct Cancellation {
+    pub(super) customer: u64,
+    pub(super) job: u64,
     until: Duration,
     replies_due: usize,
 }
 
+impl Cancellation {
+    pub(super) fn new(now: Duration, customer: u64, job: u64) -> Self {
+        Self {
+            customer,
+            job,
+            until: now + CANCEL_TIMEOUT,
+            replies_due: 0,
+        }
+    }
+}
+
 impl Peers {
     /// Makes the state of an entry that knows no others.
     pub(super) fn new() -> Self {
@@ -219,39 +230,30 @@
 
     /// Records that a customer's cancellation is sent to all connected entries;
     /// returns its number.
-    pub(super) fn start_cancellation(&mut self, now: Duration, customer: u64) -> u64 {
+    pub(super) fn start_cancellation(&mut self, mut cancellation: Cancellation) -> u64 {
         self.last_call += 1;
-        let cancellation = Cancellation {
-            customer,
-            until: now + CANCEL_TIMEOUT,
-            replies_due: self.connected.len(),
-        };
+        cancellation.replies_due = self.connected.len();
         self.cancellations.insert(self.last_call, cancellation);
         self.last_call
     }
 
-    /// Records an entry's reply to a cancellation; returns the customer and its
-    /// answer once this is known.
-    pub(super) fn record_reply(&mut self, reply: Cancelled) -> Option<(u64, Answer)> {
+    /// Records an entry's reply to a cancellation; returns the cancellation and whether
+    /// an entry had the job once this is known.
+    pub(super) fn record_reply(&mut self, reply: Cancelled) -> Option<(Cancellation, bool)> {
         let call = self.cancellations.get_mut(&reply.call)?;
         call.replies_due = call.replies_due.saturating_sub(1);
-        let answer = if reply.found {
-            Answer::State(Phase::Cancelled)
-        } else if call.replies_due == 0 {
-            Answer::NoJob
-        } else {
+        if !reply.found && call.replies_due > 0 {
             return None;
-        };
+        }
         let call = self.cancellations.remove(&reply.call)?;
-        Some((call.customer, answer))
+        Some((call, reply.found))
     }
 
-    /// Removes the cancellations whose replies are overdue, and returns their
-    /// customers.
-    pub(super) fn take_overdue_cancellations(&mut self, now: Duration) -> Vec<u64> {
+    /// Removes and returns the cancellations whose replies are overdue.
+    pub(super) fn take_overdue_cancellations(&mut self, now: Duration) -> Vec<Cancellation> {
         self.cancellations
             .extract_if(.., |_, call| now >= call.until)
-            .map(|(_, call)| call.customer)
+            .map(|(_, call)| call)
             .collect()
     }
 }
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -73,6 +73,10 @@
             job.customers.push(customer);
             return;
         }
+        if self.cancellations.contains(submission.job) {
+            self.answer(customer, Answer::State(Phase::Cancelled));
+            return;
+        }
         let Some(rules) = self.rules.get() else {
             self.park(now, arrival, host, path, submission);
             return;
@@ -306,6 +310,12 @@
             return;
         }
         let max_failures = job.max_failures;
+        if self.end_if_cancelled(now, task.job, ending) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
         let Some(slot) = job.slot(task) else { return };
         if let Some(verdict) = slot.crashes.verdict() {
             self.give_up_culprit(now, task, verdict);
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -47,6 +47,9 @@
 /// runs are kept.
 const END_RETENTION: Duration = Duration::from_secs(10);
 
+/// Time for which a cancelled job is refused: longer than any customer waits.
+const FORBIDDEN_RETENTION: Duration = Duration::from_mins(2);
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// A start order is sent; there is no answer yet.
@@ -192,6 +195,8 @@
     runs: BTreeMap<Task, Slot>,
     queue: Queue,
     availability: Availability,
+    /// Cancelled jobs that an entry may have without knowing, and when that was learnt.
+    forbidden: BTreeMap<u64, Duration>,
     /// Speed of the upstream's present process.
     rate: Rate,
     peers: BTreeMap<Incarnation, Peer>,
@@ -236,6 +241,7 @@
             runs: BTreeMap::new(),
             queue: Queue::default(),
             availability: Availability::default(),
+            forbidden: BTreeMap::new(),
             rate: Rate::default(),
             peers: BTreeMap::new(),
             hold_token: None,
@@ -337,6 +343,7 @@
                 self.queue.remove(from, step);
                 self.claim(now);
             }
+            Frame::Forbid(jobs) => self.forbid(now, &jobs),
             Frame::Entries(entries) => self.actions.push(Action::Entries(entries)),
             _ => log::debug!("event=frame_ignored entry={from}"),
         }
@@ -349,6 +356,8 @@
         self.repeat_stops(now);
         self.retry_hold(now);
         self.queue.expire(now);
+        self.forbidden
+            .retain(|_, at| now.saturating_sub(*at) <= FORBIDDEN_RETENTION);
         self.claim(now);
         self.flush(now);
         self.peers.retain(|_, peer| {
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -84,7 +84,9 @@
     }
 
     fn refusal(&self, now: Duration, run: Run, start: &Start) -> Option<Refusal> {
-        if !self.is_in_service(now) {
+        if self.forbidden.contains_key(&run.task.job) {
+            Some(Refusal::Cancelled)
+        } else if !self.is_in_service(now) {
             Some(Refusal::Domain)
         } else if !self.is_accepting(now) {
             Some(Refusal::Closed)
@@ -294,6 +296,17 @@
         self.order_stop(now, task);
     }
 
+    /// Refuses the tasks of cancelled jobs from now on, and stops their runs.
+    pub(super) fn forbid(&mut self, now: Duration, jobs: &[u64]) {
+        for job in jobs {
+            self.forbidden.insert(*job, now);
+            let tasks = self.runs.keys().filter(|task| task.job == *job);
+            for task in tasks.copied().collect::<Vec<Task>>() {
+                self.stop(now, task);
+            }
+        }
+    }
+
     /// Handles an entry's order to stop runs.
     pub(super) fn stop_runs(&mut self, now: Duration, from: Incarnation, runs: &[Run]) {
         for run in runs {
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -155,6 +155,8 @@
     Trial,
     /// The host's failure domain is out of service, or not known to be in service.
     Domain,
+    /// The job was cancelled while its entry may not have known.
+    Cancelled,
 }
 
 impl fmt::Display for Refusal {
@@ -170,6 +172,7 @@
             Self::Lost => "lost",
             Self::Trial => "trial",
             Self::Domain => "domain",
+            Self::Cancelled => "cancelled",
         })
     }
 }
@@ -580,6 +583,11 @@
     Cancel(Cancel),
     /// See [`Cancelled`].
     Cancelled(Cancelled),
+    /// Entry to entry: jobs that were cancelled. A submission of one may arrive again.
+    CancelledJobs(Vec<u64>),
+    /// Entry to side and entry: jobs that were cancelled, while an entry that does not
+    /// know of it may have them.
+    Forbid(Vec<u64>),
     /// See [`Forward`].
     Forward(Forward),
     /// See [`Forwarded`].
