--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -108,7 +108,8 @@
     let result = shared.serve(&mut request).await;
     let mut response = result.unwrap_or_else(|response| response);
     if !shared.status.borrow().serves {
-        // Readiness affects new connections only. The customer sends its next request through another entry.
+        // Readiness affects new connections only. The customer sends its next request
+        // through another entry.
         response
             .headers_mut()
             .insert("connection", poem::http::HeaderValue::from_static("close"));
--- a/crates/hyssoppost/src/leased/rules.rs
+++ b/crates/hyssoppost/src/leased/rules.rs
@@ -90,10 +90,8 @@
         let asked_at = self.clock.now();
         let Some(listing) = &mut self.listing else {
             let list = self.store.list(prefix);
-            let listing = call("rules", self.call_timeout, list).await?;
-            let update = self.decode(&listing, asked_at);
-            self.listing = Some(listing);
-            return Ok(update);
+            self.listing = Some(call("rules", self.call_timeout, list).await?);
+            return Ok(self.decode(asked_at));
         };
         let wait = if self.failing {
             PROBE_WAIT
@@ -111,11 +109,8 @@
                 }))
             }
             Some(changes) => {
-                let mut listing = listing.clone();
                 listing.apply(changes);
-                let update = self.decode(&listing, asked_at);
-                self.listing = Some(listing);
-                Ok(update)
+                Ok(self.decode(asked_at))
             }
             None => {
                 self.listing = None;
@@ -124,8 +119,9 @@
         }
     }
 
-    /// Decodes the rules; keys that hold none are logged, and the rules in force stay.
-    fn decode(&mut self, listing: &Listing, asked_at: Duration) -> Option<Update> {
+    /// Decodes the listed rules; keys that hold none are logged, and the rules in force stay.
+    fn decode(&mut self, asked_at: Duration) -> Option<Update> {
+        let listing = self.listing.as_ref()?;
         let rules = platform::operator::decode(listing);
         self.valid = rules.is_ok();
         match rules {
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -76,11 +76,12 @@
     /// store has not sent them: rules that every entry sent to every other would
     /// fill the links of all.
     pub fn adopt(&mut self, now: Duration, rules: &Rules, from: Option<Incarnation>) -> bool {
-        let was_out = self.rules.get().map(|old| old.out.clone());
+        let old = self.rules.get();
+        let moves_domains = old.is_none_or(|old| old.out != rules.out);
         if !self.rules.adopt(rules) {
             return false;
         }
-        if was_out.as_ref() != Some(&rules.out) {
+        if moves_domains {
             self.fleet.expedite_echoes();
         }
         self.events.push(Event::Rules {
@@ -215,12 +216,11 @@
     pub fn cancel(&mut self, now: Duration, customer: u64, job: u64) {
         let found = self.cancel_here(now, job);
         let peers = self.peers.connected();
+        let cancellation = Cancellation::new(now, customer, job);
         if found || peers.is_empty() {
-            let cancellation = Cancellation::new(now, customer, job);
             self.answer_cancellation(now, &cancellation, found);
             return;
         }
-        let cancellation = Cancellation::new(now, customer, job);
         let call = self.peers.start_cancellation(cancellation);
         for peer in peers {
             self.send(peer, Frame::Cancel(Cancel { call, job }));
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -296,6 +296,9 @@
     /// Continues a job after the end of one of its runs: finishes it, unblocks
     /// dependent tasks, or queues the task again.
     pub(super) fn continue_job(&mut self, now: Duration, task: Task, ending: Ending) {
+        if self.end_if_cancelled(now, task.job, ending) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -310,12 +313,6 @@
             return;
         }
         let max_failures = job.max_failures;
-        if self.end_if_cancelled(now, task.job, ending) {
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
         let Some(slot) = job.slot(task) else { return };
         if let Some(verdict) = slot.crashes.verdict() {
             self.give_up_culprit(now, task, verdict);
--- a/crates/kernel/src/guard/peer.rs
+++ b/crates/kernel/src/guard/peer.rs
@@ -77,16 +77,13 @@
         let clock = Duration::from_millis(echo.clock).min(now);
         peer.last_contact = peer.last_contact.max(clock);
         peer.requested_interval = Duration::from_millis(echo.report_interval_ms.into());
-        if let Some(report) = echo.availability {
-            self.record_availability(clock, report);
-        }
-        let Some(peer) = self.peers.get_mut(&from) else {
-            return;
-        };
         while peer.first_end <= echo.acknowledged && peer.ends.pop_front().is_some() {
             peer.first_end += 1;
         }
         peer.next_unsent = peer.next_unsent.max(peer.first_end);
+        if let Some(report) = echo.availability {
+            self.record_availability(clock, report);
+        }
     }
 
     pub(super) fn queue_end(&mut self, entry: Incarnation, end: End) {
