Entries measure how late customers' departures are handled

Change: a barrier is passed along the same way every 80 ms; departures_late and its counter show barriers that took more than 100 ms. No decision depends on it.

--- a/crates/hyssopctl/src/model/product.rs
+++ b/crates/hyssopctl/src/model/product.rs
@@ -273,6 +273,11 @@
                             self.ends[job] = end(&answer, at);
                         }
                     }
+                    // Customers' departures are not modelled.
+                    dispatch::Action::Barrier(number) => {
+                        let now = self.now;
+                        self.entries[index].record_barrier(now, number);
+                    }
                     // The entries state no processor, so none forwards jobs.
                     dispatch::Action::Respond(..)
                     | dispatch::Action::Reply(..)
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -3,6 +3,7 @@
 use super::{
     EVENT_QUEUE_CAPACITY, EXIT_MARGIN, SeedSender, Seeds, TICK_INTERVAL,
     admission::{Admission, notable_wait},
+    barrier::Barrier,
     dump,
     event::{Event, Status},
     event_loop, frontend, hello, rules,
@@ -107,6 +108,7 @@
         floor_updates,
         events.clone(),
     ));
+    let barrier = Barrier::open(events.clone())?;
     let seed = settings.seed.unwrap_or_else(rand::random);
     let domain = &settings.common.domain;
     let mut kernel = Dispatcher::new(clock.now(), domain, timing(lease), seed);
@@ -125,6 +127,7 @@
         floors,
         status,
         customers: HashMap::new(),
+        barrier,
     };
     let process = tokio::spawn(event_loop::run(
         process,
@@ -267,6 +270,7 @@
     floors: watch::Sender<registry::Floors>,
     status: watch::Sender<Status>,
     customers: HashMap<u64, oneshot::Sender<Response>>,
+    barrier: Barrier,
 }
 
 impl event_loop::Process for Process {
@@ -351,6 +355,7 @@
                 self.customers.remove(&customer);
                 self.kernel.remove_customer(now, job, customer);
             }
+            Event::Barrier(number) => self.kernel.record_barrier(now, number),
             Event::Rules(update) => {
                 self.rules_read_at = Some(now);
                 if let Some(rules) = &update.rules {
@@ -449,6 +454,7 @@
                     self.send_reply(to, call, response, elsewhere);
                 }
                 Action::Serve(customer, request) => unserved.push((customer, request)),
+                Action::Barrier(number) => self.barrier.send(number),
             }
         }
         if !unserved.is_empty() {
--- a/crates/hyssoppost/src/leased/event.rs
+++ b/crates/hyssoppost/src/leased/event.rs
@@ -39,6 +39,8 @@
         job: u64,
         customer: u64,
     },
+    /// The barrier of this number, behind all departures that had arrived before it.
+    Barrier(u64),
     Rules(rules::Update),
     Registry(registry::Event),
     /// Fail readiness checks, and stop within this time.
--- a/crates/hyssoppost/src/leased/mod.rs
+++ b/crates/hyssoppost/src/leased/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod availability;
+mod barrier;
 mod dump;
 pub mod entry;
 mod event;
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -179,6 +179,7 @@
             }
             Event::Culprit { .. } => self.count("hyssoppost_culprits_total"),
             Event::QueueConfined { .. } => self.count("hyssoppost_confinements_total"),
+            Event::DeparturesLate { .. } => self.count("hyssoppost_departures_late_total"),
             Event::Abandoned { .. } => self.count("hyssoppost_jobs_abandoned_total"),
             Event::JobForwarded { .. } => self.count("hyssoppost_jobs_forwarded_total"),
             Event::JobTakenOver { .. } => self.count("hyssoppost_jobs_taken_over_total"),
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod arrivals;
 mod backlog;
+mod barrier;
 mod cancellation;
 mod confinement;
 mod crash_count;
@@ -51,6 +52,7 @@
     timing::Timing,
 };
 use admission::Admission;
+use barrier::Barrier;
 use cancellation::Cancellations;
 use confinement::{Confinement, Eligibility};
 use crashes::CrashMemory;
@@ -88,6 +90,9 @@
     Reply(Incarnation, u64, Answer),
     /// Decode a customer's request and submit it here: no peer is usable.
     Serve(u64, Request),
+    /// Pass a barrier of this number along the way of customers' departures, then report
+    /// it with [`Dispatcher::record_barrier`].
+    Barrier(u64),
 }
 
 /// State machine of an entry. Times are durations since the Unix epoch.
@@ -109,6 +114,7 @@
     cancellations: Cancellations,
     loop_lateness: LoopLateness,
     pause: Pause,
+    barrier: Barrier,
     accuracy: Accuracy,
     stats: Stats,
     actions: Vec<Action>,
@@ -137,6 +143,7 @@
             cancellations: Cancellations::default(),
             loop_lateness: LoopLateness::default(),
             pause: Pause::new(now, timing.orphan_timeout / 2),
+            barrier: Barrier::default(),
             accuracy: Accuracy::default(),
             stats: Stats::default(),
             actions: Vec::new(),
@@ -335,6 +342,7 @@
         self.demote_late(now);
         self.place(now);
         self.send_echoes(now);
+        self.send_barrier(now);
         self.announce_entries(now);
         self.send_heartbeats(now);
         self.tick_forwarding(now);
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -304,6 +304,11 @@
         /// Length of the pause.
         lasted: Duration,
     },
+    /// Departures of customers are handled late; their jobs go on until then.
+    DeparturesLate {
+        /// Time that a barrier took.
+        lag: Duration,
+    },
     /// The event loop stays late; new jobs are refused before they are parsed.
     LoopLate {
         /// Time by which its recent work has all been late.
@@ -504,6 +509,7 @@
             | Self::RunsLeft { .. }
             | Self::SideGone { .. }
             | Self::Resumed { .. }
+            | Self::DeparturesLate { .. }
             | Self::LoopLate { .. }
             | Self::LoopRecovered { .. }
             | Self::Readiness { .. }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -352,6 +352,9 @@
             Self::Resumed { lasted } => {
                 write!(to, "event=resumed paused_ms={}", millis(*lasted))
             }
+            Self::DeparturesLate { lag } => {
+                write!(to, "event=departures_late lag_ms={}", millis(*lag))
+            }
             Self::LoopLate { lateness } => {
                 write!(to, "event=loop_late lateness_ms={}", millis(*lateness))
             }
--- a/crates/kernel/tests/site/mod.rs
+++ b/crates/kernel/tests/site/mod.rs
@@ -89,6 +89,11 @@
     next_id: u64,
     pub frozen_sides: Vec<bool>,
     pub frozen_entries: Vec<bool>,
+    /// Entries at which departures of customers wait to be read, and since when.
+    pub unread_since: BTreeMap<usize, Duration>,
+    /// Barriers behind these departures: when they were sent, by which entry and process,
+    /// and their numbers.
+    barriers: Vec<(Duration, usize, Incarnation, u64)>,
     /// Whether no report of an upstream arrives at its side.
     pub reports_paused: bool,
     /// Upstreams' reports that arrive late, with the time and the side.
@@ -129,6 +134,8 @@
             next_id: 0,
             frozen_sides: vec![false; sides],
             frozen_entries: vec![false; entries],
+            unread_since: BTreeMap::new(),
+            barriers: Vec::new(),
             reports_paused: false,
             late_reports: Vec::new(),
             trace: None,
@@ -262,6 +269,24 @@
         }
     }
 
+    fn deliver_barriers(&mut self) {
+        let (now, frozen, unread) = (self.now, &self.frozen_entries, &self.unread_since);
+        let passed: Vec<(Duration, usize, Incarnation, u64)> = self
+            .barriers
+            .extract_if(.., |(sent_at, entry, ..)| {
+                let is_behind = unread.get(entry).is_some_and(|since| *since <= *sent_at);
+                !frozen[*entry] && !is_behind
+            })
+            .collect();
+        for (_, entry, id, number) in passed {
+            if let Some(dispatcher) = &mut self.entries[entry]
+                && self.entry_ids[entry] == id
+            {
+                dispatcher.record_barrier(now, number);
+            }
+        }
+    }
+
     fn reset_link(&mut self, entry: usize, side: usize) {
         let old = self.links.get(&(entry, side)).copied();
         let link = Link {
@@ -382,6 +407,7 @@
         self.connect_entries();
         self.call_upstreams();
         self.deliver_late_reports();
+        self.deliver_barriers();
         let now_ms = u64::try_from(now.as_millis()).expect("fits into 64 bits");
         let tick_ms = u64::try_from(TICK_INTERVAL.as_millis()).expect("fits into 64 bits");
         let announce_ms =
@@ -632,6 +658,10 @@
             }
             Entry::Reply(to, call, answer) => self.send_reply(index, to, call, answer),
             Entry::Serve(customer, request) => self.serve(index, customer, &request),
+            Entry::Barrier(number) => {
+                let id = self.entry_ids[index];
+                self.barriers.push((self.now, index, id, number));
+            }
         }
     }
 
--- a/crates/kernel/tests/starved_loop.rs
+++ b/crates/kernel/tests/starved_loop.rs
@@ -447,6 +447,8 @@
                     self.work(RESPOND);
                     self.answered(customer, &answer);
                 }
+                // No customer disconnects.
+                Action::Barrier(number) => self.kernel.record_barrier(self.now, number),
                 Action::Respond(..) | Action::Reply(..) | Action::Serve(..) => {
                     panic!("nothing is forwarded: there is one entry")
                 }
