An entry notices that a customer has closed its connection

Cause: the HTTP server takes the end of a customer's stream (FIN) for a half-closed connection and goes on with the request; only a reset ended it. The entry never learnt of such a departure, kept the job, restarted its runs where they ended, and the customer's resubmission ran beside them through another entry.

Change: the end of a stream counts as a reset of the connection.

--- a/crates/hyssoppost/src/http.rs
+++ b/crates/hyssoppost/src/http.rs
@@ -17,7 +17,7 @@
     net::SocketAddr,
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 use tokio::{
@@ -200,7 +200,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.remaining();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        // The server would go on with the request, as if only the client's sending half
+        // were closed. A customer that has left may submit its job again.
+        if before > 0 && buffer.remaining() == before {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
