An entry renews no runs whose customers may have left without its knowing

What callers saw: two runs of one task. A customer leaves, its entry reads that late and meanwhile lets the job's runs go on; 1.3 s later they run beside those of the resubmission.

Cause: an echo to a side, and each order, renewed all runs of the entry there by a timer's clock. A departure takes another way: the task that reads the connection, and the event queue. An entry without processor does the one in time and the other late. A pause of 318 ms or more was noticed, shorter ones, a quota or a backlog were not.

Change: an echo names two clocks, that of contact and that from which runs go on. The latter is one that the entry had received before a barrier that has passed, so it isn't later than a departure that the entry doesn't know of. Orders renew nothing, and an order is refused as stale from an entry whose runs would be stopped at once. The rule that sent no echoes for 100 ms after a pause goes; it guessed what the barrier shows.

--- a/crates/kernel/src/dispatch/barrier.rs
+++ b/crates/kernel/src/dispatch/barrier.rs
@@ -1,15 +1,17 @@
-//! Barriers: how late customers' departures are handled.
+//! Barriers: an entry lets the runs of its jobs go on only as far as it knows that their
+//! customers still wait.
 //!
-//! A departure is noticed by the task that reads the customer's connection and passes the
-//! event queue. The runtime passes a barrier the same way and reports it when everything
-//! that had arrived from customers before it has been handled.
+//! An echo to a side renews all runs of the entry there, also those of a job whose
+//! customer has left without the entry's knowing. A departure is noticed by the task that
+//! reads the customer's connection and passes the event queue, and a process that lacks
+//! processor does that later than it echoes. So the runtime passes a barrier the same way,
+//! and reports it when everything that had arrived from customers before it has been
+//! handled. Runs are renewed from a clock that the entry had received before it sent a
+//! barrier that has passed: no customer whose departure is unknown has left before then.
 
 use super::{Action, Dispatcher, Event};
 use std::time::Duration;
 
-/// Shortest time between two barriers.
-const INTERVAL: Duration = Duration::from_millis(80);
-
 /// Time after which a barrier is late.
 const LATE: Duration = Duration::from_millis(100);
 
@@ -22,12 +24,12 @@
 }
 
 impl Dispatcher {
-    /// Sends a barrier if one is due and none is under way.
+    /// Sends a barrier unless one is under way or no side has reported since the last.
     pub(super) fn send_barrier(&mut self, now: Duration) {
-        let barrier = &mut self.barrier;
-        if barrier.is_pending || now.saturating_sub(barrier.sent_at) < INTERVAL {
+        if self.barrier.is_pending || !self.fleet.send_barrier() {
             return;
         }
+        let barrier = &mut self.barrier;
         barrier.number += 1;
         barrier.sent_at = now;
         barrier.is_pending = true;
@@ -46,5 +48,6 @@
         if lag > LATE {
             self.events.push(Event::DeparturesLate { lag });
         }
+        self.fleet.pass_barrier();
     }
 }
--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -75,6 +75,10 @@
     pub(super) last_end: u64,
     /// Side clock value, in milliseconds, that was last echoed.
     pub(super) echoed: u64,
+    /// Side clock values, in milliseconds, as last received before the last barrier was
+    /// sent, and before the last that has passed.
+    before_sent: u64,
+    pub(super) before_passed: u64,
     pub(super) last_echo_at: Duration,
     /// Moving average of run time divided by estimate.
     pub(super) slowness: f64,
@@ -113,6 +117,8 @@
             trial: None,
             last_end: 0,
             echoed: 0,
+            before_sent: 0,
+            before_passed: 0,
             last_echo_at: Duration::ZERO,
             slowness: 1.0,
             rate: USUAL_RATE,
@@ -554,6 +560,24 @@
         left.min(MAX_ECHO_INTERVAL).max(self.echo_interval())
     }
 
+    /// Records that a barrier is sent. Returns false if no side has reported since the
+    /// last one.
+    pub(super) fn send_barrier(&mut self) -> bool {
+        let mut has_changed = false;
+        for side in self.sides.values_mut() {
+            let clock = side.status.map_or(0, |status| status.clock);
+            has_changed |= std::mem::replace(&mut side.before_sent, clock) != clock;
+        }
+        has_changed
+    }
+
+    /// Records that the barrier that was sent last has passed.
+    pub(super) fn pass_barrier(&mut self) {
+        for side in self.sides.values_mut() {
+            side.before_passed = side.before_passed.max(side.before_sent);
+        }
+    }
+
     /// Makes the echoes to all sides due, also to those that have not reported since.
     pub(super) fn expedite_echoes(&mut self) {
         for side in self.sides.values_mut() {
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -412,10 +412,6 @@
     }
 
     fn send_echoes(&mut self, now: Duration) {
-        // An echo lets the runs of a job go on whose customer may have left.
-        if self.pause.is_catching_up(now) {
-            return;
-        }
         let mut frames = Vec::new();
         let interval = self.echo_interval();
         let report_interval_ms = self.fleet.report_interval_ms();
@@ -427,8 +423,14 @@
             }
             side.echoed = status.clock;
             side.last_echo_at = now;
+            let renewed_at = if is_seeded(Mutant::UnreadDeparture) {
+                status.clock
+            } else {
+                side.before_passed
+            };
             let echo = Echo {
                 clock: status.clock,
+                renewed_at,
                 acknowledged: side.last_end,
                 report_interval_ms,
                 availability: self.rules.availability(now, &side.domain),
--- a/crates/kernel/src/dispatch/pause.rs
+++ b/crates/kernel/src/dispatch/pause.rs
@@ -3,7 +3,7 @@
 //! While a process is paused its customers may disconnect and submit their jobs
 //! elsewhere. After it has resumed it may read what its sides have sent, such as the ends
 //! of runs that they stopped meanwhile, before it learns of that. Until then it starts
-//! nothing, and sends no echoes, which let runs go on.
+//! nothing.
 
 use crate::mutation::{Mutant, is_seeded};
 use std::time::Duration;
@@ -20,7 +20,7 @@
     /// Shortest time without a call that counts as a pause.
     limit: Duration,
     last_run: Duration,
-    /// Time until which no task starts and no echo is sent.
+    /// Time until which no task starts.
     caught_up_at: Duration,
 }
 
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -112,6 +112,9 @@
 struct Peer {
     /// Latest time, on the own clock, at which the entry is known to have run.
     last_contact: Duration,
+    /// Time, on the own clock, before all departures of customers that the entry may not
+    /// have known of when it last reported.
+    renewed_at: Duration,
     /// Start of the latest connection.
     joined_at: Duration,
     liveness: Liveness,
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -49,7 +49,7 @@
         let runs = u32::try_from(start.runs.len()).unwrap_or(u32::MAX);
         peer.received = peer.received.wrapping_add(runs);
         self.dirty = true;
-        let is_current = now.saturating_sub(clock) <= self.timing.max_order_age();
+        let is_current = self.is_current(now, from, clock);
         for run in &start.runs {
             let step = Step {
                 job: run.task.job,
@@ -83,6 +83,19 @@
         }
     }
 
+    /// Returns whether an entry's order that names this clock is recent, and its run would
+    /// not be stopped at once. An order renews nothing: the entry may send it without
+    /// knowing that the customers of its other jobs have left.
+    fn is_current(&mut self, now: Duration, from: Incarnation, clock: Duration) -> bool {
+        if is_seeded(Mutant::OrderRenews)
+            && let Some(peer) = self.peers.get_mut(&from)
+        {
+            peer.renewed_at = peer.renewed_at.max(clock);
+        }
+        now.saturating_sub(clock) <= self.timing.max_order_age()
+            && now.saturating_sub(self.renewed_at(from)) <= self.timing.orphan_timeout
+    }
+
     fn refusal(&self, now: Duration, run: Run, start: &Start) -> Option<Refusal> {
         if self.forbidden.contains_key(&run.task.job) {
             Some(Refusal::Cancelled)
@@ -115,7 +128,7 @@
         };
         let clock = Duration::from_millis(reserve.clock).min(now);
         peer.last_contact = peer.last_contact.max(clock);
-        let is_current = now.saturating_sub(clock) <= self.timing.max_order_age();
+        let is_current = self.is_current(now, from, clock);
         if is_current && self.is_accepting(now) && !self.is_released(now, from) {
             self.queue.push(now, from, reserve);
             self.claim(now);
@@ -378,17 +391,17 @@
         let max_silence = self.timing.orphan_timeout + answer_timeout;
         self.runs.values().any(|slot| {
             let is_unanswered = |since: Duration| now.saturating_sub(since) > answer_timeout;
-            let is_orphaned = now.saturating_sub(self.last_contact(slot.entry)) > max_silence
+            let is_orphaned = now.saturating_sub(self.renewed_at(slot.entry)) > max_silence
                 && !is_seeded(Mutant::Orphan);
             slot.revoked_at.is_none()
                 && (is_orphaned || slot.stopped_since.is_some_and(is_unanswered))
         })
     }
 
-    /// Returns the latest time at which an entry is known to have run.
-    fn last_contact(&self, entry: Incarnation) -> Duration {
+    /// Returns the time from which an entry's runs go on without it for the orphan timeout.
+    fn renewed_at(&self, entry: Incarnation) -> Duration {
         let peer = self.peers.get(&entry);
-        peer.map_or(Duration::ZERO, |peer| peer.last_contact)
+        peer.map_or(Duration::ZERO, |peer| peer.renewed_at)
     }
 
     /// Repeats the stop orders that were not answered in time.
@@ -414,8 +427,7 @@
         }
     }
 
-    /// Stops the runs of entries that have been silent for longer than the
-    /// orphan timeout.
+    /// Stops the runs of entries that have not renewed them for the orphan timeout.
     pub(super) fn stop_orphans(&mut self, now: Duration) {
         let limit = self.timing.orphan_timeout;
         let orphans: Vec<Task> = self
@@ -423,7 +435,7 @@
             .iter()
             .filter(|(_, slot)| {
                 slot.stop_sent_at.is_none()
-                    && now.saturating_sub(self.last_contact(slot.entry)) > limit
+                    && now.saturating_sub(self.renewed_at(slot.entry)) > limit
                     && !is_seeded(Mutant::Orphan)
             })
             .map(|(task, _)| *task)
@@ -434,7 +446,7 @@
                 self.events.push(Event::RunOrphaned {
                     run: slot.id(task),
                     entry: slot.entry,
-                    silent: now.saturating_sub(self.last_contact(slot.entry)),
+                    silent: now.saturating_sub(self.renewed_at(slot.entry)),
                 });
             }
             self.stop(now, task);
--- a/crates/kernel/src/guard/peer.rs
+++ b/crates/kernel/src/guard/peer.rs
@@ -76,6 +76,8 @@
         };
         let clock = Duration::from_millis(echo.clock).min(now);
         peer.last_contact = peer.last_contact.max(clock);
+        let renewed_at = Duration::from_millis(echo.renewed_at).min(now);
+        peer.renewed_at = peer.renewed_at.max(renewed_at);
         peer.requested_interval = Duration::from_millis(echo.report_interval_ms.into());
         while peer.first_end <= echo.acknowledged && peer.ends.pop_front().is_some() {
             peer.first_end += 1;
@@ -115,6 +117,7 @@
     pub(super) fn new(now: Duration) -> Self {
         Self {
             last_contact: now,
+            renewed_at: now,
             joined_at: now,
             liveness: Liveness::new(now),
             connected: false,
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -74,6 +74,10 @@
     SideDomainOut,
     /// Time in which a host was suspended counts for the leases of its upstream.
     SuspensionCounted,
+    /// An entry lets runs go on without knowing whether their customers have left.
+    UnreadDeparture,
+    /// An entry's orders let its other runs go on.
+    OrderRenews,
     /// A pause while an entry reads what has arrived in an earlier one counts as reading.
     PausedCatchUp,
 }
--- a/crates/kernel/tests/delayed_evidence.rs
+++ b/crates/kernel/tests/delayed_evidence.rs
@@ -146,6 +146,7 @@
             ms(now),
             ENTRY,
             Frame::Echo(Echo {
+                renewed_at: now - 5,
                 clock: now - 5,
                 acknowledged: 0,
                 report_interval_ms: 0,
--- a/crates/kernel/tests/extreme_numbers.rs
+++ b/crates/kernel/tests/extreme_numbers.rs
@@ -64,6 +64,7 @@
             rate: small,
         }),
         Frame::Echo(Echo {
+            renewed_at: clock,
             clock,
             acknowledged: clock,
             report_interval_ms: small,
--- a/crates/kernel/tests/many_entries.rs
+++ b/crates/kernel/tests/many_entries.rs
@@ -67,6 +67,7 @@
     let entry = Incarnation(1);
     guard.join(Duration::ZERO, entry);
     let echo = Echo {
+        renewed_at: 0,
         clock: 0,
         acknowledged: 0,
         report_interval_ms: interval_ms,
--- a/crates/kernel/tests/overlapping_runs.rs
+++ b/crates/kernel/tests/overlapping_runs.rs
@@ -7,7 +7,13 @@
     dispatch::Phase,
     mutation::{self, Mutant},
 };
-use site::{Site, calls::Path, job, make::announcement};
+use site::{
+    Site,
+    calls::Path,
+    job,
+    make::announcement,
+    upstream::{Stub, timed_input},
+};
 use std::time::Duration;
 
 /// Shortest time after which a customer submits a job again.
@@ -112,14 +118,14 @@
     site.submit(0, job(1, 6, 1_000, RUN));
     site.run(ms(50));
     site.kill_entry(0, false);
-    site.run(ms(600));
+    site.run(ms(450));
     site.frozen_sides = vec![true; 3];
     for stub in &mut site.upstreams {
         stub.call_faults.hung.stops = 1.0;
     }
-    site.run(ms(450));
+    site.run(ms(480));
     site.frozen_sides = vec![false; 3];
-    site.run(ms(250));
+    site.run(ms(370));
     assert_eq!(running(&site), 0);
 }
 
@@ -270,6 +276,7 @@
     site.submit(0, job(1, 6, 1_000, RUN));
     site.run(ms(100));
     site.frozen_entries[0] = true;
+    site.unread_since.insert(0, site.now);
     for stub in &mut site.upstreams {
         stub.call_faults.hung.stops = unanswered_stops;
         stub.stop_delay = ms(50);
@@ -298,6 +305,46 @@
     }
 }
 
+/// Has a customer leave whose departure its entry reads too late, while the entry is in
+/// contact with its sides and gets a job every `interval`; returns the number of runs
+/// that are left when the job may be submitted again.
+fn runs_after_unread_departure(interval: Duration, unanswered_stops: f64) -> usize {
+    let mut site = long_runs(2, 3);
+    site.submit(0, job(1, 6, 1_000, RUN));
+    site.run(ms(100));
+    site.unread_since.insert(0, site.now);
+    for stub in &mut site.upstreams {
+        stub.call_faults.hung.stops = unanswered_stops;
+    }
+    let end = site.now + RESUBMIT_AFTER;
+    for id in 2.. {
+        let mut short = job(id, 1, 1_000, ms(10));
+        short.input = timed_input(10, 0);
+        site.submit(0, short);
+        site.run(interval.min(end.saturating_sub(site.now)));
+        if site.now >= end {
+            break;
+        }
+    }
+    let first_job = |stub: &Stub| stub.running().filter(|run| run.task.job == 1).count();
+    site.upstreams.iter().map(first_job).sum()
+}
+
+// An entry that read departures late let the runs of such jobs go on all the while.
+#[test]
+fn unread_departure() {
+    for unanswered_stops in [0.0, 1.0] {
+        let left = runs_after_unread_departure(RESUBMIT_AFTER, unanswered_stops);
+        assert_eq!(left, 0, "{unanswered_stops} of the stops are unanswered");
+    }
+}
+
+// The same by its orders of other runs.
+#[test]
+fn orders_after_unread_departure() {
+    assert_eq!(runs_after_unread_departure(ms(30), 0.0), 0);
+}
+
 // A weak entry is lost, then the owner of its jobs, and the upstreams leave the stops
 // unanswered.
 #[test]
@@ -322,10 +369,12 @@
 
 #[test]
 fn seeded_bugs_found() {
-    let directed: [(Mutant, fn()); 3] = [
+    let directed: [(Mutant, fn()); 5] = [
         (Mutant::RenewedStop, unanswered_stops),
         (Mutant::RenewedStop, renewal_after_pause),
         (Mutant::LostStop, lost_stops),
+        (Mutant::UnreadDeparture, unread_departure),
+        (Mutant::OrderRenews, orders_after_unread_departure),
     ];
     let is_missed = |(_, (mutant, test)): &(usize, (Mutant, fn()))| {
         mutation::seed(Some(*mutant));
--- a/crates/kernel/tests/starved_loop.rs
+++ b/crates/kernel/tests/starved_loop.rs
@@ -58,6 +58,8 @@
     ends: u64,
     /// Latest time at which the entry is known to have run.
     contact: Duration,
+    /// Time from which its runs go on without the entry for a while.
+    renewed_at: Duration,
 }
 
 /// How long customers and sides waited.
@@ -65,6 +67,8 @@
 struct Waits {
     /// Longest time without contact that a side has seen.
     silence: Duration,
+    /// Longest time for which runs at a side were not renewed.
+    unrenewed: Duration,
     /// Greatest age of a start order at its side.
     order_age: Duration,
     refusals: Vec<Duration>,
@@ -190,6 +194,7 @@
         self.kernel.frame(START, key, Frame::OpenRuns(Vec::new()));
         let side = Side {
             contact: START,
+            renewed_at: START,
             ..Side::default()
         };
         self.sides.insert(key, side);
@@ -252,6 +257,8 @@
     fn report(&mut self, at: Duration, key: Incarnation) {
         let side = self.sides.get_mut(&key).expect("a known side");
         self.waits.silence = self.waits.silence.max(at.saturating_sub(side.contact));
+        let unrenewed = at.saturating_sub(side.renewed_at);
+        self.waits.unrenewed = self.waits.unrenewed.max(unrenewed);
         let status = Status {
             clock: millis(at),
             received: side.received,
@@ -286,7 +293,10 @@
     fn side_frame(&mut self, at: Duration, to: Incarnation, frame: Frame) {
         let side = self.sides.get_mut(&to).expect("a known side");
         match frame {
-            Frame::Echo(echo) => side.contact = side.contact.max(ms(echo.clock)),
+            Frame::Echo(echo) => {
+                side.contact = side.contact.max(ms(echo.clock));
+                side.renewed_at = side.renewed_at.max(ms(echo.renewed_at));
+            }
             Frame::Start(start) => {
                 let age = at.saturating_sub(ms(start.clock));
                 self.waits.order_age = self.waits.order_age.max(age);
@@ -511,15 +521,17 @@
     let overhead = Waits::quantile(&waits.overheads, 0.95);
     let (late, unanswered) = (waits.late_answers, waits.unanswered);
     println!(
-        "silence {:?}, order age {:?}, {} refusals: 95 % {refused:?}, {} completed: 95 % beyond \
+        "silence {:?}, unrenewed {:?}, order age {:?}, {} refusals: 95 % {refused:?}, {} completed: 95 % beyond \
          the run time {overhead:?}, {late} late, {} expired, {unanswered} unanswered",
         waits.silence,
+        waits.unrenewed,
         waits.order_age,
         waits.refusals.len(),
         waits.overheads.len(),
         waits.expired,
     );
     assert!(waits.silence < entry.timing.max_silence(), "renewals");
+    assert!(waits.unrenewed < entry.timing.orphan_timeout, "runs");
     assert!(waits.order_age < entry.timing.max_order_age(), "orders");
     assert!(refused < ms(250), "refusals take {refused:?}");
     assert!(overhead < ms(600), "completed jobs take {overhead:?}");
--- a/crates/kernel/tests/suspended_hosts.rs
+++ b/crates/kernel/tests/suspended_hosts.rs
@@ -46,7 +46,7 @@
     site.upstreams.iter().map(|stub| stub.starts.len()).sum()
 }
 
-/// Starts at an entry that is paused, runs for 10 ms, and is paused again for less than
+/// Starts at an entry that is paused, runs for 40 ms, and is paused again for less than
 /// what counts as a pause by itself.
 fn starts_between_pauses() -> usize {
     let mut site = Site::new(1, 3);
@@ -60,9 +60,9 @@
         site.frozen_entries[0] = true;
         site.run(Duration::from_millis(paused));
         site.frozen_entries[0] = false;
-        site.run(Duration::from_millis(10));
+        site.run(Duration::from_millis(40));
     }
-    site.run(Duration::from_millis(50));
+    site.run(Duration::from_millis(15));
     starts(&site) - before
 }
 
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -218,6 +218,9 @@
 pub struct Echo {
     /// The side's clock as last received, in milliseconds.
     pub clock: u64,
+    /// The same before all departures of customers that the sender may not know of yet:
+    /// from then on the sender's runs may go on without it for a while.
+    pub renewed_at: u64,
     /// Number of the last end received; those up to it need not be resent.
     pub acknowledged: u64,
     /// Shortest time between two load reports that the sender can keep up with, in
