Ends reach an entry that a side had forgotten

Cause: a side forgets an entry that is silent for 10 s and numbers its ends from 1 when it returns, while the entry has kept the last number and takes them for known. Its jobs there hang until their customers give up.

Change: a side numbers the ends for an entry from its clock, which is above all numbers before.

--- a/crates/kernel/src/guard/peer.rs
+++ b/crates/kernel/src/guard/peer.rs
@@ -3,6 +3,7 @@
 use super::{Guard, Peer};
 use crate::{
     liveness::Liveness,
+    millis,
     mutation::{Mutant, is_seeded},
 };
 use std::{collections::VecDeque, time::Duration};
@@ -123,7 +124,8 @@
             connected: false,
             received: 0,
             ends: VecDeque::new(),
-            first_end: 1,
+            // Above the numbers of a state that was dropped while the entry kept its own.
+            first_end: millis(now),
             next_unsent: 0,
             surplus_since: None,
             reported_at: Duration::ZERO,
