Soak: silent connections and pauses in series, beside long tasks

Change: the relay silences single connections in one direction or both; the soak's upstream leaves calls unanswered by path (executed at once, late or never); customers leave, and come again after 1.3 s. The three kinds run one after the other; `seeded_faults` is as before.

--- a/crates/hyssoppost/tests/fault_soak.rs
+++ b/crates/hyssoppost/tests/fault_soak.rs
@@ -8,7 +8,9 @@
 mod platform_standin;
 mod soak;
 
+use soak::Kind;
 use std::ops::Range;
+use tokio::sync::Mutex;
 
 /// Seeds of a run without `SOAK_SEED` and `SOAK_SEEDS`.
 const DEFAULT_SEEDS: Range<u64> = 0..2;
@@ -29,15 +31,21 @@
 /// connections, while it refused new connections.
 const REGRESSION_SEEDS: [u64; 7] = [28, 34, 103, 115, 129, 326, 344];
 
+/// Default seeds of the disruptions beside long tasks.
+const DISRUPTION_SEEDS: Range<u64> = 4..6;
+
 /// Sites that run concurrently.
 const CONCURRENT_SITES: usize = 5;
 
-fn seeds() -> Vec<u64> {
+/// Held by the test whose sites run.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+fn seeds(default: impl Iterator<Item = u64>) -> Vec<u64> {
     if let Ok(seed) = std::env::var("SOAK_SEED") {
         return vec![seed.parse().expect("SOAK_SEED is a number")];
     }
     let Ok(range) = std::env::var("SOAK_SEEDS") else {
-        return DEFAULT_SEEDS.chain(REGRESSION_SEEDS).collect();
+        return default.collect();
     };
     let (from, to) = range.split_once("..").expect("SOAK_SEEDS is FROM..TO");
     let number = |text: &str| text.parse().expect("SOAK_SEEDS is FROM..TO");
@@ -46,15 +54,34 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn seeded_faults() {
+    let default = DEFAULT_SEEDS.chain(REGRESSION_SEEDS);
+    run(Kind::Faults, &seeds(default)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn silent_connections() {
+    run(Kind::Silence, &seeds(DISRUPTION_SEEDS)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn pauses_in_series() {
+    run(Kind::Pauses, &seeds(DISRUPTION_SEEDS)).await;
+}
+
+async fn run(kind: Kind, seeds: &[u64]) {
+    let _turn = TURN.lock().await;
     let mut failed = Vec::new();
-    for batch in seeds().chunks(CONCURRENT_SITES) {
+    for batch in seeds.chunks(CONCURRENT_SITES) {
         let sites: Vec<_> = batch
             .iter()
-            .map(|seed| (*seed, tokio::spawn(soak::run(*seed))))
+            .map(|seed| (*seed, tokio::spawn(soak::run(*seed, kind))))
             .collect();
         for (seed, site) in sites {
             let violations = site.await.expect("the soak does not panic");
-            println!("seed {seed}: {} guarantees violated", violations.len());
+            println!(
+                "{kind:?} seed {seed}: {} guarantees violated",
+                violations.len()
+            );
             for text in &violations {
                 println!("  {text}");
             }
--- a/crates/hyssoppost/tests/soak/customers.rs
+++ b/crates/hyssoppost/tests/soak/customers.rs
@@ -1,6 +1,7 @@
 //! Customers that submit jobs, resubmit them after a lost connection, and record
 //! the answers.
 
+use super::Kind;
 use crate::platform_standin::upstream::CRASHING_SPEC;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
@@ -9,13 +10,10 @@
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
-use tokio::task::JoinSet;
+use tokio::{sync::Notify, task::JoinSet};
 
 /// Time after which a customer resubmits a job; `resend_ms` in the settings.
 const RESUBMIT_AFTER: Duration = Duration::from_millis(1_300);
-/// Time that customers wait for an answer.
-const PATIENCE: Duration = Duration::from_secs(4);
-const SUBMIT_INTERVAL: Duration = Duration::from_millis(25);
 /// One in this many jobs, by its identifier, has a task that crashes its upstream.
 const CRASHING_JOB_PART: u64 = 64;
 
@@ -35,6 +33,10 @@
     /// Number of answers by status or kind of failure.
     pub answers: BTreeMap<String, u64>,
     pub violations: Vec<String>,
+    pub kind: Kind,
+    /// Tells customers of each entry to disconnect, and to come again as after any lost
+    /// connection; half of them do.
+    pub departures: Vec<Arc<Notify>>,
 }
 
 impl Shared {
@@ -47,11 +49,12 @@
 pub async fn generate_load(shared: Shared, seed: u64, end: Instant) {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut calls = JoinSet::new();
+    let interval = shared.lock().kind.submit_interval();
     while Instant::now() < end {
         let (job, tasks) = (random.random(), random.random_range(1..6));
         let entry = random.random_range(0..16);
         calls.spawn(submit(shared.clone(), job, tasks, entry));
-        tokio::time::sleep(SUBMIT_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
     while let Some(call) = calls.join_next().await {
         call.expect("no customer panics");
@@ -68,7 +71,20 @@
             continue;
         };
         let sent_at = Instant::now();
-        match post_job(address, job, tasks).await {
+        let (kind, departure) = {
+            let state = shared.lock();
+            (state.kind, state.departures[index].clone())
+        };
+        let posted = tokio::select! {
+            posted = post_job(address, job, tasks, kind) => posted,
+            () = departure.notified(), if job.is_multiple_of(2) => {
+                *shared.lock().answers.entry("left".to_owned()).or_default() += 1;
+                only_refused = false;
+                tokio::time::sleep(RESUBMIT_AFTER).await;
+                continue;
+            }
+        };
+        match posted {
             Ok(status) => {
                 *shared.lock().answers.entry(status.to_string()).or_default() += 1;
                 match status {
@@ -111,23 +127,29 @@
     Some((state.entries[index]?, index))
 }
 
-async fn post_job(address: SocketAddr, job: u64, tasks: u16) -> Result<u16, reqwest::Error> {
+async fn post_job(
+    address: SocketAddr,
+    job: u64,
+    tasks: u16,
+    kind: Kind,
+) -> Result<u16, reqwest::Error> {
     // Each job uses a connection of its own.
     let http = reqwest::Client::builder().no_proxy().build()?;
-    let spec = if job % CRASHING_JOB_PART == CRASHING_JOB_PART - 1 {
+    let may_crash = kind == Kind::Faults;
+    let spec = if may_crash && job % CRASHING_JOB_PART == CRASHING_JOB_PART - 1 {
         CRASHING_SPEC
     } else {
         "soak"
     };
     let body = serde_json::json!({
         "spec": spec, "best_effort": true,
-        "phases": [{ "count": tasks, "cpu": 1_000, "ram_mb": 64, "estimate_ms": 100 }],
+        "phases": [{ "count": tasks, "cpu": 1_000, "ram_mb": 64, "estimate_ms": kind.estimate().as_millis() }],
     });
     let response = http
         .post(format!("http://{address}/jobs/{job:016x}"))
         .header("host", "desk.example")
-        .header("x-deadline-ms", PATIENCE.as_millis().to_string())
-        .timeout(PATIENCE + Duration::from_secs(1))
+        .header("x-deadline-ms", kind.patience().as_millis().to_string())
+        .timeout(kind.patience() + Duration::from_secs(1))
         .json(&body)
         .send()
         .await?;
--- a/crates/hyssoppost/tests/soak/mod.rs
+++ b/crates/hyssoppost/tests/soak/mod.rs
@@ -1,8 +1,11 @@
 //! A site of real entries and sides among stand-ins, with injected faults.
 
 pub mod customers;
+mod disruptions;
 pub mod process;
 
+pub use disruptions::Kind;
+
 use crate::platform_standin::{
     store::{Fault as StoreFault, Store},
     upstream::{Audit, Fault, Upstream},
@@ -54,6 +57,8 @@
     settings: PathBuf,
     process: Option<Process>,
     upstream: Upstream,
+    /// The side's path to its upstream, and the upstream's to it.
+    orders: Relay,
     reports: Relay,
 }
 
@@ -71,8 +76,10 @@
     entries: Vec<Entry>,
     sides: Vec<Side>,
     store: Store,
-    /// The entries' path to the store; sides have their own.
+    /// The entries' path to the store, and that of the sides.
     entries_store: Relay,
+    sides_store: Relay,
+    kind: Kind,
     audit: Audit,
     shared: Shared,
     log: Arc<Mutex<Vec<String>>>,
@@ -83,15 +90,6 @@
     processors: &'static [f64],
 }
 
-/// Returns the time that a task takes; `SOAK_RUN_MS` sets it. A run that is left behind
-/// ends before its job is submitted again unless it takes longer than that.
-fn run_time() -> Duration {
-    let ms = std::env::var("SOAK_RUN_MS").ok();
-    ms.map_or(RUN_TIME, |ms| {
-        Duration::from_millis(ms.parse().expect("SOAK_RUN_MS is a number"))
-    })
-}
-
 fn rules(version: u64) -> serde_json::Value {
     json!({
         "version": version,
@@ -102,9 +100,9 @@
 }
 
 impl Site {
-    pub async fn start(seed: u64) -> Self {
+    pub async fn start(seed: u64, kind: Kind) -> Self {
         let folder =
-            std::env::temp_dir().join(format!("hyssop-soak-{}-{seed}", std::process::id()));
+            std::env::temp_dir().join(format!("hyssop-{kind:?}-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a writable folder");
         let store = Store::bind().await;
         store.set("op/config", &rules(1));
@@ -113,6 +111,10 @@
             .await
             .expect("a free port");
         entries_store.set_target(Some(store.server.address));
+        let sides_store = Relay::bind(Duration::ZERO, &timer)
+            .await
+            .expect("a free port");
+        sides_store.set_target(Some(store.server.address));
         let audit = Audit::default();
         let mut site = Self {
             folder,
@@ -120,6 +122,8 @@
             sides: Vec::new(),
             store,
             entries_store,
+            sides_store,
+            kind,
             audit,
             shared: Shared::default(),
             log: Arc::default(),
@@ -131,6 +135,8 @@
         };
         site.shared.lock().entries = vec![None; ENTRIES];
         site.shared.lock().draining = vec![false; ENTRIES];
+        site.shared.lock().departures = (0..ENTRIES).map(|_| Arc::default()).collect();
+        site.shared.lock().kind = kind;
         for index in 0..ENTRIES {
             let links = Relay::bind(ONE_WAY_DELAY, &timer)
                 .await
@@ -148,12 +154,23 @@
                 .await
                 .expect("a free port");
             let to = Some(reports.address());
-            let upstream = Upstream::bind(index, SLOTS, run_time(), to, &site.audit).await;
-            let settings = site.side_settings(index, upstream.address);
+            let (slots, run_time) = (kind.slots(), kind.run_time());
+            let upstream = Upstream::bind(index, slots, run_time, to, &site.audit).await;
+            let orders = Relay::bind(Duration::ZERO, &timer)
+                .await
+                .expect("a free port");
+            orders.set_target(Some(upstream.address));
+            // A relay takes connections for an upstream that is down.
+            let settings = if kind == Kind::Faults {
+                site.side_settings(index, upstream.address)
+            } else {
+                site.side_settings(index, orders.address())
+            };
             site.sides.push(Side {
                 settings,
                 process: None,
                 upstream,
+                orders,
                 reports,
             });
         }
@@ -196,7 +213,7 @@
              [lease]\nlongest_ms = 1000\nresend_ms = 1300\nstop_ms = 50\n\
              [security]\nkey = soak-soak-soak-soak\nadmin_token = soak\n",
             index % 3,
-            self.store.server.address,
+            self.sides_store.address(),
             seeds.join(",")
         );
         write_ini(&self.folder, &format!("s{index}"), &text)
@@ -431,7 +448,7 @@
         }
         for side in &mut self.sides {
             side.upstream.inject(Fault::None);
-            side.upstream.resize(SLOTS, MAX_CAPACITY_AGE);
+            side.upstream.resize(self.kind.slots(), MAX_CAPACITY_AGE);
             side.upstream.restart().await;
         }
         self.restart_ended();
@@ -517,8 +534,14 @@
         );
         if !violations.is_empty() {
             let path = self.folder.join("soak.log");
-            let lines = self.log.lock().expect("no reader panics").join("\n");
-            std::fs::write(&path, lines).expect("room for the log");
+            let mut lines = self.log.lock().expect("no reader panics").clone();
+            for (what, moments) in [("start", &findings.starts), ("end", &findings.ends)] {
+                lines.extend(moments.iter().map(|(at, index, task)| {
+                    let ago = at.elapsed().as_millis();
+                    format!("soak {what}={task} upstream={index} ago_ms={ago}")
+                }));
+            }
+            std::fs::write(&path, lines.join("\n")).expect("room for the log");
             println!("logs: {}", path.display());
         }
         violations
@@ -526,15 +549,18 @@
 }
 
 /// Runs one seed; returns the violated guarantees.
-pub async fn run(seed: u64) -> Vec<String> {
-    let site = Site::start(seed).await;
+pub async fn run(seed: u64, kind: Kind) -> Vec<String> {
+    let site = Site::start(seed, kind).await;
     let ready = site.shared.clone();
     wait_until("all entries to start", || {
         ready.lock().entries.iter().all(Option::is_some)
     })
     .await;
     let folder = site.folder.clone();
-    let violations = site.run(seed).await;
+    let violations = match kind {
+        Kind::Faults => site.run(seed).await,
+        _ => site.disrupt(seed).await,
+    };
     if violations.is_empty() {
         // A folder that remains holds only settings.
         let _ = std::fs::remove_dir_all(folder);
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,5 +1,6 @@
 //! A TCP relay that simulates the network between two processes: a delay in each
-//! direction, connections that drop all bytes, and partitions.
+//! direction, connections that drop all bytes in one direction or both, and
+//! partitions.
 
 use crate::timer::Timer;
 use bytes::Bytes;
@@ -7,8 +8,8 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -27,13 +28,16 @@
 /// Interval at which a new connection checks whether the partition has ended.
 const PARTITION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Whether a connection drops the bytes to the server, and those to the client.
+type Silent = [AtomicBool; 2];
+
 #[derive(Debug)]
 struct Shared {
     target: Mutex<Option<SocketAddr>>,
     delay: Duration,
     timer: Timer,
-    connections: AtomicU64,
-    blackholed: AtomicU64,
+    /// The open connections, those that drop all bytes included.
+    connections: Mutex<Vec<Weak<Silent>>>,
     partitioned: AtomicBool,
 }
 
@@ -56,8 +60,7 @@
             target: Mutex::new(None),
             delay,
             timer: timer.clone(),
-            connections: AtomicU64::new(0),
-            blackholed: AtomicU64::new(0),
+            connections: Mutex::default(),
             partitioned: AtomicBool::new(false),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
@@ -86,8 +89,23 @@
     /// Drops all further bytes on the open connections without closing them. New
     /// connections work.
     pub fn blackhole(&self) {
-        let last = self.shared.connections.load(Ordering::SeqCst);
-        self.shared.blackholed.store(last, Ordering::SeqCst);
+        for connection in self.shared.lock_connections().iter() {
+            silence(connection, [true; 2]);
+        }
+    }
+
+    /// Does so on one of the open connections that have dropped nothing, if there is
+    /// any, to the server, to the client or both; `choice` selects it.
+    pub fn silence(&self, choice: usize, directions: [bool; 2]) {
+        let connections = self.shared.lock_connections();
+        let is_sound = |connection: &&Weak<Silent>| {
+            let flags = connection.upgrade();
+            flags.is_some_and(|flags| flags.iter().all(|flag| !flag.load(Ordering::SeqCst)))
+        };
+        let sound: Vec<_> = connections.iter().filter(is_sound).collect();
+        if let Some(connection) = sound.get(choice % sound.len().max(1)) {
+            silence(connection, directions);
+        }
     }
 
     /// Starts (`true`) or ends a partition. Connections open at its start drop
@@ -101,6 +119,24 @@
     }
 }
 
+impl Shared {
+    fn lock_connections(&self) -> MutexGuard<'_, Vec<Weak<Silent>>> {
+        let connections = self.connections.lock();
+        connections.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn silence(connection: &Weak<Silent>, directions: [bool; 2]) {
+    // None if the connection has ended.
+    for (flag, drops) in connection
+        .upgrade()
+        .iter()
+        .flat_map(|silent| silent.iter().zip(directions))
+    {
+        flag.fetch_or(drops, Ordering::SeqCst);
+    }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         self.task.abort();
@@ -109,12 +145,17 @@
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((client, _)) = listener.accept().await {
-        let number = shared.connections.fetch_add(1, Ordering::SeqCst) + 1;
-        tokio::spawn(connect(client, shared.clone(), number));
+        let silent = Arc::new(Silent::default());
+        {
+            let mut connections = shared.lock_connections();
+            connections.retain(|other| other.strong_count() > 0);
+            connections.push(Arc::downgrade(&silent));
+        }
+        tokio::spawn(connect(client, shared.clone(), silent));
     }
 }
 
-async fn connect(client: TcpStream, shared: Arc<Shared>, number: u64) {
+async fn connect(client: TcpStream, shared: Arc<Shared>, silent: Arc<Silent>) {
     while shared.partitioned.load(Ordering::SeqCst) {
         tokio::time::sleep(PARTITION_POLL_INTERVAL).await;
     }
@@ -128,8 +169,8 @@
     }
     let (client_reader, client_writer) = client.into_split();
     let (server_reader, server_writer) = server.into_split();
-    let to_server = forward(client_reader, server_writer, shared.clone(), number);
-    let to_client = forward(server_reader, client_writer, shared, number);
+    let to_server = forward(client_reader, server_writer, &shared, (&silent, 0));
+    let to_client = forward(server_reader, client_writer, &shared, (&silent, 1));
     tokio::join!(to_server, to_client);
 }
 
@@ -137,11 +178,12 @@
 async fn forward(
     mut reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
-    shared: Arc<Shared>,
-    number: u64,
+    shared: &Arc<Shared>,
+    (silent, direction): (&Arc<Silent>, usize),
 ) {
     let (sender, receiver) = mpsc::unbounded_channel();
-    let delivery = tokio::spawn(deliver(receiver, writer, shared.clone(), number));
+    let (timer, silent) = (shared.timer.clone(), silent.clone());
+    let delivery = tokio::spawn(deliver(receiver, writer, timer, silent, direction));
     let mut chunk = vec![0; CHUNK_BYTES];
     while let Ok(count) = reader.read(&mut chunk).await {
         if count == 0 {
@@ -161,19 +203,20 @@
 async fn deliver(
     mut chunks: mpsc::UnboundedReceiver<(Instant, Bytes)>,
     mut writer: OwnedWriteHalf,
-    shared: Arc<Shared>,
-    number: u64,
+    timer: Timer,
+    silent: Arc<Silent>,
+    direction: usize,
 ) {
     while let Some((due, bytes)) = chunks.recv().await {
-        shared.timer.until(due).await;
-        if number <= shared.blackholed.load(Ordering::SeqCst) {
+        timer.until(due).await;
+        if silent[direction].load(Ordering::SeqCst) {
             continue;
         }
         if writer.write_all(&bytes).await.is_err() {
             return;
         }
     }
-    if number <= shared.blackholed.load(Ordering::SeqCst) {
+    if silent[direction].load(Ordering::SeqCst) {
         // A connection that drops all bytes does not forward its end either.
         std::future::pending::<()>().await;
     }
