--- a/crates/kernel/tests/site/calls.rs
+++ b/crates/kernel/tests/site/calls.rs
@@ -68,6 +68,9 @@
 pub struct CallFaults {
     random: SmallRng,
     pub path: Path,
+    /// Whether the connection of the next call is refused, though the upstream's process
+    /// lives: a reset has met the attempt.
+    pub refuses_next: bool,
     pub late: Shares,
     pub hung: Shares,
     pub refused: Shares,
@@ -86,6 +89,7 @@
         Self {
             random: SmallRng::seed_from_u64(0),
             path: Path::Open,
+            refuses_next: false,
             late: Shares::default(),
             hung: Shares::default(),
             refused: Shares::default(),
@@ -129,6 +133,9 @@
             Path::Refusing => return Passage::Refused,
             Path::Open => {}
         }
+        if std::mem::take(&mut self.refuses_next) {
+            return Passage::Refused;
+        }
         if !self.is_drawn(self.slow, call) {
             return Passage::After(Duration::ZERO);
         }
