Frames for a replaced connection aren't sent on the next one

What callers saw: two runs of one task, where a connection between an entry and a side is replaced, for example because it went silent.

Cause: in one turn an entry handles a side's claim on the old connection and the arrival of the new one. The order for the claim was sent at the end of the turn, on the new connection, behind the list of open runs that the side sends first. The list lacks the run, so the entry counted it as lost with the old connection and placed the task elsewhere, while the side started it.

Change: with a new connection, both ends discard frames that were decided on before; the other end counts them as lost.

Result: claim_before_replacement (found by a history with silent directions) fails with the mutant LateFrame, which restores the behaviour before, and passes.

--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -13,6 +13,7 @@
     /// Records a new connection to another entry, and requests its rules if this
     /// entry has none.
     pub fn join_entry(&mut self, now: Duration, hello: &Hello) {
+        self.discard_frames(hello.incarnation);
         self.peers.join(now, hello.incarnation);
         self.forwarding.join(now, hello);
         self.apply_forwarding(now);
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -266,8 +266,19 @@
         self.admission.is_leaving()
     }
 
+    /// Discards the frames to a process that were decided on for an earlier connection:
+    /// each end takes what was not received on that one for lost.
+    pub(super) fn discard_frames(&mut self, to: Incarnation) {
+        if is_seeded(Mutant::LateFrame) {
+            return;
+        }
+        self.actions
+            .retain(|action| !matches!(action, Action::Send((peer, _)) if *peer == to));
+    }
+
     /// Records a new connection to a side.
     pub fn join_side(&mut self, now: Duration, hello: &Hello) {
+        self.discard_frames(hello.incarnation);
         if let Some(side) = self.fleet.get_mut(hello.incarnation) {
             side.reconnect(now);
         } else {
--- a/crates/kernel/src/guard/peer.rs
+++ b/crates/kernel/src/guard/peer.rs
@@ -1,6 +1,6 @@
 //! Connections to entries: contact, and the ends of runs that are not acknowledged yet.
 
-use super::{Guard, Peer};
+use super::{Action, Guard, Peer};
 use crate::{
     liveness::Liveness,
     millis,
@@ -16,6 +16,9 @@
     /// Records a connection to an entry and sends it the pending ends of its
     /// runs, its open runs and the upstream.
     pub fn join(&mut self, now: Duration, entry: Incarnation) {
+        // Those for an earlier connection, such as a report that counts its frames.
+        self.actions
+            .retain(|action| !matches!(action, Action::Send((peer, _)) if *peer == entry));
         // A side that was paused learns of the new connection before it has noticed the
         // silence, which the entry may have counted as the end of its runs.
         self.stop_orphans(now);
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -78,6 +78,10 @@
     UnreadDeparture,
     /// An entry's orders let its other runs go on.
     OrderRenews,
+    /// One refused connection counts as the end of an upstream's process.
+    RefusedOnce,
+    /// A frame that was decided on for one connection is sent on the next one.
+    LateFrame,
     /// A pause while an entry reads what has arrived in an earlier one counts as reading.
     PausedCatchUp,
 }
