One refused connection doesn't end the runs of an upstream

Cause: a side took one refused connection as the end of the upstream's process. The runs counted as over and started elsewhere while they went on.

Change: two refused calls in a row are needed; the second is made at once. An upstream that has ended costs one more round trip within its host.

Result: refused_hold_beside_runs fails with the mutant RefusedOnce, which restores the behaviour before, and passes.

--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -93,6 +93,7 @@
     /// upstream that resets connections would otherwise get a new one each millisecond.
     pub fn hold_failed(&mut self, now: Duration) {
         self.hold_token = None;
+        self.was_refused = false;
         if self.failing_since.is_none() {
             self.failing_since = Some(now);
             self.hold(now);
@@ -114,9 +115,16 @@
         self.hold_failed(now);
     }
 
-    /// Records that the upstream's process does not exist, so nothing runs.
+    /// Records that a hold call was refused a connection. After two such calls in a row the
+    /// upstream's process does not exist, and nothing runs. A single one may have met a
+    /// reset of connections.
     pub fn upstream_gone(&mut self, now: Duration) {
         self.hold_token = None;
+        if !std::mem::replace(&mut self.was_refused, true) && !is_seeded(Mutant::RefusedOnce) {
+            self.failing_since.get_or_insert(now);
+            self.hold(now);
+            return;
+        }
         self.runs_known = false;
         self.end_previous_runs(now, true);
         self.last_received = Duration::ZERO;
@@ -131,6 +139,7 @@
             self.confirm_announcement(now);
             self.last_received = now;
             self.failing_since = None;
+            self.was_refused = false;
             self.report_unreadable(&inventory.unreadable);
             answers_at_once = self.record_new_ends(now, inventory);
             let is_newest = self.clock.is_none_or(|(clock, _)| inventory.clock >= clock);
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -183,6 +183,8 @@
     last_received: Duration,
     /// Time of the first failed hold call since the last inventory.
     failing_since: Option<Duration>,
+    /// Whether the last hold call was refused a connection.
+    was_refused: bool,
     /// Whether every run at the upstream is one of `runs`.
     runs_known: bool,
     /// Time after which all leases have expired unless one is granted or renewed.
@@ -235,6 +237,7 @@
             doubted_clock: None,
             last_received: Duration::ZERO,
             failing_since: None,
+            was_refused: false,
             runs_known: false,
             leases_end: Duration::ZERO,
             last_end: 0,
