Numbers of ends begin at 1 at the earliest

Its clock begins at 0, so the first end for an entry got the number 0, which the entry takes for known. Process clocks are times since the Unix epoch.

Change: 1 where the clock shows 0. Nothing changes at any other time.

--- a/crates/kernel/src/guard/peer.rs
+++ b/crates/kernel/src/guard/peer.rs
@@ -127,8 +127,8 @@
             connected: false,
             received: 0,
             ends: VecDeque::new(),
-            // Above the numbers of a state that was dropped while the entry kept its own.
-            first_end: millis(now),
+            // Above those of a state that was dropped while the entry kept its own, and not 0.
+            first_end: millis(now).max(1),
             next_unsent: 0,
             surplus_since: None,
             reported_at: Duration::ZERO,
