A customer that has sent bytes behind its request is seen to leave

Cause: the HTTP server reads nothing more while a request is open and unread bytes are there, so it never reached the end of the stream. Class: an event that is assumed and never arrives.

The connection now reads ahead, up to 64 KiB, whenever the server flushes, which it does in each of its turns, and fails the flush at the end of the stream; the server then drops the open request as after a reset. Behind more bytes the end is looked for every 100 ms.

--- a/crates/hyssoppost/src/http.rs
+++ b/crates/hyssoppost/src/http.rs
@@ -5,23 +5,18 @@
 //! already opened and then stops listening. It goes on serving while clients send
 //! their requests. Then it closes what is idle and finishes the rest.
 
+mod connection;
+
 use crate::Error;
+use connection::Connection;
 use poem::{
     Addr, Endpoint, Server,
     http::uri::Scheme,
     listener,
     web::{LocalAddr, RemoteAddr},
 };
-use std::{
-    io,
-    net::SocketAddr,
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll, ready},
-    time::Duration,
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinHandle,
@@ -162,10 +157,7 @@
         stream: TcpStream,
     ) -> io::Result<(Connection, LocalAddr, RemoteAddr, Scheme)> {
         let remote = stream.peer_addr()?;
-        let connection = Connection {
-            stream,
-            _open: self.open.clone(),
-        };
+        let connection = Connection::new(stream, self.open.clone());
         Ok((
             connection,
             LocalAddr(Addr::SocketAddr(self.address)),
@@ -187,56 +179,3 @@
         Ok(())
     }
 }
-
-/// A connection of a client.
-struct Connection {
-    stream: TcpStream,
-    _open: watch::Receiver<()>,
-}
-
-impl AsyncRead for Connection {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.remaining();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        // The server would go on with the request, as if only the client's sending half
-        // were closed. A customer that has left may submit its job again.
-        if before > 0 && buffer.remaining() == before {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for Connection {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
