Entries tell each other of the jobs that they hold

Callers saw two runs of a task, both with the number 1: two entries held one job.

Cause: that a job has only one owner rested on the former entry's noticing that its customer has left. Whatever hides that, a path that keeps the connection open, a late read, a host that vanishes, hid the second owner too. Class: a proof with a single witness.

An entry now tells the others of each job 0.75 resubmit_after after it came, before it can be submitted again elsewhere. An entry that gets such a job starts none of its tasks until the former one has ended its runs and said so (Held, Release, Released; frames' version 8), or has been lost for as long as its runs can last. The later submission counts: less stated patience, or the later arrival. The former customer is told that the outcome is unknown. Events held_elsewhere and let_go, each with a counter.

--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -181,6 +181,8 @@
             Event::QueueConfined { .. } => self.count("hyssoppost_confinements_total"),
             Event::DeparturesLate { .. } => self.count("hyssoppost_departures_late_total"),
             Event::Abandoned { .. } => self.count("hyssoppost_jobs_abandoned_total"),
+            Event::HeldElsewhere { .. } => self.count("hyssoppost_jobs_held_elsewhere_total"),
+            Event::LetGo { .. } => self.count("hyssoppost_jobs_let_go_total"),
             Event::JobForwarded { .. } => self.count("hyssoppost_jobs_forwarded_total"),
             Event::JobTakenOver { .. } => self.count("hyssoppost_jobs_taken_over_total"),
             Event::ForwardLost { .. } => self.count("hyssoppost_forwards_lost_total"),
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -22,6 +22,7 @@
         }
         self.send_evidence(now, hello.incarnation);
         self.tell_cancellations(now, hello.incarnation, true);
+        self.tell_holdings(now, hello.incarnation);
     }
 
     /// Requests the rules of an entry, unless a request is in progress.
@@ -33,6 +34,7 @@
 
     /// Records that the connection to another entry is lost.
     pub fn lose_entry(&mut self, now: Duration, entry: Incarnation) {
+        self.lose_holder(entry);
         self.peers.lose(entry);
         self.forwarding.lose(now, entry);
         self.apply_forwarding(now);
@@ -135,6 +137,9 @@
             Frame::Withdraw(withdraw) => self.forwarding.record_withdrawal(from, withdraw),
             Frame::Pulse(pulse) => self.forwarding.record_pulse(now, from, pulse),
             Frame::Crashes(counts) => self.record_crashes(now, &counts),
+            Frame::Held(held) => self.record_held(now, from, &held),
+            Frame::Release(held) => self.release(now, from, &held),
+            Frame::Released(jobs) => self.record_released(from, &jobs),
             Frame::Culprit(culprit) => self.record_culprit(now, culprit),
             _ => log::debug!("event=frame_ignored peer={from}"),
         }
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -136,6 +136,8 @@
     pub(super) has_run: bool,
     /// Steps with waiting tasks, and the sides to which they were announced.
     pub(super) reserved: Vec<(u16, Key)>,
+    /// Whether the other entries know that this one holds it.
+    pub(super) is_announced: bool,
     /// Numbers of the customers that wait for the answer.
     pub(super) customers: Vec<u64>,
 }
@@ -170,6 +172,7 @@
             tails: submission.tails(),
             has_run: false,
             reserved: Vec::new(),
+            is_announced: false,
             customers: vec![customer],
             submission,
         };
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod forecast;
 mod forward;
 mod history;
+mod holding;
 mod job;
 mod lateness;
 mod loop_lateness;
@@ -60,6 +61,7 @@
 use fleet::{Link, Side};
 use forward::Forwarding;
 use history::History;
+use holding::Holdings;
 use loop_lateness::LoopLateness;
 use pause::Pause;
 use peers::Peers;
@@ -112,6 +114,7 @@
     jobs: BTreeMap<u64, Job>,
     history: History,
     cancellations: Cancellations,
+    holdings: Holdings,
     loop_lateness: LoopLateness,
     pause: Pause,
     barrier: Barrier,
@@ -141,6 +144,7 @@
             jobs: BTreeMap::new(),
             history: History::default(),
             cancellations: Cancellations::default(),
+            holdings: Holdings::default(),
             loop_lateness: LoopLateness::default(),
             pause: Pause::new(now, timing.orphan_timeout / 2),
             barrier: Barrier::default(),
@@ -359,6 +363,9 @@
         self.tick_forwarding(now);
         self.history.expire(now);
         self.send_cancellations(now);
+        self.expire_holdings(now);
+        self.announce_holdings(now);
+        self.send_released();
         self.crash_memory.expire(now);
         self.review_decisions(now);
     }
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -108,6 +108,18 @@
         self.connected.remove(&entry);
     }
 
+    /// Returns the latest time at which a connected entry may have run without a heartbeat
+    /// of it having arrived.
+    pub(super) fn last_ran(&self, entry: Incarnation) -> Option<Duration> {
+        let peer = self.connected.get(&entry)?;
+        Some(peer.last_received + THIN_HEARTBEAT_INTERVAL)
+    }
+
+    /// Returns whether an entry is connected.
+    pub(super) fn is_connected(&self, entry: Incarnation) -> bool {
+        self.connected.contains_key(&entry)
+    }
+
     /// Returns the connected entries.
     pub(super) fn connected(&self) -> Vec<Incarnation> {
         self.connected.keys().copied().collect()
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -92,6 +92,10 @@
         let level = self.fairness.level(now, queue, &rules.queues);
         let mut job = Job::new(arrival.at, waited, customer, queue, level, submission);
         job.rank = job.rank_at(now);
+        if !self.claim_job(now, &job) {
+            self.answer(customer, Answer::Unknown);
+            return;
+        }
         self.fairness.record_offer(now, &job.queue);
         if let Some(job) = self.refuse_overtaken(now, customer, job) {
             self.admit(now, arrival, job);
@@ -360,7 +364,7 @@
     }
 
     /// Removes a job, stops its runs and withdraws its announcements.
-    fn drop_job(&mut self, now: Duration, job: u64) -> Option<Job> {
+    pub(super) fn drop_job(&mut self, now: Duration, job: u64) -> Option<Job> {
         let open_job = self.jobs.remove(&job)?;
         self.remember_crashes(now, &open_job);
         for task in open_job.waiting() {
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -224,6 +224,25 @@
         /// Incarnation of the entry that received it.
         peer: Incarnation,
     },
+    /// A job that was submitted here is open at another entry, which is told to end its
+    /// runs.
+    HeldElsewhere {
+        /// Identifier that its customer chose.
+        job: u64,
+        /// Incarnation of the other entry.
+        entry: Incarnation,
+    },
+    /// A job is dropped, since its customer has submitted it again at another entry.
+    LetGo {
+        /// Identifier that its customer chose.
+        job: u64,
+        /// Incarnation of the other entry.
+        to: Incarnation,
+        /// Time since the job was submitted here.
+        age: Duration,
+        /// Whether a task may have started.
+        started: bool,
+    },
     /// This entry owns a job that another one forwarded.
     JobTakenOver {
         /// Identifier that its customer chose.
@@ -484,6 +503,8 @@
             | Self::Settled { job, .. }
             | Self::RefusalJudged(Judgement { job, .. })
             | Self::Abandoned { job, .. }
+            | Self::HeldElsewhere { job, .. }
+            | Self::LetGo { job, .. }
             | Self::JobForwarded { job, .. }
             | Self::JobTakenOver { job, .. }
             | Self::ForwardLost { job, .. } => Some(*job),
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -79,6 +79,19 @@
                 "event=abandoned job={job:016x} held_ms={} started={started}",
                 millis(*age)
             ),
+            Self::HeldElsewhere { job, entry } => {
+                write!(to, "event=held_elsewhere job={job:016x} entry={entry}")
+            }
+            Self::LetGo {
+                job,
+                to: entry,
+                age,
+                started,
+            } => write!(
+                to,
+                "event=let_go job={job:016x} entry={entry} held_ms={} started={started}",
+                millis(*age)
+            ),
             Self::Culprit {
                 task,
                 queue,
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -52,6 +52,8 @@
     RepeatTrusted,
     /// A side takes tasks from an entry that it has released.
     ReleasedEntry,
+    /// A job starts at an entry while another one holds it.
+    TwoHolders,
     /// A forwarded job whose owner is lost is forwarded to another entry at once, so
     /// that both run it.
     ForwardedTwice,
--- a/crates/kernel/src/timing.rs
+++ b/crates/kernel/src/timing.rs
@@ -28,6 +28,10 @@
 /// before it would have dropped the job.
 const FORWARD_TIMEOUT_PERCENT: u32 = 40;
 
+/// Age at which the other entries are told of a job, as a share of the resubmission time.
+/// It leaves a quarter for the entry's tick and the message.
+const ANNOUNCE_PERCENT: u32 = 75;
+
 /// Longest age at which a forwarded job is taken over. Heartbeats between entries
 /// are 200 ms apart.
 const MAX_FORWARD_AGE: Duration = Duration::from_millis(500);
@@ -103,6 +107,12 @@
         self.resubmit_after * FORWARD_TIMEOUT_PERCENT / 100
     }
 
+    /// Returns the age at which the other entries are told of a job: its customer may have
+    /// left at once and submits it again [`Timing::resubmit_after`] later.
+    pub fn announce_age(&self) -> Duration {
+        self.resubmit_after * ANNOUNCE_PERCENT / 100
+    }
+
     /// Returns the age beyond which an entry refuses a forwarded job as stale.
     pub fn max_forward_age(&self) -> Duration {
         MAX_FORWARD_AGE.min(self.forward_timeout())
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 /// Version of the frame format; a peer with another version is refused.
-pub const VERSION: u16 = 7;
+pub const VERSION: u16 = 8;
 
 /// The role of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -546,6 +546,18 @@
     pub unanswered_trials: u32,
 }
 
+/// Within [`Frame::Held`]: a job that has been open for so long that its customer may have
+/// submitted it to another entry meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// Identifier of the job, given by its customer.
+    pub job: u64,
+    /// Time since its submission arrived, in milliseconds.
+    pub age_ms: u32,
+    /// Time that the customer waits for the answer, from submission, in milliseconds.
+    pub patience_ms: u64,
+}
+
 /// All frames of leased tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -604,6 +616,13 @@
     /// Entry to entry: crashes of upstreams with tasks of a job that the sender has
     /// dropped.
     Crashes(Vec<CrashCount>),
+    /// Entry to entry: jobs that the sender has accepted and not answered.
+    Held(Vec<Holding>),
+    /// Entry to entry: these jobs have been submitted again, at the sender. The receiver
+    /// must end its runs of them and reply with [`Frame::Released`].
+    Release(Vec<Holding>),
+    /// Entry to entry: no run of these jobs is left that the sender has started.
+    Released(Vec<u64>),
 }
 
 /// A frame and the incarnation of its receiver.
