A departure is not dropped when an entry's event queue is full

Review: DisconnectGuard of the entry without leases dropped the event, so the job went on and kept its place. Class: an event that is assumed and never arrives. It is sent by a task now, as with leases, and logged (departure_delayed). No test: the queue of a process can't be filled from outside without its being read.

--- a/crates/hyssoppost/src/entry/customers.rs
+++ b/crates/hyssoppost/src/entry/customers.rs
@@ -18,7 +18,13 @@
     },
     time::Duration,
 };
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::{
+    runtime::Handle,
+    sync::{
+        mpsc::{self, error::TrySendError},
+        oneshot, watch,
+    },
+};
 use wire::{
     Code, Payload,
     frame::{Answer, Failure, Request as Operation, Started, Submission},
@@ -205,10 +211,15 @@
 
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
-        if let Some(number) = self.number {
-            // If the event queue is full, the job continues and its answer is
-            // dropped.
-            let _ = self.events.try_send(Event::Disconnected(number));
+        let Some(number) = self.number else { return };
+        let departure = Event::Disconnected(number);
+        // Fails otherwise only if the process has ended.
+        if let Err(TrySendError::Full(departure)) = self.events.try_send(departure) {
+            log::warn!("event=departure_delayed customer={number}");
+            let events = self.events.clone();
+            if let Ok(runtime) = Handle::try_current() {
+                runtime.spawn(async move { events.send(departure).await });
+            }
         }
     }
 }
