The read-ahead of a connection stays within its limit

Review: spare capacity let the buffer grow beyond 64 KiB, and an empty one kept 4 KiB after a read that found nothing. Cases of departures pass as before.

--- a/crates/hyssoppost/src/http/connection.rs
+++ b/crates/hyssoppost/src/http/connection.rs
@@ -5,7 +5,7 @@
 //! reads ahead instead, and fails the server's next flush when the stream has ended: the
 //! server then drops the open request.
 
-use bytes::BytesMut;
+use bytes::{BufMut, BytesMut};
 use futures::FutureExt;
 use std::{
     io,
@@ -57,8 +57,9 @@
                 break;
             };
             readiness?;
-            self.ahead.reserve(MAX_AHEAD / 16);
-            match self.stream.try_read_buf(&mut self.ahead) {
+            let room = MAX_AHEAD - self.ahead.len();
+            let mut buffer = (&mut self.ahead).limit(room);
+            match self.stream.try_read_buf(&mut buffer) {
                 Ok(0) => return Err(io::ErrorKind::ConnectionReset.into()),
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -68,6 +69,9 @@
         if self.is_awaited && self.ahead.len() > before {
             context.waker().wake_by_ref();
         }
+        if self.ahead.is_empty() {
+            self.ahead = BytesMut::new();
+        }
         if self.ahead.len() < MAX_AHEAD {
             self.next_check = None;
             return Ok(());
