--- a/crates/hyssopctl/src/trace.rs
+++ b/crates/hyssopctl/src/trace.rs
@@ -105,6 +105,12 @@
         let when = if took <= objective { "in time" } else { "late" };
         return format!("{state} {when}: {took} ms of {objective} ms{delays}");
     }
+    if let Some(line) = last("let_go") {
+        return format!(
+            "submitted again at another entry after {} ms; runs were stopped{delays}",
+            line.number("held_ms")
+        );
+    }
     if let Some(line) = last("abandoned") {
         return format!(
             "the customer disconnected after {} ms; runs were stopped{delays}",
--- a/crates/kernel/src/dispatch/admission.rs
+++ b/crates/kernel/src/dispatch/admission.rs
@@ -142,6 +142,14 @@
         parked.any(|parked| parked.submission.job == job)
     }
 
+    /// Removes a parked job; returns its customers.
+    pub(super) fn take_parked_job(&mut self, job: u64) -> Vec<u64> {
+        self.parked
+            .extract_if(.., |parked| parked.submission.job == job)
+            .map(|parked| parked.arrival.customer)
+            .collect()
+    }
+
     /// Removes a parked job whose customer has disconnected.
     pub(super) fn remove_parked(&mut self, customer: u64) {
         self.parked
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -34,7 +34,7 @@
 
     /// Records that the connection to another entry is lost.
     pub fn lose_entry(&mut self, now: Duration, entry: Incarnation) {
-        self.lose_holder(entry);
+        self.lose_holder(now, entry);
         self.peers.lose(entry);
         self.forwarding.lose(now, entry);
         self.apply_forwarding(now);
--- a/crates/kernel/src/dispatch/forward/forwarder.rs
+++ b/crates/kernel/src/dispatch/forward/forwarder.rs
@@ -96,6 +96,14 @@
         None
     }
 
+    /// Removes a job that waits for a peer; returns its customers.
+    pub(in crate::dispatch) fn take_held(&mut self, job: u64) -> Vec<u64> {
+        self.held
+            .extract_if(.., |held| held.request.job == job)
+            .map(|held| held.customer)
+            .collect()
+    }
+
     fn find_open(&mut self, job: u64) -> Option<&mut Open> {
         let call = self.calls.get(&job)?;
         self.open.get_mut(call)
--- a/crates/kernel/src/dispatch/holding.rs
+++ b/crates/kernel/src/dispatch/holding.rs
@@ -23,11 +23,18 @@
     lease::{Frame, Holding},
 };
 
+/// Time for which an old job doesn't start after the other entries were told of it, so
+/// that they can object.
+const OBJECTION_TIME: Duration = Duration::from_millis(50);
+
+/// Interval at which jobs that have ended elsewhere are forgotten.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// When a submission of a job was made, as far as an entry can tell.
 #[derive(Debug, Clone, Copy)]
-struct Submitted {
-    arrived: Duration,
-    patience: Duration,
+pub(super) struct Submitted {
+    pub(super) arrived: Duration,
+    pub(super) patience: Duration,
 }
 
 /// A submission at another entry.
@@ -47,16 +54,10 @@
     awaited: BTreeMap<(u64, Incarnation), Duration>,
     /// Jobs of which the other entry awaits the end of the runs from here.
     owed: BTreeSet<(u64, Incarnation)>,
+    next_expiry: Duration,
 }
 
 impl Submitted {
-    fn of(job: &Job) -> Self {
-        Self {
-            arrived: job.accepted,
-            patience: job.submission.patience,
-        }
-    }
-
     /// Returns whether the customer has made this submission after the other one. A
     /// customer that submits a job again states the time that is left, or the same
     /// patience as before.
@@ -93,20 +94,23 @@
 
 impl Holdings {
     /// Returns whether a job must not start yet.
-    pub(super) fn is_awaited(&self, job: u64) -> bool {
+    fn is_awaited(&self, job: u64) -> bool {
         self.awaited.range(keys_of(job)).next().is_some()
     }
 }
 
 impl Dispatcher {
-    /// Tells the other entries of the jobs that may be submitted again soon.
+    /// Tells the other entries of the jobs that may be submitted again soon, or may have
+    /// been: those that the entry has read late.
     pub(super) fn announce_holdings(&mut self, now: Duration) {
         let age = self.timing.announce_age();
+        let is_late = self.pause.is_catching_up(now);
         let mut due = Vec::new();
         for (id, job) in &mut self.jobs {
-            if !job.is_announced && now.saturating_sub(job.accepted) >= age {
-                job.is_announced = true;
-                due.push(Submitted::of(job).holding(now, *id));
+            let is_old = is_late || now.saturating_sub(job.accepted) >= age;
+            if is_old && job.announced_at.is_none() {
+                job.announced_at = Some(now);
+                due.push(job.submitted.holding(now, *id));
             }
         }
         if due.is_empty() {
@@ -117,12 +121,30 @@
         }
     }
 
+    /// Returns whether a job must not start yet, since another entry may hold it: one has
+    /// not replied, or none has had the time to object to an old job.
+    pub(super) fn may_be_held_elsewhere(&self, now: Duration, id: u64) -> bool {
+        if self.holdings.is_awaited(id) {
+            return true;
+        }
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let is_old = now.saturating_sub(job.accepted) >= self.timing.announce_age();
+        let objects_until = job.announced_at.map(|at| at + OBJECTION_TIME);
+        let is_open = objects_until.map_or(is_old, |until| now < until);
+        is_open && self.peers.any_connected() && !is_seeded(Mutant::TwoHolders)
+    }
+
     /// Tells an entry that has connected of the jobs that the others know of, and asks it
     /// again for those that wait for its reply.
     pub(super) fn tell_holdings(&mut self, now: Duration, to: Incarnation) {
-        let announced = self.jobs.iter().filter(|(_, job)| job.is_announced);
-        let held: Vec<Holding> = announced
-            .map(|(id, job)| Submitted::of(job).holding(now, *id))
+        let announced = |(_, job): &(&u64, &Job)| job.announced_at.is_some();
+        let held: Vec<Holding> = self
+            .jobs
+            .iter()
+            .filter(announced)
+            .map(|(id, job)| job.submitted.holding(now, *id))
             .collect();
         if !held.is_empty() {
             self.send(to, Frame::Held(held));
@@ -139,13 +161,13 @@
         }
     }
 
-    /// Limits the wait for an entry whose connection is lost: it has renewed no run since
-    /// it last ran.
-    pub(super) fn lose_holder(&mut self, entry: Incarnation) {
+    /// Limits the wait for an entry whose connection is lost. If the entry is lost, too, it
+    /// has renewed no run since it last ran.
+    pub(super) fn lose_holder(&mut self, now: Duration, entry: Incarnation) {
         let Some(last_ran) = self.peers.last_ran(entry) else {
             return;
         };
-        let over_at = last_ran + self.timing.run_expiry();
+        let over_at = now.min(last_ran) + self.timing.run_expiry();
         for ((_, other), held) in &mut self.holdings.held {
             if *other == entry {
                 held.until = held.until.min(over_at);
@@ -159,44 +181,49 @@
         self.holdings.owed.retain(|(_, other)| *other != entry);
     }
 
-    /// Has the entries that hold earlier submissions of a job end its runs. Returns false
-    /// if one of them holds a later submission: the customer of this one has left.
-    pub(super) fn claim_job(&mut self, now: Duration, job: &Job) -> bool {
-        let id = job.submission.job;
-        let submitted = Submitted::of(job);
-        let resubmit_after = self.timing.resubmit_after;
+    /// Returns the entries that hold earlier submissions of a job; `None` if one holds a
+    /// later one, so that the customer of this one has left.
+    pub(super) fn earlier_holders(&self, now: Duration, job: &Job) -> Option<Vec<Incarnation>> {
         let mut earlier = Vec::new();
-        for ((_, entry), held) in self.holdings.held.range(keys_of(id)) {
+        for ((_, entry), held) in self.holdings.held.range(keys_of(job.submission.job)) {
             if now >= held.until || is_seeded(Mutant::TwoHolders) {
                 continue;
             }
-            if held.submitted.is_after(submitted, resubmit_after) {
-                return false;
+            if held
+                .submitted
+                .is_after(job.submitted, self.timing.resubmit_after)
+            {
+                return None;
             }
             earlier.push(*entry);
         }
-        for entry in earlier {
+        Some(earlier)
+    }
+
+    /// Has other entries end their runs of a job.
+    pub(super) fn claim_job(&mut self, now: Duration, job: &Job, holders: &[Incarnation]) {
+        for entry in holders.iter().copied() {
+            let id = job.submission.job;
             self.events.push(Event::HeldElsewhere { job: id, entry });
-            self.send_release(now, submitted.holding(now, id), entry);
+            self.send_release(job.submitted.holding(now, id), entry);
         }
-        true
     }
 
     fn request_release(&mut self, now: Duration, job: u64, entry: Incarnation) {
         if let Some(own) = self.jobs.get(&job) {
-            let holding = Submitted::of(own).holding(now, job);
-            self.send_release(now, holding, entry);
+            let holding = own.submitted.holding(now, job);
+            self.send_release(holding, entry);
         }
     }
 
-    fn send_release(&mut self, now: Duration, holding: Holding, entry: Incarnation) {
-        let until = if self.peers.is_connected(entry) {
-            Duration::MAX
-        } else {
-            now + self.timing.run_expiry()
+    fn send_release(&mut self, holding: Holding, entry: Incarnation) {
+        let key = (holding.job, entry);
+        let lost_until = self.holdings.held.get(&key).map(|held| held.until);
+        let until = match lost_until {
+            Some(until) if !self.peers.is_connected(entry) => until,
+            _ => Duration::MAX,
         };
-        let awaited = self.holdings.awaited.entry((holding.job, entry));
-        awaited.insert_entry(until);
+        self.holdings.awaited.insert(key, until);
         self.send(entry, Frame::Release(vec![holding]));
     }
 
@@ -214,7 +241,7 @@
             if is_seeded(Mutant::TwoHolders) {
                 continue;
             }
-            if submitted.is_after(Submitted::of(own), self.timing.resubmit_after) {
+            if submitted.is_after(own.submitted, self.timing.resubmit_after) {
                 self.let_go(now, holding.job, from);
             } else if !self.holdings.awaited.contains_key(&key) {
                 let entry = from;
@@ -230,8 +257,9 @@
     pub(super) fn release(&mut self, now: Duration, from: Incarnation, held: &[Holding]) {
         for holding in held {
             let other = Submitted::from_holding(now, *holding);
+            self.drop_unaccepted(holding.job);
             if let Some(own) = self.jobs.get(&holding.job) {
-                let own = Submitted::of(own);
+                let own = own.submitted;
                 if own.is_after(other, self.timing.resubmit_after) {
                     let own = own.holding(now, holding.job);
                     self.send(from, Frame::Held(vec![own]));
@@ -244,6 +272,15 @@
         self.send_released();
     }
 
+    /// Answers the customers of a job that waits here to be accepted or forwarded.
+    fn drop_unaccepted(&mut self, job: u64) {
+        let parked = self.admission.take_parked_job(job);
+        let held = self.forwarding.take_held(job);
+        for customer in parked.into_iter().chain(held) {
+            self.answer(customer, Answer::Unknown);
+        }
+    }
+
     /// Drops a job whose customer has submitted it again at another entry.
     fn let_go(&mut self, now: Duration, id: u64, to: Incarnation) {
         let Some(job) = self.drop_job(now, id) else {
@@ -273,11 +310,11 @@
             .flat_map(|(_, side)| &side.runs)
             .map(|run| run.task.job)
             .collect();
-        let over: Vec<(u64, Incarnation)> = self
-            .holdings
-            .owed
-            .extract_if(.., |(job, _)| !left.contains(job))
-            .collect();
+        let Holdings { awaited, owed, .. } = &mut self.holdings;
+        let is_over = |(job, _): &(u64, Incarnation)| {
+            awaited.range(keys_of(*job)).next().is_none() && !left.contains(job)
+        };
+        let over: Vec<(u64, Incarnation)> = owed.extract_if(.., is_over).collect();
         for (job, entry) in over {
             self.send(entry, Frame::Released(vec![job]));
         }
@@ -296,13 +333,18 @@
     /// Forgets jobs that have ended elsewhere, and waits no longer for entries that have
     /// been lost for too long.
     pub(super) fn expire_holdings(&mut self, now: Duration) {
-        self.holdings.held.retain(|_, held| now < held.until);
-        let jobs = &self.jobs;
-        let before = self.holdings.awaited.len();
-        self.holdings
-            .awaited
-            .retain(|(job, _), until| now < *until && jobs.contains_key(job));
-        if self.holdings.awaited.len() < before {
+        let holdings = &mut self.holdings;
+        if now >= holdings.next_expiry {
+            holdings.next_expiry = now + EXPIRY_INTERVAL;
+            holdings.held.retain(|_, held| now < held.until);
+        }
+        let (jobs, owed) = (&self.jobs, &holdings.owed);
+        let before = holdings.awaited.len();
+        holdings.awaited.retain(|(job, _), until| {
+            let is_owed = owed.range(keys_of(*job)).next().is_some();
+            now < *until && (is_owed || jobs.contains_key(job))
+        });
+        if holdings.awaited.len() < before {
             self.placement.request_round();
         }
     }
--- a/crates/kernel/src/dispatch/job.rs
+++ b/crates/kernel/src/dispatch/job.rs
@@ -1,6 +1,6 @@
 //! A job and its tasks, at the entry that accepted it.
 
-use super::{backlog::Rank, crash_count::Crashes, fleet::Key};
+use super::{backlog::Rank, crash_count::Crashes, fleet::Key, holding::Submitted};
 use std::time::Duration;
 use wire::lease::{Need, Queue, Run, Task};
 
@@ -136,8 +136,10 @@
     pub(super) has_run: bool,
     /// Steps with waiting tasks, and the sides to which they were announced.
     pub(super) reserved: Vec<(u16, Key)>,
-    /// Whether the other entries know that this one holds it.
-    pub(super) is_announced: bool,
+    /// Its last submission here.
+    pub(super) submitted: Submitted,
+    /// When the other entries were told that this one holds it.
+    pub(super) announced_at: Option<Duration>,
     /// Numbers of the customers that wait for the answer.
     pub(super) customers: Vec<u64>,
 }
@@ -172,7 +174,11 @@
             tails: submission.tails(),
             has_run: false,
             reserved: Vec::new(),
-            is_announced: false,
+            submitted: Submitted {
+                arrived: now,
+                patience: submission.patience,
+            },
+            announced_at: None,
             customers: vec![customer],
             submission,
         };
--- a/crates/kernel/src/dispatch/loop_lateness.rs
+++ b/crates/kernel/src/dispatch/loop_lateness.rs
@@ -101,7 +101,7 @@
             return Some(job);
         }
         self.log_refusal(now, &job, Reason::EntryLate, Duration::ZERO);
-        self.refuse(customer, Reason::EntryLate, Duration::ZERO);
+        self.refuse_job(customer, &job, Reason::EntryLate, Duration::ZERO);
         None
     }
 }
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -355,6 +355,8 @@
         self.unpark(now);
         self.expire(now);
         self.demote_late(now);
+        self.expire_holdings(now);
+        self.announce_holdings(now);
         self.place(now);
         self.send_echoes(now);
         self.send_barrier(now);
@@ -363,8 +365,6 @@
         self.tick_forwarding(now);
         self.history.expire(now);
         self.send_cancellations(now);
-        self.expire_holdings(now);
-        self.announce_holdings(now);
         self.send_released();
         self.crash_memory.expire(now);
         self.review_decisions(now);
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -115,6 +115,11 @@
         Some(peer.last_received + THIN_HEARTBEAT_INTERVAL)
     }
 
+    /// Returns whether any entry is connected.
+    pub(super) fn any_connected(&self) -> bool {
+        !self.connected.is_empty()
+    }
+
     /// Returns whether an entry is connected.
     pub(super) fn is_connected(&self, entry: Incarnation) -> bool {
         self.connected.contains_key(&entry)
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -100,7 +100,7 @@
         if count == 0 || job.reserved.iter().any(|(known, _)| *known == number) {
             return;
         }
-        if job.is_paused(now, number) || self.holdings.is_awaited(id) {
+        if job.is_paused(now, number) || self.may_be_held_elsewhere(now, id) {
             self.placement.postpone_announcement(id, number);
             return;
         }
@@ -194,7 +194,7 @@
     }
 
     fn claimed_task(&self, now: Duration, from: Key, step: Step) -> Option<Task> {
-        if self.pause.is_catching_up(now) || self.holdings.is_awaited(step.job) {
+        if self.pause.is_catching_up(now) || self.may_be_held_elsewhere(now, step.job) {
             return None;
         }
         let job = self.jobs.get(&step.job)?;
@@ -210,7 +210,7 @@
     }
 
     fn place_task(&mut self, now: Duration, task: Task) -> Attempt {
-        if self.holdings.is_awaited(task.job) {
+        if self.may_be_held_elsewhere(now, task.job) {
             return Attempt::Deferred;
         }
         let slot = self.jobs.get_mut(&task.job).and_then(|job| job.slot(task));
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Answer, Dispatcher, Event, Job, Phase, Reason, Submission, admission::Arrival,
-    backlog::LATE_LEVEL, forecast::Forecast, route,
+    backlog::LATE_LEVEL, forecast::Forecast, holding::Submitted, route,
 };
 use crate::{
     accuracy::Outcome,
@@ -10,7 +10,10 @@
     pressure::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
 };
 use std::{collections::BTreeMap, time::Duration};
-use wire::lease::{Ending, Frame, Run, Step, Task};
+use wire::{
+    id::Incarnation,
+    lease::{Ending, Frame, Run, Step, Task},
+};
 
 /// Factor on a job's expected run time with which it must end before the entry's
 /// exit: covers a rough estimate and one failed run.
@@ -71,6 +74,10 @@
         }
         if let Some(job) = self.jobs.get_mut(&submission.job) {
             job.customers.push(customer);
+            job.submitted = Submitted {
+                arrived: arrival.at,
+                patience: submission.patience,
+            };
             return;
         }
         if self.cancellations.contains(submission.job) {
@@ -92,18 +99,19 @@
         let level = self.fairness.level(now, queue, &rules.queues);
         let mut job = Job::new(arrival.at, waited, customer, queue, level, submission);
         job.rank = job.rank_at(now);
-        if !self.claim_job(now, &job) {
+        let Some(holders) = self.earlier_holders(now, &job) else {
             self.answer(customer, Answer::Unknown);
             return;
-        }
+        };
+        job.has_run = !holders.is_empty();
         self.fairness.record_offer(now, &job.queue);
         if let Some(job) = self.refuse_overtaken(now, customer, job) {
-            self.admit(now, arrival, job);
+            self.admit(now, arrival, job, &holders);
         }
     }
 
     /// Accepts a job, or refuses it if it can't be served.
-    fn admit(&mut self, now: Duration, arrival: Arrival, job: Job) {
+    fn admit(&mut self, now: Duration, arrival: Arrival, job: Job, holders: &[Incarnation]) {
         self.confinement.record_arrival(now, &job.queue);
         let wait = self.expected_wait(now, &job);
         let reason = if self.may_run_past_exit(now + wait, arrival.forwarder_exit, &job) {
@@ -111,13 +119,13 @@
         } else {
             self.refusal_reason(now, &job, wait)
         };
-        match reason {
-            Some(reason) => {
-                self.record_refusal(now, &job, reason);
-                self.log_refusal(now, &job, reason, wait);
-                self.refuse(arrival.customer, reason, wait);
-            }
-            None => self.accept(now, job, wait),
+        if let Some(reason) = reason {
+            self.record_refusal(now, &job, reason);
+            self.log_refusal(now, &job, reason, wait);
+            self.refuse_job(arrival.customer, &job, reason, wait);
+        } else {
+            self.claim_job(now, &job, holders);
+            self.accept(now, job, wait);
         }
     }
 
@@ -478,6 +486,15 @@
         });
     }
 
+    /// Refuses a customer's job, unless it may have run at another entry.
+    pub(super) fn refuse_job(&mut self, customer: u64, job: &Job, reason: Reason, wait: Duration) {
+        if job.has_run {
+            self.answer(customer, Answer::Unknown);
+        } else {
+            self.refuse(customer, reason, wait);
+        }
+    }
+
     /// Refuses a customer's job whose expected wait is `wait`. The job may be
     /// submitted again when the work before it has likely been done.
     pub(super) fn refuse(&mut self, customer: u64, reason: Reason, wait: Duration) {
--- a/crates/kernel/tests/two_holders.rs
+++ b/crates/kernel/tests/two_holders.rs
@@ -121,6 +121,32 @@
     assert_eq!(site.state(customer), Some(Phase::Completed));
 }
 
+// Guards against a wait for an entry that is known to be lost for long enough.
+#[test]
+fn killed_holder() {
+    let mut site = linked_site();
+    submit(&mut site, 0, 1, 6, ms(20_000));
+    site.run(ms(1_100));
+    site.kill_entry(0, true);
+    site.run(RESUBMIT_AFTER);
+    submit(&mut site, 1, 1, 6, ms(20_000));
+    site.run(ms(50));
+    let running = site.upstreams.iter().map(|stub| stub.running().count());
+    assert_eq!(running.sum::<usize>(), 6);
+}
+
+// Guards against a refusal that says "not run" of a job that another entry has run.
+#[test]
+fn refused_here() {
+    let mut site = linked_site();
+    submit(&mut site, 0, 1, 6, ms(20_000));
+    site.run(RESUBMIT_AFTER);
+    let exit = site.now + ms(100);
+    site.entries[1].as_mut().unwrap().leave(exit);
+    let customer = submit(&mut site, 1, 1, 6, ms(20_000));
+    assert!(matches!(site.answers[&customer].1, Answer::Unknown));
+}
+
 // Guards against an earlier submission, read late, that takes the job from the later one.
 #[test]
 fn earlier_read_late() {
