Tests: departures behind a line end and through a path that stays open

Real processes had one customer that leaves while its job runs, by closing or by a reset. Callers also leave while their jobs wait for room, run through an entry that forwards, or are unread in a suspended entry, with bytes behind the request, and through a path that keeps the entry's connection open, where nothing can be read of it.

--- a/crates/hyssoppost/tests/departed_customer.rs
+++ b/crates/hyssoppost/tests/departed_customer.rs
@@ -1,5 +1,5 @@
-//! A customer that leaves an entry while its job runs and submits the job again at another
-//! one: the earlier runs must be over by then.
+//! A customer that leaves an entry before its job has an answer and submits the job again
+//! at another one: the runs of the earlier submission must be over by then.
 
 #[path = "../../../platform/tests/standin/mod.rs"]
 mod platform_standin;
@@ -11,28 +11,61 @@
     upstream::{Audit, Upstream},
 };
 use process::{Process, wait_until, write_ini};
+use rustix::process::Signal;
 use serde_json::json;
 use std::{
     net::SocketAddr,
     path::PathBuf,
     sync::{Arc, Mutex},
-    time::{Duration, Instant},
+    time::Duration,
 };
-use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::timeout};
 
 /// Shortest time after which a customer submits a job again.
 const RESUBMIT_AFTER: Duration = Duration::from_millis(1_300);
 /// Longer than that, so that a run left behind shows.
-const RUN_TIME: Duration = Duration::from_secs(4);
+const LONG: Duration = Duration::from_secs(4);
+/// Shorter than that: only a job that has waited can still run.
+const SHORT: Duration = Duration::from_millis(150);
 const TASKS: usize = 2;
+const WEAK: usize = 2;
+/// Time from a resubmission in which runs are observed.
+const OBSERVED: Duration = Duration::from_secs(3);
+/// Time within which an entry refuses a job, as one does that hasn't heard of the room.
+const REFUSAL_TIME: Duration = Duration::from_millis(30);
+const MAX_REFUSALS: usize = 100;
+const JOB: &str = "00000000000000a1";
 const LEASE: &str = "[lease]\nlongest_ms = 1000\nresend_ms = 1300\nstop_ms = 50\n\
      [security]\nkey = pair-pair-pair-pair\nadmin_token = test\n";
 
-/// Two entries and two sides as processes.
+/// How a customer leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Departure {
+    Reset,
+    Closed,
+    /// By closing, with the end of a line behind its request.
+    ClosedAfterLineEnd,
+    /// Through a path that keeps the entry's connection open.
+    Hidden,
+}
+
+/// Where its job is at that time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    Running,
+    /// At an entry that has no room for it until about the time of the resubmission.
+    Waiting,
+    /// Running, through an entry that forwards.
+    Forwarded,
+    /// In an entry that is suspended until this time after the resubmission.
+    Unread(Duration),
+}
+
+/// Two entries, a weak one and two sides as processes.
 struct Site {
     entries: Vec<Process>,
     _sides: Vec<Process>,
-    _upstreams: Vec<Upstream>,
+    upstreams: Vec<Upstream>,
     _store: Store,
     audit: Audit,
     log: Arc<Mutex<Vec<String>>>,
@@ -40,7 +73,7 @@
 }
 
 impl Site {
-    async fn start(name: &str) -> Self {
+    async fn start(name: &str, run_time: Duration) -> Self {
         let folder = std::env::temp_dir().join(format!("hyssop-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::bind().await;
@@ -55,11 +88,12 @@
         );
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         let mut entries = Vec::new();
-        for index in 0..2 {
+        for (index, processor) in [1.0, 1.0, 0.1].into_iter().enumerate() {
             let settings = format!(
                 "[entry]\nname = e{index}\nenvironment = t\ndomain = d\ndrain_s = 6\n\
                  [listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n\
-                 links = 127.0.0.1:0\nadmin = 127.0.0.1:0\n[store]\naddress = {}\n{LEASE}",
+                 links = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
+                 [limits]\nprocessor = {processor}\n[store]\naddress = {}\n{LEASE}",
                 store.server.address
             );
             let file = write_ini(&folder, &format!("e{index}"), &settings);
@@ -72,7 +106,7 @@
         let audit = Audit::default();
         let (mut sides, mut upstreams) = (Vec::new(), Vec::new());
         for index in 0..2 {
-            let mut upstream = Upstream::bind(index, TASKS, RUN_TIME, None, &audit).await;
+            let mut upstream = Upstream::bind(index, 2 * TASKS, run_time, None, &audit).await;
             let settings = format!(
                 "[side]\nname = s{index}\nenvironment = t\ndomain = d\nrack = r\n\
                  [listen]\nupstream = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
@@ -91,7 +125,7 @@
         let site = Self {
             entries,
             _sides: sides,
-            _upstreams: upstreams,
+            upstreams,
             _store: store,
             audit,
             log,
@@ -101,7 +135,7 @@
             site.lines("event=accepting value=true") >= 2
         })
         .await;
-        // Until both sides have reported that to both entries.
+        // Until both sides have reported that to all entries.
         tokio::time::sleep(Duration::from_millis(500)).await;
         site
     }
@@ -111,9 +145,25 @@
         log.iter().filter(|line| line.contains(pattern)).count()
     }
 
+    fn has_taken_over(&self, entry: usize) -> bool {
+        let (name, event) = (
+            format!("e{entry} "),
+            format!("event=job_taken_over job={JOB}"),
+        );
+        let log = self.log.lock().unwrap();
+        let mut lines = log.iter().filter(|line| line.starts_with(&name));
+        lines.any(|line| line.contains(&event))
+    }
+
     fn starts(&self) -> usize {
         self.audit.lock().starts.len()
     }
+
+    fn resize(&self, slots: usize) {
+        for upstream in &self.upstreams {
+            upstream.resize(slots, OBSERVED);
+        }
+    }
 }
 
 impl Drop for Site {
@@ -123,15 +173,20 @@
     }
 }
 
-async fn submit(entry: SocketAddr) -> TcpStream {
+async fn submit(entry: SocketAddr, departure: Departure) -> TcpStream {
     let body = json!({
         "spec": "x", "best_effort": true,
         "phases": [{ "count": TASKS, "cpu": 1_000, "estimate_ms": 4_000 }],
     })
     .to_string();
+    let rest = if departure == Departure::ClosedAfterLineEnd {
+        "\r\n"
+    } else {
+        ""
+    };
     let request = format!(
-        "POST /jobs/00000000000000a1 HTTP/1.1\r\nhost: a.example\r\nx-deadline-ms: 20000\r\n\
-         content-length: {}\r\n\r\n{body}",
+        "POST /jobs/{JOB} HTTP/1.1\r\nhost: a.example\r\nx-deadline-ms: 20000\r\n\
+         content-length: {}\r\n\r\n{body}{rest}",
         body.len()
     );
     let mut customer = TcpStream::connect(entry).await.unwrap();
@@ -139,38 +194,80 @@
     customer
 }
 
-/// Has a customer leave, by a reset of its connection or its orderly end, and submit its job
-/// again. Returns the tasks that had two runs.
-async fn overlaps(name: &str, reset: bool) -> Vec<String> {
-    let site = Site::start(name).await;
-    let customer = submit(site.entries[0].address("customers")).await;
-    wait_until("the runs to start", || site.starts() == TASKS).await;
-    tokio::time::sleep(Duration::from_millis(200)).await;
-    if reset {
+/// Has a customer leave while its job is in a place, and submit it again at another
+/// entry. Returns the tasks that had two runs at once, and the number of starts.
+async fn play(place: Place, departure: Departure, run_time: Duration) -> (Vec<String>, usize) {
+    let name = format!("departed-{place:?}-{departure:?}-{}", run_time.as_millis());
+    let site = Site::start(&name, run_time).await;
+    let first = if place == Place::Forwarded { WEAK } else { 0 };
+    match place {
+        Place::Waiting => {
+            site.resize(0);
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        Place::Unread(_) => site.entries[first].signal(Signal::STOP),
+        Place::Running | Place::Forwarded => {}
+    }
+    let customer = submit(site.entries[first].address("customers"), departure).await;
+    if matches!(place, Place::Running | Place::Forwarded) {
+        wait_until("the runs to start", || site.starts() == TASKS).await;
+    }
+    tokio::time::sleep(run_time / 20).await;
+    let second = usize::from(first == 0 || site.has_taken_over(0));
+    if departure == Departure::Reset {
         customer.set_zero_linger().unwrap();
     }
-    drop(customer);
-    let left_at = Instant::now();
+    let open = (departure == Departure::Hidden).then_some(customer);
     tokio::time::sleep(RESUBMIT_AFTER).await;
-    let _customer = submit(site.entries[1].address("customers")).await;
-    wait_until("the runs to start again", || site.starts() == 2 * TASKS).await;
+    if place == Place::Waiting {
+        site.resize(2 * TASKS);
+    }
+    let second = site.entries[second].address("customers");
+    let mut again = submit(second, departure).await;
+    for _ in 0..MAX_REFUSALS {
+        if timeout(REFUSAL_TIME, again.readable()).await.is_err() {
+            break;
+        }
+        again = submit(second, departure).await;
+    }
+    if let Place::Unread(resumed) = place {
+        tokio::time::sleep(resumed.saturating_sub(REFUSAL_TIME)).await;
+        site.entries[first].signal(Signal::CONT);
+    }
+    let expected = match place {
+        Place::Running | Place::Forwarded => 2 * TASKS,
+        Place::Waiting | Place::Unread(_) => TASKS,
+    };
+    wait_until("the job to start again", || site.starts() >= expected).await;
+    tokio::time::sleep(OBSERVED).await;
+    drop(open);
     for line in site.log.lock().unwrap().iter() {
-        if line.contains("00000000000000a1") {
+        if line.contains(JOB) {
             println!("{line}");
         }
     }
-    println!("started again {:?} after it left", left_at.elapsed());
-    site.audit.lock().violations.clone()
+    let starts = site.starts();
+    (site.audit.lock().violations.clone(), starts)
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn reset() {
-    let found = overlaps("departed-reset", true).await;
-    assert!(found.is_empty(), "{found:?}");
+macro_rules! departures {
+    ($($name:ident: $place:expr, $departure:ident, $run_time:ident;)*) => {
+        $(#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let (found, starts) = play($place, Departure::$departure, $run_time).await;
+            assert!(found.is_empty(), "{starts} starts, {found:?}");
+        })*
+    };
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn closed() {
-    let found = overlaps("departed-closed", false).await;
-    assert!(found.is_empty(), "{found:?}");
+// Guards against two entries that run a job whose customer has left one of them.
+departures! {
+    reset: Place::Running, Reset, LONG;
+    closed: Place::Running, Closed, LONG;
+    closed_after_line_end: Place::Running, ClosedAfterLineEnd, LONG;
+    unread_after_line_end: Place::Unread(Duration::from_millis(700)), ClosedAfterLineEnd, LONG;
+    hidden_while_running: Place::Running, Hidden, LONG;
+    hidden_while_waiting: Place::Waiting, Hidden, LONG;
+    short_hidden_while_waiting: Place::Waiting, Hidden, SHORT;
+    hidden_by_forwarder: Place::Forwarded, Hidden, LONG;
 }
