Soak: jobs that wait for room while their customers leave

The soak's customers left jobs that ran. In the users' record the job had waited. This kind has short tasks at about the load that the hosts have room for; a third of the customers leave 30 to 930 ms after they came, by closing, with a line end behind the request, or through a path that keeps the entry's connection open. Hosts are resized, crash and come back beside pauses in series and restarts. SOAK_SIDES=N makes it a site of eleven entries, five of which forward.

--- a/crates/hyssoppost/tests/fault_soak.rs
+++ b/crates/hyssoppost/tests/fault_soak.rs
@@ -2,7 +2,8 @@
 //! determines.
 //!
 //! `SOAK_SEED=N` runs one seed and `SOAK_SEEDS=FROM..TO` a range, several at a
-//! time. Without them, the default seeds and all regression seeds run.
+//! time. Without them, the default seeds and all regression seeds run. With
+//! `SOAK_SIDES=N` the sites have eleven entries, five of which forward, and N sides.
 
 #[path = "../../../platform/tests/standin/mod.rs"]
 mod platform_standin;
@@ -31,7 +32,7 @@
 /// connections, while it refused new connections.
 const REGRESSION_SEEDS: [u64; 7] = [28, 34, 103, 115, 129, 326, 344];
 
-/// Default seeds of the disruptions beside long tasks.
+/// Default seeds of each other kind.
 const DISRUPTION_SEEDS: Range<u64> = 4..6;
 
 /// Sites that run concurrently.
@@ -68,6 +69,11 @@
     run(Kind::Pauses, &seeds(DISRUPTION_SEEDS)).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn waiting_jobs() {
+    run(Kind::Waiting, &seeds(DISRUPTION_SEEDS)).await;
+}
+
 async fn run(kind: Kind, seeds: &[u64]) {
     let _turn = TURN.lock().await;
     let mut failed = Vec::new();
--- a/crates/hyssoppost/tests/soak/customers.rs
+++ b/crates/hyssoppost/tests/soak/customers.rs
@@ -10,7 +10,13 @@
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
-use tokio::{sync::Notify, task::JoinSet};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::Notify,
+    task::JoinSet,
+    time::timeout,
+};
 
 /// Time after which a customer resubmits a job; `resend_ms` in the settings.
 const RESUBMIT_AFTER: Duration = Duration::from_millis(1_300);
@@ -75,14 +81,17 @@
             let state = shared.lock();
             (state.kind, state.departures[index].clone())
         };
+        let leaves = kind == Kind::Waiting && attempt == 0 && job.is_multiple_of(3);
         let posted = tokio::select! {
-            posted = post_job(address, job, tasks, kind) => posted,
-            () = departure.notified(), if job.is_multiple_of(2) => {
-                *shared.lock().answers.entry("left".to_owned()).or_default() += 1;
-                only_refused = false;
-                tokio::time::sleep(RESUBMIT_AFTER).await;
-                continue;
-            }
+            posted = post_job(address, job, tasks, kind), if !leaves => Some(posted),
+            status = post_and_leave(address, job, tasks, kind), if leaves => status.map(Ok),
+            () = departure.notified(), if !leaves && job.is_multiple_of(2) => None,
+        };
+        let Some(posted) = posted else {
+            *shared.lock().answers.entry("left".to_owned()).or_default() += 1;
+            only_refused = false;
+            tokio::time::sleep(RESUBMIT_AFTER).await;
+            continue;
         };
         match posted {
             Ok(status) => {
@@ -127,30 +136,60 @@
     Some((state.entries[index]?, index))
 }
 
-async fn post_job(
-    address: SocketAddr,
-    job: u64,
-    tasks: u16,
-    kind: Kind,
-) -> Result<u16, reqwest::Error> {
-    // Each job uses a connection of its own.
-    let http = reqwest::Client::builder().no_proxy().build()?;
+fn job_body(job: u64, tasks: u16, kind: Kind) -> serde_json::Value {
     let may_crash = kind == Kind::Faults;
     let spec = if may_crash && job % CRASHING_JOB_PART == CRASHING_JOB_PART - 1 {
         CRASHING_SPEC
     } else {
         "soak"
     };
-    let body = serde_json::json!({
+    serde_json::json!({
         "spec": spec, "best_effort": true,
         "phases": [{ "count": tasks, "cpu": 1_000, "ram_mb": 64, "estimate_ms": kind.estimate().as_millis() }],
-    });
+    })
+}
+
+/// Submits a job and leaves after a while, in a way that depends on the job. Returns the
+/// status if the answer came before.
+async fn post_and_leave(address: SocketAddr, job: u64, tasks: u16, kind: Kind) -> Option<u16> {
+    let (has_line_end, is_hidden) = ((job / 3).is_multiple_of(3), job / 3 % 3 == 1);
+    let body = job_body(job, tasks, kind).to_string();
+    let request = format!(
+        "POST /jobs/{job:016x} HTTP/1.1\r\nhost: desk.example\r\nx-deadline-ms: {}\r\n\
+         content-length: {}\r\n\r\n{body}{}",
+        kind.patience().as_millis(),
+        body.len(),
+        if has_line_end { "\r\n" } else { "" }
+    );
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut answer = [0; 256];
+    let stay = Duration::from_millis(30 + job / 9 % 900);
+    if let Ok(read) = timeout(stay, stream.read(&mut answer)).await {
+        let text = std::str::from_utf8(&answer[..read.ok()?]).ok()?;
+        return text.split(' ').nth(1)?.parse().ok();
+    }
+    if is_hidden {
+        // As a balancer does that keeps its connection to the entry.
+        tokio::spawn(async move { while stream.read(&mut answer).await.is_ok_and(|n| n > 0) {} });
+    }
+    None
+}
+
+async fn post_job(
+    address: SocketAddr,
+    job: u64,
+    tasks: u16,
+    kind: Kind,
+) -> Result<u16, reqwest::Error> {
+    // Each job uses a connection of its own.
+    let http = reqwest::Client::builder().no_proxy().build()?;
     let response = http
         .post(format!("http://{address}/jobs/{job:016x}"))
         .header("host", "desk.example")
         .header("x-deadline-ms", kind.patience().as_millis().to_string())
         .timeout(kind.patience() + Duration::from_secs(1))
-        .json(&body)
+        .json(&job_body(job, tasks, kind))
         .send()
         .await?;
     let status = response.status().as_u16();
--- a/crates/hyssoppost/tests/soak/disruptions.rs
+++ b/crates/hyssoppost/tests/soak/disruptions.rs
@@ -1,7 +1,9 @@
 //! Disruptions beside tasks that take longer than the resubmission time: a run that is
 //! left behind is still there when its job comes again.
 
-use super::{ENTRIES, RUN_TIME, SIDES, SLOTS, Site, customers, process::Process};
+use super::{
+    MAX_CAPACITY_AGE, RUN_TIME, SIDES, SLOTS, Site, customers, large_sides, process::Process,
+};
 use crate::platform_standin::upstream::Fault;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use rustix::process::Signal;
@@ -18,6 +20,8 @@
 /// Time from the repair until every job must be served.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 const RECOVERY_JOBS: u64 = 6;
+/// Tasks of a job.
+const MEAN_TASKS: u32 = 3;
 /// Pauses are a little shorter than S/2, S, S + L' and the resubmission time, in
 /// milliseconds.
 const PAUSE_LIMITS_MS: [u64; 4] = [318, 637, 1_176, 1_300];
@@ -39,17 +43,22 @@
     Silence,
     /// Pauses of processes in series.
     Pauses,
+    /// Customers that leave while their jobs wait for hosts whose room varies, beside
+    /// pauses and restarts.
+    Waiting,
 }
 
 impl Kind {
-    /// Returns the time that a task takes; `SOAK_RUN_MS` sets it for [`Kind::Faults`].
+    fn has_short_tasks(self) -> bool {
+        matches!(self, Self::Faults | Self::Waiting)
+    }
+
+    /// Returns the time that a task takes; `SOAK_RUN_MS` sets it for short tasks.
     pub fn run_time(self) -> Duration {
         let ms = std::env::var("SOAK_RUN_MS").ok();
-        match (self, ms) {
-            (Self::Faults, None) => RUN_TIME,
-            (Self::Faults, Some(ms)) => {
-                Duration::from_millis(ms.parse().expect("SOAK_RUN_MS is a number"))
-            }
+        match (self.has_short_tasks(), ms) {
+            (true, None) => RUN_TIME,
+            (true, Some(ms)) => Duration::from_millis(ms.parse().expect("SOAK_RUN_MS is a number")),
             _ => LONG_RUN_TIME,
         }
     }
@@ -59,6 +68,11 @@
     }
 
     pub fn submit_interval(self) -> Duration {
+        if self == Self::Waiting {
+            let slots = SLOTS * large_sides().unwrap_or(SIDES);
+            // The hosts have room for this load if no slot is ever free.
+            return self.run_time() * MEAN_TASKS / u32::try_from(slots).unwrap_or(u32::MAX);
+        }
         Duration::from_millis(self.pick(25, 300))
     }
 
@@ -67,13 +81,19 @@
         Duration::from_secs(self.pick(4, 7))
     }
 
+    /// Returns the latency beyond the run time that jobs may have: they are refused if they
+    /// would have to wait for longer.
+    pub fn target_latency(self) -> Duration {
+        Duration::from_millis(if self == Self::Waiting { 2_000 } else { 60 })
+    }
+
     /// Returns the time that a task takes as customers estimate it.
     pub fn estimate(self) -> Duration {
         self.pick(Duration::from_millis(100), LONG_RUN_TIME)
     }
 
     fn pick<T>(self, short: T, long: T) -> T {
-        if self == Self::Faults { short } else { long }
+        if self.has_short_tasks() { short } else { long }
     }
 }
 
@@ -85,15 +105,16 @@
         let end = Instant::now() + LOAD_DURATION;
         let load = tokio::spawn(customers::generate_load(self.shared.clone(), seed, end));
         while Instant::now() < end {
-            let upstream = &self.sides[random.random_range(0..SIDES)].upstream;
+            let upstream = &self.sides[random.random_range(0..self.sides.len())].upstream;
             let path = UNANSWERED_PATHS[random.random_range(0..UNANSWERED_PATHS.len())];
             let fault = Fault::Unanswered(path, random.random_range(20..=100));
-            let is_faulty = random.random_bool(0.6);
+            let is_waiting = self.kind == Kind::Waiting;
+            let is_faulty = random.random_bool(if is_waiting { 0.2 } else { 0.6 });
             upstream.inject(if is_faulty { fault } else { Fault::None });
-            if self.kind == Kind::Pauses {
-                self.pause_in_series(&mut random).await;
-            } else {
-                self.silence_connections(seed, &mut random).await;
+            match self.kind {
+                Kind::Pauses => self.pause_in_series(&mut random).await,
+                Kind::Waiting => self.vary_room(&mut random).await,
+                _ => self.silence_connections(seed, &mut random).await,
             }
         }
         self.repair().await;
@@ -134,7 +155,7 @@
             let directions = directions[random.random_range(0..directions.len())];
             relay.silence(random.random_range(0..64), directions);
         }
-        let entry = random.random_range(0..ENTRIES);
+        let entry = random.random_range(0..self.entries.len());
         if random.random_bool(0.3) {
             self.shared.lock().departures[entry].notify_waiters();
         }
@@ -146,11 +167,43 @@
         }
     }
 
+    /// Crashes and restarts some processes and upstreams, and resizes hosts beside pauses.
+    async fn vary_room(&mut self, random: &mut SmallRng) {
+        for _ in 0..random.random_range(0..3) {
+            let side = random.random_range(0..self.sides.len());
+            match random.random_range(0..6) {
+                0 => self.kill_entry(random.random_range(0..self.entries.len())),
+                1 => {
+                    if let Some(process) = &self.sides[side].process {
+                        process.signal(Signal::TERM);
+                    }
+                }
+                2 | 3 => self.sides[side].upstream.crash().await,
+                _ => {}
+            }
+        }
+        let mut sizes = SmallRng::seed_from_u64(random.random());
+        let resize = async {
+            for _ in 0..sizes.random_range(0..12) {
+                let upstream = &self.sides[sizes.random_range(0..self.sides.len())].upstream;
+                upstream.resize(sizes.random_range(0..=2 * SLOTS), MAX_CAPACITY_AGE);
+                tokio::time::sleep(Duration::from_millis(sizes.random_range(0..400))).await;
+            }
+        };
+        tokio::join!(resize, self.pause_in_series(random));
+        for side in &mut self.sides {
+            if random.random_bool(0.8) {
+                side.upstream.restart().await;
+            }
+        }
+        self.restart_ended();
+    }
+
     /// Pauses an entry, a side, or both, at the same time or in turn. Customers of the
     /// entry leave shortly before or within the pauses.
-    async fn pause_in_series(&mut self, random: &mut SmallRng) {
-        let entry = random.random_range(0..ENTRIES);
-        let side = random.random_range(0..SIDES);
+    async fn pause_in_series(&self, random: &mut SmallRng) {
+        let entry = random.random_range(0..self.entries.len());
+        let side = random.random_range(0..self.sides.len());
         let departure = self.shared.lock().departures[entry].clone();
         let processes = [&self.entries[entry].process, &self.sides[side].process];
         let [Some(entry), Some(side)] = processes.map(Option::as_ref) else {
--- a/crates/hyssoppost/tests/soak/mod.rs
+++ b/crates/hyssoppost/tests/soak/mod.rs
@@ -26,6 +26,8 @@
 
 const ENTRIES: usize = 3;
 const SIDES: usize = 4;
+/// Processors of the entries of a large site.
+const LARGE_PROCESSORS: [f64; 11] = [1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 0.1, 0.1, 0.1, 0.1, 0.1];
 const SLOTS: usize = 4;
 const RUN_TIME: Duration = Duration::from_millis(90);
 /// Time for which a host may be used by a capacity that it no longer has: `contact_ms`
@@ -90,22 +92,29 @@
     processors: &'static [f64],
 }
 
-fn rules(version: u64) -> serde_json::Value {
+fn rules(version: u64, kind: Kind) -> serde_json::Value {
     json!({
         "version": version,
         "routes": [{ "name": "r", "host": "desk.example", "prefix": "/jobs/", "service": "desk",
-            "priority": 0, "max_attempts": 5, "slack_factor": 1.6, "target_latency_ms": 60 }],
+            "priority": 0, "max_attempts": 5, "slack_factor": 1.6, "target_latency_ms": kind.target_latency().as_millis() }],
         "services": [], "limits": {},
     })
 }
 
+/// Returns the number of sides of a large site, which has entries that forward as well;
+/// `SOAK_SIDES` sets it.
+fn large_sides() -> Option<usize> {
+    let sides = std::env::var("SOAK_SIDES").ok()?;
+    Some(sides.parse().expect("SOAK_SIDES is a number"))
+}
+
 impl Site {
     pub async fn start(seed: u64, kind: Kind) -> Self {
         let folder =
             std::env::temp_dir().join(format!("hyssop-{kind:?}-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a writable folder");
         let store = Store::bind().await;
-        store.set("op/config", &rules(1));
+        store.set("op/config", &rules(1, kind));
         let timer = Timer::spawn();
         let entries_store = Relay::bind(Duration::ZERO, &timer)
             .await
@@ -130,14 +139,20 @@
             exclusions: Vec::new(),
             store_healthy: true,
             version: 1,
-            // With odd seeds the first entry forwards its jobs to the others.
-            processors: if seed % 2 == 1 { &[0.1, 1.0, 0.7] } else { &[] },
+            processors: match large_sides() {
+                Some(_) => &LARGE_PROCESSORS,
+                // With odd seeds the first entry forwards its jobs to the others.
+                None if seed % 2 == 1 => &[0.1, 1.0, 0.7],
+                None => &[],
+            },
         };
-        site.shared.lock().entries = vec![None; ENTRIES];
-        site.shared.lock().draining = vec![false; ENTRIES];
-        site.shared.lock().departures = (0..ENTRIES).map(|_| Arc::default()).collect();
+        let entries = large_sides().map_or(ENTRIES, |_| LARGE_PROCESSORS.len());
+        let sides = large_sides().unwrap_or(SIDES);
+        site.shared.lock().entries = vec![None; entries];
+        site.shared.lock().draining = vec![false; entries];
+        site.shared.lock().departures = (0..entries).map(|_| Arc::default()).collect();
         site.shared.lock().kind = kind;
-        for index in 0..ENTRIES {
+        for index in 0..entries {
             let links = Relay::bind(ONE_WAY_DELAY, &timer)
                 .await
                 .expect("a free port");
@@ -149,7 +164,7 @@
                 links,
             });
         }
-        for index in 0..SIDES {
+        for index in 0..sides {
             let reports = Relay::bind(Duration::ZERO, &timer)
                 .await
                 .expect("a free port");
@@ -174,10 +189,10 @@
                 reports,
             });
         }
-        for index in 0..ENTRIES {
+        for index in 0..entries {
             site.start_entry(index);
         }
-        for index in 0..SIDES {
+        for index in 0..sides {
             site.start_side(index);
         }
         site
@@ -256,7 +271,7 @@
                 self.entries_store.partition(store_paths.random_bool(0.6));
             }
             if sizes.random_bool(0.3) {
-                let upstream = &self.sides[sizes.random_range(0..SIDES)].upstream;
+                let upstream = &self.sides[sizes.random_range(0..self.sides.len())].upstream;
                 upstream.resize(sizes.random_range(1..=SLOTS), MAX_CAPACITY_AGE);
             }
             let pause = random.random_range(50..700);
@@ -270,8 +285,8 @@
     }
 
     async fn inject_fault(&mut self, random: &mut SmallRng) {
-        let entry = random.random_range(0..ENTRIES);
-        let side = random.random_range(0..SIDES);
+        let entry = random.random_range(0..self.entries.len());
+        let side = random.random_range(0..self.sides.len());
         let kind = random.random_range(0..20);
         self.log
             .lock()
@@ -380,7 +395,7 @@
         let key = format!("op/evacuate/d{domain}");
         let now = Instant::now();
         self.version += 1;
-        self.store.set("op/config", &rules(self.version));
+        self.store.set("op/config", &rules(self.version, self.kind));
         for exclusion in &mut self.exclusions {
             if exclusion.index % 3 == domain && exclusion.to.is_none() {
                 exclusion.to = Some(now);
@@ -394,7 +409,7 @@
         if !self.store_healthy {
             return;
         }
-        let indices = (0..SIDES).filter(|index| index % 3 == domain);
+        let indices = (0..self.sides.len()).filter(|index| index % 3 == domain);
         self.exclusions.extend(indices.map(|index| Exclusion {
             index,
             from: now + EVACUATION_BOUND,
@@ -413,7 +428,7 @@
     }
 
     fn restart_ended(&mut self) {
-        for index in 0..ENTRIES {
+        for index in 0..self.entries.len() {
             let ended = self.entries[index]
                 .process
                 .as_mut()
@@ -424,7 +439,7 @@
             }
             self.start_entry(index);
         }
-        for index in 0..SIDES {
+        for index in 0..self.sides.len() {
             let ended = self.sides[index]
                 .process
                 .as_mut()
