Entries connect again whichever of them has connected more often

Two live entries could stay without a connection between them for many seconds: a weak one refused jobs (no_upstream) after everything had been repaired, and entries did not hear of the jobs that others hold.

Both ends number a connection as the process that dials does, and kept one newest number for a peer. Between entries both dial, until one direction is given up. So an attempt of the entry with the higher count (refused, since the other one dials) made both ends refuse the other's attempts until it had counted as far, at one attempt in up to 0.8 s. The newest number is now kept for each direction, in which it does grow.

--- a/crates/hyssoppost/src/link.rs
+++ b/crates/hyssoppost/src/link.rs
@@ -151,8 +151,8 @@
 }
 
 impl Joined {
-    /// Returns a number that grows with each connection between the two
-    /// processes and is the same at both ends.
+    /// Returns a number that grows with each connection that the same of the two
+    /// processes dials, and is the same at both ends.
     ///
     /// A connection may be reported after a newer one of the same peer. It must
     /// not replace that one, on which frames may have been received already.
@@ -164,14 +164,17 @@
     }
 }
 
-/// The newest connection of each peer.
+/// The newest connection of each peer, of those that it dialled and of the others: the
+/// process that dials numbers them.
 #[derive(Debug, Default)]
-pub struct Latest(HashMap<Incarnation, u64>);
+pub struct Latest(HashMap<(Incarnation, bool), u64>);
 
 impl Latest {
-    /// Records a connection and returns whether it is the newest of its peer.
+    /// Records a connection and returns whether it is the newest of its peer in its
+    /// direction.
     pub fn admit(&mut self, joined: &Joined) -> bool {
-        let newest = self.0.entry(joined.hello.incarnation).or_default();
+        let key = (joined.hello.incarnation, joined.dialled.is_none());
+        let newest = self.0.entry(key).or_default();
         let newer = joined.sequence() > *newest;
         *newest = joined.sequence().max(*newest);
         newer
