--- a/crates/hyssoppost/tests/departed_customer.rs
+++ b/crates/hyssoppost/tests/departed_customer.rs
@@ -269,5 +269,6 @@
     hidden_while_running: Place::Running, Hidden, LONG;
     hidden_while_waiting: Place::Waiting, Hidden, LONG;
     short_hidden_while_waiting: Place::Waiting, Hidden, SHORT;
+    hidden_while_unread: Place::Unread(Duration::from_millis(50)), Hidden, LONG;
     hidden_by_forwarder: Place::Forwarded, Hidden, LONG;
 }
