An entry that resumes starts nothing before it has read what arrived meanwhile

Callers saw: an entry that was paused for 325 ms started tasks of customers that had left in the pause, once it had run for 100 ms by its own count, although it hadn't read any departure.

Cause: a time stood for the knowledge that what had arrived was read. How long that takes depends on the processor that the process gets.

The condition is now the barrier that already tells from when runs may be renewed: nothing starts until one has passed that was sent after the process had resumed. A barrier from before the pause doesn't count. One is sent even if no side has reported. An entry that was never paused waits for nothing, and after a pause tasks start as soon as the barrier is back.

--- a/crates/kernel/src/dispatch/barrier.rs
+++ b/crates/kernel/src/dispatch/barrier.rs
@@ -24,9 +24,14 @@
 }
 
 impl Dispatcher {
-    /// Sends a barrier unless one is under way or no side has reported since the last.
+    /// Sends a barrier unless one is under way or none is needed: no side has reported
+    /// since the last, and the process has not resumed since.
     pub(super) fn send_barrier(&mut self, now: Duration) {
-        if self.barrier.is_pending || !self.fleet.send_barrier() {
+        if self.barrier.is_pending {
+            return;
+        }
+        let has_reports = self.fleet.send_barrier();
+        if !has_reports && !self.pause.is_catching_up() {
             return;
         }
         let barrier = &mut self.barrier;
@@ -49,5 +54,8 @@
             self.events.push(Event::DeparturesLate { lag });
         }
         self.fleet.pass_barrier();
+        if self.pause.record_barrier(self.barrier.sent_at) {
+            self.placement.request_round();
+        }
     }
 }
--- a/crates/kernel/src/dispatch/holding.rs
+++ b/crates/kernel/src/dispatch/holding.rs
@@ -104,7 +104,7 @@
     /// been: those that the entry has read late.
     pub(super) fn announce_holdings(&mut self, now: Duration) {
         let age = self.timing.announce_age();
-        let is_late = self.pause.is_catching_up(now);
+        let is_late = self.pause.is_catching_up();
         let mut due = Vec::new();
         for (id, job) in &mut self.jobs {
             let is_old = is_late || now.saturating_sub(job.accepted) >= age;
--- a/crates/kernel/src/dispatch/place.rs
+++ b/crates/kernel/src/dispatch/place.rs
@@ -27,7 +27,7 @@
 impl Dispatcher {
     /// Places waiting tasks in order, until too many have found no side.
     pub(super) fn place(&mut self, now: Duration) {
-        if self.pause.is_catching_up(now) {
+        if self.pause.is_catching_up() {
             return;
         }
         let mut misses = 0;
@@ -194,7 +194,7 @@
     }
 
     fn claimed_task(&self, now: Duration, from: Key, step: Step) -> Option<Task> {
-        if self.pause.is_catching_up(now) || self.may_be_held_elsewhere(now, step.job) {
+        if self.pause.is_catching_up() || self.may_be_held_elsewhere(now, step.job) {
             return None;
         }
         let job = self.jobs.get(&step.job)?;
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -84,7 +84,7 @@
     RefusedOnce,
     /// A frame that was decided on for one connection is sent on the next one.
     LateFrame,
-    /// A pause while an entry reads what has arrived in an earlier one counts as reading.
+    /// An entry that resumes starts tasks before it has read what arrived meanwhile.
     PausedCatchUp,
 }
 
--- a/crates/kernel/tests/lease_histories.rs
+++ b/crates/kernel/tests/lease_histories.rs
@@ -570,6 +570,26 @@
     assert_eq!(seen, [1_000]);
 }
 
+/// Guards against the end of a run that is lost with its connection: the task would run
+/// again.
+#[test]
+fn end_lost_with_connection() {
+    let mut site = Site::new(1, 1);
+    site.upstreams[0].run_time = Duration::from_millis(100);
+    let customer = site.submit(0, job(1, 2, 1_000, Duration::from_millis(100)));
+    site.run(Duration::from_millis(50));
+    assert_eq!(site.upstreams[0].starts.len(), 2);
+    // The ends are sent, and do not arrive.
+    site.cut(0, 0, true);
+    site.run(Duration::from_millis(150));
+    assert_eq!(site.sides[0].as_ref().unwrap().runs(), 0);
+    site.close_connection(0, 0);
+    site.cut(0, 0, false);
+    site.run(Duration::from_secs(1));
+    assert_eq!(site.state(customer), Some(Phase::Completed));
+    assert_eq!(site.upstreams[0].starts.len(), 2);
+}
+
 /// Number of histories within which each seeded bug must be found.
 const MUTANT_HISTORIES: u64 = 200;
 
@@ -579,7 +599,6 @@
         Mutant::Orphan,
         Mutant::LongLease,
         Mutant::EarlyRoom,
-        Mutant::LostEnd,
         Mutant::Forgotten,
         Mutant::EarlyOver,
         Mutant::OldRules,
@@ -604,7 +623,8 @@
         Some(seed) => println!("{mutant:?}: found by forwarding history {seed}"),
         None => missed.push(mutant),
     }
-    let directed: [(Mutant, &dyn Fn()); 5] = [
+    let directed: [(Mutant, &dyn Fn()); 6] = [
+        (Mutant::LostEnd, &end_lost_with_connection),
         (Mutant::ReleasedEntry, &order_to_released_side),
         (Mutant::RepeatTrusted, &order_repeated_after_end),
         (Mutant::EarlyLife, &order_delivered_after_restart),
--- a/crates/kernel/tests/suspended_hosts.rs
+++ b/crates/kernel/tests/suspended_hosts.rs
@@ -47,16 +47,18 @@
 }
 
 /// Starts at an entry that is paused, runs for 40 ms, and is paused again for less than
-/// what counts as a pause by itself.
+/// what counts as a pause by itself, without having read that customers left in the first
+/// pause. Its runs have ended meanwhile, and its sides still take its orders.
 fn starts_between_pauses() -> usize {
     let mut site = Site::new(1, 3);
     for stub in &mut site.upstreams {
-        stub.run_time = RUN;
+        stub.run_time = Duration::from_millis(150);
     }
-    site.submit(0, job(1, 6, 1_000, RUN));
+    site.submit(0, job(1, 12, 2_000, Duration::from_millis(150)));
     site.run(Duration::from_millis(100));
     let before = starts(&site);
-    for paused in [1_600, 300] {
+    site.unread_since.insert(0, site.now);
+    for paused in [325, 150] {
         site.frozen_entries[0] = true;
         site.run(Duration::from_millis(paused));
         site.frozen_entries[0] = false;
