A forwarder renews its jobs only as far as it has read its customers' departures

Cause: pulses, heartbeats and forwards named the owner's clock as last received. The owner drops a forwarder's jobs 0.40 R after that clock, so each frame renewed them, whether or not the forwarder knew of its customers.

All three now name the owner's clock as received before a barrier was sent that has passed, as echoes to sides do. The age by which an owner is chosen is that of the same clock. An entry sends barriers also when only other entries have sent their clocks.

A forwarder whose barriers take longer than 390 ms forwards nothing meanwhile.

Tests: unread_departure_at_forwarder and forwards_after_unread_departure fail with the mutant UnreadForward, which is the code before.

--- a/crates/kernel/src/dispatch/barrier.rs
+++ b/crates/kernel/src/dispatch/barrier.rs
@@ -8,6 +8,7 @@
 //! and reports it when everything that had arrived from customers before it has been
 //! handled. Runs are renewed from a clock that the entry had received before it sent a
 //! barrier that has passed: no customer whose departure is unknown has left before then.
+//! The clock that a forwarder echoes to the owners of its jobs is chosen likewise.
 
 use super::{Action, Dispatcher, Event};
 use std::time::Duration;
@@ -24,14 +25,15 @@
 }
 
 impl Dispatcher {
-    /// Sends a barrier unless one is under way or none is needed: no side has reported
-    /// since the last, and the process has not resumed since.
+    /// Sends a barrier unless one is under way or none is needed: no side or other entry
+    /// has reported since the last, and the process has not resumed since.
     pub(super) fn send_barrier(&mut self, now: Duration) {
         if self.barrier.is_pending {
             return;
         }
         let has_reports = self.fleet.send_barrier();
-        if !has_reports && !self.pause.is_catching_up() {
+        let has_clocks = self.forwarding.send_barrier();
+        if !has_reports && !has_clocks && !self.pause.is_catching_up() {
             return;
         }
         let barrier = &mut self.barrier;
@@ -54,6 +56,7 @@
             self.events.push(Event::DeparturesLate { lag });
         }
         self.fleet.pass_barrier();
+        self.forwarding.pass_barrier();
         if self.pause.record_barrier(self.barrier.sent_at) {
             self.placement.request_round();
         }
--- a/crates/kernel/src/dispatch/exchange.rs
+++ b/crates/kernel/src/dispatch/exchange.rs
@@ -162,9 +162,9 @@
             .take_due_heartbeats(now, self.loop_lateness.thin_frames);
         if !due.is_empty() {
             let heartbeat = self.build_heartbeat(now);
-            for (entry, echo) in due {
+            for entry in due {
                 let heartbeat = Heartbeat {
-                    echo,
+                    echo: self.forwarding.echo(entry),
                     ..heartbeat.clone()
                 };
                 self.forwarding.record_heartbeat_sent(now, entry);
--- a/crates/kernel/src/dispatch/forward/forwarder.rs
+++ b/crates/kernel/src/dispatch/forward/forwarder.rs
@@ -129,7 +129,7 @@
         let left = |end: Duration| to_u32(millis(end.saturating_sub(now)));
         let forward = Forward {
             call: self.next_call,
-            clock: peer.clock,
+            clock: peer.read_clock().0,
             job: request.job,
             host: request.host.clone(),
             path: request.path.clone(),
@@ -347,7 +347,7 @@
             .peers
             .iter()
             .filter(|(entry, peer)| peer.may_own() && Some(**entry) != except)
-            .filter(|(_, peer)| now.saturating_sub(peer.clock_at) <= max_age)
+            .filter(|(_, peer)| now.saturating_sub(peer.read_clock().1) <= max_age)
             .map(|(entry, peer)| (*entry, peer.processor))
             .collect();
         let strongest = usable.iter().map(|(_, processor)| *processor).max()?;
--- a/crates/kernel/src/dispatch/forward/mod.rs
+++ b/crates/kernel/src/dispatch/forward/mod.rs
@@ -12,7 +12,8 @@
 //! - The owner drops a forwarder's jobs when their connection is lost, or when the
 //!   latest value of its own clock that the forwarder has echoed is older than
 //!   [`Timing::forward_timeout`]. A delayed frame or a paused process renews nothing,
-//!   since the clock is the owner's and includes suspension.
+//!   since the clock is the owner's and includes suspension. The forwarder names a clock
+//!   that is older than every departure that it may not know of ([`super::barrier`]).
 //! - A job is taken over only if it names a recent value of the owner's clock, so a
 //!   delayed job does not start after its forwarder has given it up.
 //! - The forwarder reports a job as not run only if its owner has refused it. If the
@@ -22,7 +23,12 @@
 mod owner;
 
 use super::{Answer, Event};
-use crate::{guard::Timing, millis, neighbourhood};
+use crate::{
+    guard::Timing,
+    millis,
+    mutation::{Mutant, is_seeded},
+    neighbourhood,
+};
 use forwarder::{Held, Open};
 use owner::FIRST_TAKEN;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -96,6 +102,9 @@
     /// difference of both clocks: frames that waited while this process had no
     /// processor carry old clocks.
     clock_at: Duration,
+    /// The same before the last barrier was sent, and before the last that has passed.
+    before_sent: (u64, Duration),
+    before_passed: (u64, Duration),
     /// That difference, in milliseconds.
     offset: f64,
     /// When it was last updated.
@@ -256,6 +265,8 @@
             is_weak: weak.contains(hello.name.as_str()),
             clock: 0,
             clock_at: Duration::ZERO,
+            before_sent: (0, Duration::ZERO),
+            before_passed: (0, Duration::ZERO),
             offset: f64::INFINITY,
             offset_at: now,
             last_received: now,
@@ -311,6 +322,29 @@
         }
     }
 
+    /// Records that a barrier is sent. Returns false if no other entry has sent its clock
+    /// since the last one.
+    pub(super) fn send_barrier(&mut self) -> bool {
+        let mut has_changed = false;
+        for peer in self.peers.values_mut() {
+            let clock = (peer.clock, peer.clock_at);
+            has_changed |= std::mem::replace(&mut peer.before_sent, clock) != clock;
+        }
+        has_changed
+    }
+
+    /// Records that the barrier that was sent last has passed.
+    pub(super) fn pass_barrier(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.before_passed = peer.before_passed.max(peer.before_sent);
+        }
+    }
+
+    /// Returns the clock of another entry to echo to it, in milliseconds.
+    pub(super) fn echo(&self, to: Incarnation) -> u64 {
+        self.peers.get(&to).map_or(0, |peer| peer.read_clock().0)
+    }
+
     /// Records that a heartbeat, which does the work of a pulse, was sent.
     pub(super) fn record_heartbeat_sent(&mut self, now: Duration, to: Incarnation) {
         if let Some(peer) = self.peers.get_mut(&to) {
@@ -363,6 +397,16 @@
         Duration::try_from_secs_f64((difference - self.offset) / 1e3).unwrap_or_default()
     }
 
+    /// Returns its latest clock, in milliseconds, and when it sent that, before which no
+    /// customer has left whose departure this entry may not know of.
+    fn read_clock(&self) -> (u64, Duration) {
+        if is_seeded(Mutant::UnreadForward) {
+            (self.clock, self.clock_at)
+        } else {
+            self.before_passed
+        }
+    }
+
     /// Returns a pulse if one is due.
     fn due_pulse(&mut self, now: Duration) -> Option<Frame> {
         let is_due = now.saturating_sub(self.last_pulse_at) >= PULSE_INTERVAL;
@@ -372,7 +416,7 @@
         self.last_pulse_at = now;
         Some(Frame::Pulse(Pulse {
             clock: millis(now),
-            echo: self.clock,
+            echo: self.read_clock().0,
         }))
     }
 }
--- a/crates/kernel/src/dispatch/peers.rs
+++ b/crates/kernel/src/dispatch/peers.rs
@@ -40,8 +40,6 @@
 struct Peer {
     last_received: Duration,
     last_sent: Duration,
-    /// Its clock, in milliseconds, in its last heartbeat; echoed to it.
-    clock: u64,
     /// Number of its jobs of which no task has started, by queue name.
     pending: BTreeMap<String, u32>,
     /// Work waiting there, in core-milliseconds, by level.
@@ -151,7 +149,6 @@
             return false;
         };
         peer.last_received = now;
-        peer.clock = heartbeat.clock;
         peer.pending = heartbeat.pending.into_iter().collect();
         peer.waiting = heartbeat.waiting;
         peer.arriving = heartbeat.arriving;
@@ -160,13 +157,9 @@
         true
     }
 
-    /// Returns the entries to which a heartbeat is due, with the clock to echo,
-    /// and counts the heartbeats as sent. They are less frequent if `thin`.
-    pub(super) fn take_due_heartbeats(
-        &mut self,
-        now: Duration,
-        thin: bool,
-    ) -> Vec<(Incarnation, u64)> {
+    /// Returns the entries to which a heartbeat is due, and counts the heartbeats as
+    /// sent. They are less frequent if `thin`.
+    pub(super) fn take_due_heartbeats(&mut self, now: Duration, thin: bool) -> Vec<Incarnation> {
         let interval = if thin {
             THIN_HEARTBEAT_INTERVAL
         } else {
@@ -177,7 +170,7 @@
             .filter(|(_, peer)| now.saturating_sub(peer.last_sent) >= interval)
             .map(|(entry, peer)| {
                 peer.last_sent = now;
-                (*entry, peer.clock)
+                *entry
             })
             .collect()
     }
--- a/crates/kernel/src/mutation.rs
+++ b/crates/kernel/src/mutation.rs
@@ -78,6 +78,8 @@
     SuspensionCounted,
     /// An entry lets runs go on without knowing whether their customers have left.
     UnreadDeparture,
+    /// A forwarder lets its jobs go on without knowing whether their customers have left.
+    UnreadForward,
     /// An entry's orders let its other runs go on.
     OrderRenews,
     /// One refused connection counts as the end of an upstream's process.
--- a/crates/kernel/tests/overlapping_runs.rs
+++ b/crates/kernel/tests/overlapping_runs.rs
@@ -345,6 +345,42 @@
     assert_eq!(runs_after_unread_departure(ms(30), 0.0), 0);
 }
 
+/// The same at a weak entry, whose jobs run at their owner.
+fn runs_after_unread_forward(interval: Duration) -> usize {
+    let mut site = Site::with_processors(&[1_000, 1_000, 120], 3);
+    for stub in &mut site.upstreams {
+        stub.run_time = RUN;
+    }
+    site.submit(2, job(1, 6, 1_000, RUN));
+    site.run(ms(100));
+    assert_eq!((running(&site), site.forwarded()), (6, 1));
+    site.unread_since.insert(2, site.now);
+    let end = site.now + RESUBMIT_AFTER;
+    for id in 2.. {
+        let mut short = job(id, 1, 1_000, ms(10));
+        short.input = timed_input(10, 0);
+        site.submit(2, short);
+        site.run(interval.min(end.saturating_sub(site.now)));
+        if site.now >= end {
+            break;
+        }
+    }
+    let first_job = |stub: &Stub| stub.running().filter(|run| run.task.job == 1).count();
+    site.upstreams.iter().map(first_job).sum()
+}
+
+// A weak entry that read departures late let the runs of such jobs go on by its pulses.
+#[test]
+fn unread_departure_at_forwarder() {
+    assert_eq!(runs_after_unread_forward(RESUBMIT_AFTER), 0);
+}
+
+// The same by further jobs that it forwarded.
+#[test]
+fn forwards_after_unread_departure() {
+    assert_eq!(runs_after_unread_forward(ms(30)), 0);
+}
+
 // A weak entry is lost, then the owner of its jobs, and the upstreams leave the stops
 // unanswered.
 #[test]
@@ -369,12 +405,14 @@
 
 #[test]
 fn seeded_bugs_found() {
-    let directed: [(Mutant, fn()); 5] = [
+    let directed: [(Mutant, fn()); 7] = [
         (Mutant::RenewedStop, unanswered_stops),
         (Mutant::RenewedStop, renewal_after_pause),
         (Mutant::LostStop, lost_stops),
         (Mutant::UnreadDeparture, unread_departure),
         (Mutant::OrderRenews, orders_after_unread_departure),
+        (Mutant::UnreadForward, unread_departure_at_forwarder),
+        (Mutant::UnreadForward, forwards_after_unread_departure),
     ];
     let is_missed = |(_, (mutant, test)): &(usize, (Mutant, fn()))| {
         mutation::seed(Some(*mutant));
