A request that was unread in a paused entry counts as submitted before the pause

The paused entry counted the job's age from when it read the request, told the others of it too late, and took its own submission for the later one.

Cause: the time of reading stood for the time of submission. Class: a clock that is read after the event that it dates.

The entry also takes account of a pause before it handles a submission.

--- a/crates/kernel/src/dispatch/holding.rs
+++ b/crates/kernel/src/dispatch/holding.rs
@@ -101,13 +101,12 @@
 
 impl Dispatcher {
     /// Tells the other entries of the jobs that may be submitted again soon, or may have
-    /// been: those that the entry has read late.
+    /// been.
     pub(super) fn announce_holdings(&mut self, now: Duration) {
         let age = self.timing.announce_age();
-        let is_late = self.pause.is_catching_up();
         let mut due = Vec::new();
         for (id, job) in &mut self.jobs {
-            let is_old = is_late || now.saturating_sub(job.accepted) >= age;
+            let is_old = now.saturating_sub(job.submitted.arrived) >= age;
             if is_old && job.announced_at.is_none() {
                 job.announced_at = Some(now);
                 due.push(job.submitted.holding(now, *id));
@@ -130,7 +129,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return false;
         };
-        let is_old = now.saturating_sub(job.accepted) >= self.timing.announce_age();
+        let is_old = now.saturating_sub(job.submitted.arrived) >= self.timing.announce_age();
         let objects_until = job.announced_at.map(|at| at + OBJECTION_TIME);
         let is_open = objects_until.map_or(is_old, |until| now < until);
         is_open && self.peers.any_connected() && !is_seeded(Mutant::TwoHolders)
--- a/crates/kernel/src/dispatch/pause.rs
+++ b/crates/kernel/src/dispatch/pause.rs
@@ -9,6 +9,9 @@
 use crate::mutation::{Mutant, is_seeded};
 use std::time::Duration;
 
+/// Time in which a process that has resumed reads the requests that arrived in the pause.
+const READ_TIME: Duration = Duration::from_millis(500);
+
 /// When the process has run.
 #[derive(Debug)]
 pub(super) struct Pause {
@@ -17,6 +20,9 @@
     last_run: Duration,
     /// When it resumed from a pause in which departures may have arrived that are unread.
     resumed_at: Option<Duration>,
+    /// Begin and end of the last pauses; those between which nothing may have been read
+    /// count as one.
+    unread: (Duration, Duration),
 }
 
 impl Pause {
@@ -25,18 +31,32 @@
             limit,
             last_run: now,
             resumed_at: None,
+            unread: (Duration::ZERO, Duration::ZERO),
+        }
+    }
+
+    /// Returns the earliest time at which a request may have arrived that was read at
+    /// `read_at`.
+    pub(super) fn earliest_arrival(&self, read_at: Duration) -> Duration {
+        let (paused_at, resumed_at) = self.unread;
+        if resumed_at <= read_at && read_at <= resumed_at + READ_TIME {
+            paused_at
+        } else {
+            read_at
         }
     }
 
     /// Records that the process runs. Returns the length of the pause that has just
     /// ended, if any.
     pub(super) fn record_run(&mut self, now: Duration) -> Option<Duration> {
-        let paused = now.saturating_sub(self.last_run);
+        let last_run = self.last_run;
+        let paused = now.saturating_sub(last_run);
         self.last_run = self.last_run.max(now);
         if paused < self.limit {
             return None;
         }
         self.resumed_at = Some(now);
+        self.unread = (self.earliest_arrival(last_run), now);
         Some(paused)
     }
 
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -51,6 +51,7 @@
         path: &str,
         submission: Submission,
     ) {
+        self.resume(now);
         let arrival = Arrival {
             customer,
             at,
@@ -75,7 +76,7 @@
         if let Some(job) = self.jobs.get_mut(&submission.job) {
             job.customers.push(customer);
             job.submitted = Submitted {
-                arrived: arrival.at,
+                arrived: self.pause.earliest_arrival(arrival.at),
                 patience: submission.patience,
             };
             return;
@@ -99,6 +100,7 @@
         let level = self.fairness.level(now, queue, &rules.queues);
         let mut job = Job::new(arrival.at, waited, customer, queue, level, submission);
         job.rank = job.rank_at(now);
+        job.submitted.arrived = self.pause.earliest_arrival(arrival.at);
         let Some(holders) = self.earlier_holders(now, &job) else {
             self.answer(customer, Answer::Unknown);
             return;
--- a/crates/kernel/tests/two_holders.rs
+++ b/crates/kernel/tests/two_holders.rs
@@ -147,6 +147,38 @@
     assert!(matches!(site.answers[&customer].1, Answer::Unknown));
 }
 
+// Guards against a paused entry that reads a request after its customer has left, and takes
+// it for the later submission.
+#[test]
+fn unread_in_pause() {
+    for resumed_after in [-200, 10, 50, 700] {
+        let mut site = linked_site();
+        site.frozen_entries[0] = true;
+        let again = i64::try_from(RESUBMIT_AFTER.as_millis()).unwrap() + 20;
+        let resumes = u64::try_from(again + resumed_after).unwrap();
+        let customer = if resumed_after < 0 {
+            site.run(ms(resumes));
+            site.frozen_entries[0] = false;
+            submit(&mut site, 0, 1, 6, ms(20_000));
+            site.run(ms(again.unsigned_abs() - resumes));
+            submit(&mut site, 1, 1, 6, ms(20_000))
+        } else {
+            site.run(ms(again.unsigned_abs()));
+            let customer = submit(&mut site, 1, 1, 6, ms(20_000));
+            site.run(ms(resumed_after.unsigned_abs()));
+            site.frozen_entries[0] = false;
+            submit(&mut site, 0, 1, 6, ms(20_000));
+            customer
+        };
+        site.run(RUN + ms(1_500));
+        assert_eq!(
+            site.state(customer),
+            Some(Phase::Completed),
+            "{resumed_after}"
+        );
+    }
+}
+
 // Guards against an earlier submission, read late, that takes the job from the later one.
 #[test]
 fn earlier_read_late() {
