--- a/crates/kernel/tests/overlapping_runs.rs
+++ b/crates/kernel/tests/overlapping_runs.rs
@@ -305,22 +305,14 @@
     }
 }
 
-/// Has a customer leave whose departure its entry reads too late, while the entry is in
-/// contact with its sides and gets a job every `interval`; returns the number of runs
-/// that are left when the job may be submitted again.
-fn runs_after_unread_departure(interval: Duration, unanswered_stops: f64) -> usize {
-    let mut site = long_runs(2, 3);
-    site.submit(0, job(1, 6, 1_000, RUN));
-    site.run(ms(100));
-    site.unread_since.insert(0, site.now);
-    for stub in &mut site.upstreams {
-        stub.call_faults.hung.stops = unanswered_stops;
-    }
+/// Submits a short job every `interval` until the first job may be submitted again; returns
+/// the number of runs of that one that are left.
+fn runs_after_short_jobs(site: &mut Site, entry: usize, interval: Duration) -> usize {
     let end = site.now + RESUBMIT_AFTER;
     for id in 2.. {
         let mut short = job(id, 1, 1_000, ms(10));
         short.input = timed_input(10, 0);
-        site.submit(0, short);
+        site.submit(entry, short);
         site.run(interval.min(end.saturating_sub(site.now)));
         if site.now >= end {
             break;
@@ -330,6 +322,20 @@
     site.upstreams.iter().map(first_job).sum()
 }
 
+/// Has a customer leave whose departure its entry reads too late, while the entry is in
+/// contact with its sides and gets a job every `interval`; returns the number of runs
+/// that are left when the job may be submitted again.
+fn runs_after_unread_departure(interval: Duration, unanswered_stops: f64) -> usize {
+    let mut site = long_runs(2, 3);
+    site.submit(0, job(1, 6, 1_000, RUN));
+    site.run(ms(100));
+    site.unread_since.insert(0, site.now);
+    for stub in &mut site.upstreams {
+        stub.call_faults.hung.stops = unanswered_stops;
+    }
+    runs_after_short_jobs(&mut site, 0, interval)
+}
+
 // An entry that read departures late let the runs of such jobs go on all the while.
 #[test]
 fn unread_departure() {
@@ -355,18 +361,7 @@
     site.run(ms(100));
     assert_eq!((running(&site), site.forwarded()), (6, 1));
     site.unread_since.insert(2, site.now);
-    let end = site.now + RESUBMIT_AFTER;
-    for id in 2.. {
-        let mut short = job(id, 1, 1_000, ms(10));
-        short.input = timed_input(10, 0);
-        site.submit(2, short);
-        site.run(interval.min(end.saturating_sub(site.now)));
-        if site.now >= end {
-            break;
-        }
-    }
-    let first_job = |stub: &Stub| stub.running().filter(|run| run.task.job == 1).count();
-    site.upstreams.iter().map(first_job).sum()
+    runs_after_short_jobs(&mut site, 2, interval)
 }
 
 // A weak entry that read departures late let the runs of such jobs go on by its pulses.
