--- a/crates/hyssoppost/src/entry/customers.rs
+++ b/crates/hyssoppost/src/entry/customers.rs
@@ -1,7 +1,7 @@
 //! The customers' HTTP interface of an entry.
 
 use super::{Call, Event, Phase, Status};
-use crate::{Error, http, settings};
+use crate::{Error, departure, http, settings};
 use kernel::work::failed_answer;
 use poem::{
     Body, EndpointExt, IntoResponse, Request, Response, Route, get, handler,
@@ -18,13 +18,7 @@
     },
     time::Duration,
 };
-use tokio::{
-    runtime::Handle,
-    sync::{
-        mpsc::{self, error::TrySendError},
-        oneshot, watch,
-    },
-};
+use tokio::sync::{mpsc, oneshot, watch};
 use wire::{
     Code, Payload,
     frame::{Answer, Failure, Request as Operation, Started, Submission},
@@ -212,15 +206,8 @@
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
         let Some(number) = self.number else { return };
-        let departure = Event::Disconnected(number);
-        // Fails otherwise only if the process has ended.
-        if let Err(TrySendError::Full(departure)) = self.events.try_send(departure) {
-            log::warn!("event=departure_delayed customer={number}");
-            let events = self.events.clone();
-            if let Ok(runtime) = Handle::try_current() {
-                runtime.spawn(async move { events.send(departure).await });
-            }
-        }
+        let subject = format_args!("customer={number}");
+        departure::report(self.events, Event::Disconnected(number), subject);
     }
 }
 
--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -4,7 +4,7 @@
     admission::Admission,
     event::{Event, Status},
 };
-use crate::{Error, clock::Clock, http, settings};
+use crate::{Error, clock::Clock, departure, http, settings};
 use kernel::{
     dispatch::{Answer, Reason},
     pressure::Unread,
@@ -18,13 +18,7 @@
     },
     time::Duration,
 };
-use tokio::{
-    runtime::Handle,
-    sync::{
-        mpsc::{self, error::TrySendError},
-        oneshot, watch,
-    },
-};
+use tokio::sync::{mpsc, oneshot, watch};
 use wire::Payload;
 
 /// Queues of the process: customers' calls wait behind all other events.
@@ -60,14 +54,7 @@
             return;
         };
         let departure = Event::Disconnected { job, customer };
-        // Fails otherwise only if the process has ended.
-        if let Err(TrySendError::Full(departure)) = self.events.try_send(departure) {
-            log::warn!("event=departure_delayed job={job:016x}");
-            let events = self.events.clone();
-            if let Ok(runtime) = Handle::try_current() {
-                runtime.spawn(async move { events.send(departure).await });
-            }
-        }
+        departure::report(self.events, departure, format_args!("job={job:016x}"));
     }
 }
 
--- a/crates/hyssoppost/src/lib.rs
+++ b/crates/hyssoppost/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod clock;
+mod departure;
 pub mod entry;
 pub mod error;
 pub mod http;
