--- a/crates/kernel/tests/delayed_evidence.rs
+++ b/crates/kernel/tests/delayed_evidence.rs
@@ -130,7 +130,7 @@
         .take_actions()
         .into_iter()
         .find_map(|a| match a {
-            Action::Stop { token, .. } => Some(token),
+            Action::Stop(stop) => Some(stop.token),
             _ => None,
         })
         .unwrap();
@@ -157,7 +157,7 @@
         g.tick(ms(now));
         for a in g.take_actions() {
             match a {
-                Action::Stop { .. } => stops += 1,
+                Action::Stop(_) => stops += 1,
                 Action::Hold(h) if h.deadline.is_some() => renewed += 1,
                 _ => {}
             }
@@ -195,7 +195,7 @@
         for a in g.take_actions() {
             match a {
                 Action::Hold(h) if h.deadline.is_some() => last_renewal = now,
-                Action::Stop { .. } if first_stop == 0 => first_stop = now,
+                Action::Stop(_) if first_stop == 0 => first_stop = now,
                 _ => {}
             }
         }
