--- a/crates/kernel/tests/outlived_orders.rs
+++ b/crates/kernel/tests/outlived_orders.rs
@@ -75,8 +75,8 @@
         site.run(Duration::from_millis(50));
         let (left_at, entry) = (site.now, site.entry_id(0));
         site.upstreams[0].order_delay = Some(ORDER_DELAY);
-        let side = site.sides[0].as_mut().expect("the side runs");
-        side.frame(left_at, entry, Frame::Forbid(vec![2]));
+        let guard = site.sides[0].as_mut().expect("the side runs");
+        guard.frame(left_at, entry, Frame::Forbid(vec![2]));
         site.run(Duration::from_millis(150));
         site.upstreams[0].order_delay = None;
         let restart = (left_at + ORDER_DELAY).saturating_sub(before);
