--- a/crates/kernel/tests/delayed_evidence.rs
+++ b/crates/kernel/tests/delayed_evidence.rs
@@ -207,8 +207,7 @@
         };
         g.frame(ms(now), ENTRY, start(other, now - 1));
         g.tick(ms(now));
-        let is_stop =
-            |a: &Action| matches!(a, Action::Stop { run: stopped, .. } if *stopped == run);
+        let is_stop = |a: &Action| matches!(a, Action::Stop(stop) if stop.run == run);
         if g.take_actions().iter().any(is_stop) {
             stopped_at.get_or_insert(now);
         }
--- a/crates/kernel/tests/first_contact.rs
+++ b/crates/kernel/tests/first_contact.rs
@@ -38,7 +38,7 @@
         site.run(ms(restarted_at));
         site.kill_side(1);
         site.start_side(1);
-        site.run(RESUBMIT_AFTER - ms(restarted_at));
+        site.run(RESUBMIT_AFTER.saturating_sub(ms(restarted_at)));
         site.submit(1, job(1, TASKS, 1_000, RUN));
         site.run(RUN);
     }
