Tests: one builder of fleets, relays that isolate a peer

Cause: a test of restarted sides needs the set-up of departed_customer, sides that can be restarted, and entries that don't hear each other while sides hear both.

--- a/crates/hyssoppost/tests/departed_customer.rs
+++ b/crates/hyssoppost/tests/departed_customer.rs
@@ -1,24 +1,18 @@
 //! A customer that leaves an entry before its job has an answer and submits the job again
 //! at another one: the runs of the earlier submission must be over by then.
 
+#[path = "soak/fleet.rs"]
+mod fleet;
 #[path = "../../../platform/tests/standin/mod.rs"]
 mod platform_standin;
 #[path = "soak/process.rs"]
 mod process;
 
-use platform_standin::{
-    store::Store,
-    upstream::{Audit, Upstream},
-};
-use process::{Process, wait_until, write_ini};
+use fleet::{Fleet, Layout};
+use process::wait_until;
 use rustix::process::Signal;
 use serde_json::json;
-use std::{
-    net::SocketAddr,
-    path::PathBuf,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 use tokio::{io::AsyncWriteExt, net::TcpStream, time::timeout};
 
 /// Shortest time after which a customer submits a job again.
@@ -35,8 +29,6 @@
 const REFUSAL_TIME: Duration = Duration::from_millis(30);
 const MAX_REFUSALS: usize = 100;
 const JOB: &str = "00000000000000a1";
-const LEASE: &str = "[lease]\nlongest_ms = 1000\nresend_ms = 1300\nstop_ms = 50\n\
-     [security]\nkey = pair-pair-pair-pair\nadmin_token = test\n";
 
 /// How a customer leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,87 +54,18 @@
 }
 
 /// Two entries, a weak one and two sides as processes.
-struct Site {
-    entries: Vec<Process>,
-    _sides: Vec<Process>,
-    upstreams: Vec<Upstream>,
-    _store: Store,
-    audit: Audit,
-    log: Arc<Mutex<Vec<String>>>,
-    folder: PathBuf,
-}
+struct Site(Fleet);
 
 impl Site {
     async fn start(name: &str, run_time: Duration) -> Self {
-        let folder = std::env::temp_dir().join(format!("hyssop-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let store = Store::bind().await;
-        store.set(
-            "op/config",
-            &json!({
-                "version": 1, "services": [], "limits": {},
-                "routes": [{ "name": "r", "host": "a.example", "prefix": "/jobs/",
-                    "service": "desk", "priority": 0, "max_attempts": 3, "slack_factor": 1.6,
-                    "target_latency_ms": 60 }],
-            }),
-        );
-        let log: Arc<Mutex<Vec<String>>> = Arc::default();
-        let mut entries = Vec::new();
-        for (index, processor) in [1.0, 1.0, 0.1].into_iter().enumerate() {
-            let settings = format!(
-                "[entry]\nname = e{index}\nenvironment = t\ndomain = d\ndrain_s = 6\n\
-                 [listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n\
-                 links = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
-                 [limits]\nprocessor = {processor}\n[store]\naddress = {}\n{LEASE}",
-                store.server.address
-            );
-            let file = write_ini(&folder, &format!("e{index}"), &settings);
-            entries.push(Process::start("entry", &file, &log));
-        }
-        let seeds: Vec<String> = entries
-            .iter()
-            .map(|entry| entry.address("links").to_string())
-            .collect();
-        let audit = Audit::default();
-        let (mut sides, mut upstreams) = (Vec::new(), Vec::new());
-        for index in 0..2 {
-            let mut upstream = Upstream::bind(index, 2 * TASKS, run_time, None, &audit).await;
-            let settings = format!(
-                "[side]\nname = s{index}\nenvironment = t\ndomain = d\nrack = r\n\
-                 [listen]\nupstream = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
-                 [upstream]\naddress = {}\n[store]\naddress = {}\n\
-                 [entries]\nseeds = {}\n{LEASE}",
-                upstream.address,
-                store.server.address,
-                seeds.join(",")
-            );
-            let file = write_ini(&folder, &format!("s{index}"), &settings);
-            let side = Process::start("side", &file, &log);
-            upstream.report_to(side.address("reports"));
-            sides.push(side);
-            upstreams.push(upstream);
-        }
-        let site = Self {
-            entries,
-            _sides: sides,
-            upstreams,
-            _store: store,
-            audit,
-            log,
-            folder,
+        let layout = Layout {
+            name,
+            processors: &[1.0, 1.0, 0.1],
+            sides: 2,
+            slots: 2 * TASKS,
+            run_time,
         };
-        wait_until("the sides to accept tasks", || {
-            site.lines("event=accepting value=true") >= 2
-        })
-        .await;
-        // Until both sides have reported that to all entries.
-        tokio::time::sleep(Duration::from_millis(500)).await;
-        site
-    }
-
-    fn lines(&self, pattern: &str) -> usize {
-        let log = self.log.lock().unwrap();
-        log.iter().filter(|line| line.contains(pattern)).count()
+        Self(Fleet::start(&layout).await)
     }
 
     fn has_taken_over(&self, entry: usize) -> bool {
@@ -150,29 +73,22 @@
             format!("e{entry} "),
             format!("event=job_taken_over job={JOB}"),
         );
-        let log = self.log.lock().unwrap();
+        let log = self.0.log.lock().unwrap();
         let mut lines = log.iter().filter(|line| line.starts_with(&name));
         lines.any(|line| line.contains(&event))
     }
 
     fn starts(&self) -> usize {
-        self.audit.lock().starts.len()
+        self.0.audit.lock().starts.len()
     }
 
     fn resize(&self, slots: usize) {
-        for upstream in &self.upstreams {
-            upstream.resize(slots, OBSERVED);
+        for side in &self.0.sides {
+            side.upstream.resize(slots, OBSERVED);
         }
     }
 }
 
-impl Drop for Site {
-    fn drop(&mut self) {
-        // A folder that remains affects no other run.
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 async fn submit(entry: SocketAddr, departure: Departure) -> TcpStream {
     let body = json!({
         "spec": "x", "best_effort": true,
@@ -205,10 +121,10 @@
             site.resize(0);
             tokio::time::sleep(Duration::from_secs(1)).await;
         }
-        Place::Unread(_) => site.entries[first].signal(Signal::STOP),
+        Place::Unread(_) => site.0.entries[first].signal(Signal::STOP),
         Place::Running | Place::Forwarded => {}
     }
-    let customer = submit(site.entries[first].address("customers"), departure).await;
+    let customer = submit(site.0.entries[first].address("customers"), departure).await;
     if matches!(place, Place::Running | Place::Forwarded) {
         wait_until("the runs to start", || site.starts() == TASKS).await;
     }
@@ -222,7 +138,7 @@
     if place == Place::Waiting {
         site.resize(2 * TASKS);
     }
-    let second = site.entries[second].address("customers");
+    let second = site.0.entries[second].address("customers");
     let mut again = submit(second, departure).await;
     for _ in 0..MAX_REFUSALS {
         if timeout(REFUSAL_TIME, again.readable()).await.is_err() {
@@ -232,7 +148,7 @@
     }
     if let Place::Unread(resumed) = place {
         tokio::time::sleep(resumed.saturating_sub(REFUSAL_TIME)).await;
-        site.entries[first].signal(Signal::CONT);
+        site.0.entries[first].signal(Signal::CONT);
     }
     let expected = match place {
         Place::Running | Place::Forwarded => 2 * TASKS,
@@ -241,13 +157,13 @@
     wait_until("the job to start again", || site.starts() >= expected).await;
     tokio::time::sleep(OBSERVED).await;
     drop(open);
-    for line in site.log.lock().unwrap().iter() {
+    for line in site.0.log.lock().unwrap().iter() {
         if line.contains(JOB) {
             println!("{line}");
         }
     }
     let starts = site.starts();
-    (site.audit.lock().violations.clone(), starts)
+    (site.0.audit.lock().violations.clone(), starts)
 }
 
 macro_rules! departures {
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -8,7 +8,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -28,8 +28,13 @@
 /// Interval at which a new connection checks whether the partition has ended.
 const PARTITION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Whether a connection drops the bytes to the server, and those to the client.
-type Silent = [AtomicBool; 2];
+#[derive(Debug, Default)]
+struct Connection {
+    /// Whether it drops the bytes to the server, and those to the client.
+    silent: [AtomicBool; 2],
+    /// The first bytes of the client.
+    greeting: OnceLock<Bytes>,
+}
 
 #[derive(Debug)]
 struct Shared {
@@ -37,8 +42,10 @@
     delay: Duration,
     timer: Timer,
     /// The open connections, those that drop all bytes included.
-    connections: Mutex<Vec<Weak<Silent>>>,
+    connections: Mutex<Vec<Weak<Connection>>>,
     partitioned: AtomicBool,
+    /// Connections whose first bytes contain this name drop all bytes.
+    isolated: Mutex<Option<String>>,
 }
 
 /// A running relay; it stops when the handle is dropped.
@@ -62,6 +69,7 @@
             timer: timer.clone(),
             connections: Mutex::default(),
             partitioned: AtomicBool::new(false),
+            isolated: Mutex::default(),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
         Ok(Self {
@@ -94,13 +102,24 @@
         }
     }
 
+    /// Does so on the open and all new connections of clients that send this name in
+    /// their first bytes. With `None`, new connections work again.
+    pub fn isolate(&self, name: Option<&str>) {
+        *self.shared.lock_isolated() = name.map(str::to_owned);
+        for connection in self.shared.lock_connections().iter() {
+            if let Some(open) = connection.upgrade() {
+                self.shared.silence_isolated(&open);
+            }
+        }
+    }
+
     /// Does so on one of the open connections that have dropped nothing, if there is
     /// any, to the server, to the client or both; `choice` selects it.
     pub fn silence(&self, choice: usize, directions: [bool; 2]) {
         let connections = self.shared.lock_connections();
-        let is_sound = |connection: &&Weak<Silent>| {
-            let flags = connection.upgrade();
-            flags.is_some_and(|flags| flags.iter().all(|flag| !flag.load(Ordering::SeqCst)))
+        let is_sound = |connection: &&Weak<Connection>| {
+            let open = connection.upgrade();
+            open.is_some_and(|open| !(0..2).any(|direction| open.is_silent(direction)))
         };
         let sound: Vec<_> = connections.iter().filter(is_sound).collect();
         if let Some(connection) = sound.get(choice % sound.len().max(1)) {
@@ -120,20 +139,46 @@
 }
 
 impl Shared {
-    fn lock_connections(&self) -> MutexGuard<'_, Vec<Weak<Silent>>> {
+    fn lock_connections(&self) -> MutexGuard<'_, Vec<Weak<Connection>>> {
         let connections = self.connections.lock();
         connections.unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn lock_isolated(&self) -> MutexGuard<'_, Option<String>> {
+        let isolated = self.isolated.lock();
+        isolated.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn silence_isolated(&self, connection: &Connection) {
+        let isolated = self.lock_isolated();
+        let names = isolated.iter().zip(connection.greeting.get());
+        for (name, greeting) in names {
+            if greeting
+                .windows(name.len())
+                .any(|part| part == name.as_bytes())
+            {
+                connection.silence([true; 2]);
+            }
+        }
+    }
+}
+
+impl Connection {
+    fn silence(&self, directions: [bool; 2]) {
+        for (flag, drops) in self.silent.iter().zip(directions) {
+            flag.fetch_or(drops, Ordering::SeqCst);
+        }
+    }
+
+    fn is_silent(&self, direction: usize) -> bool {
+        self.silent[direction].load(Ordering::SeqCst)
+    }
 }
 
-fn silence(connection: &Weak<Silent>, directions: [bool; 2]) {
+fn silence(connection: &Weak<Connection>, directions: [bool; 2]) {
     // None if the connection has ended.
-    for (flag, drops) in connection
-        .upgrade()
-        .iter()
-        .flat_map(|silent| silent.iter().zip(directions))
-    {
-        flag.fetch_or(drops, Ordering::SeqCst);
+    if let Some(open) = connection.upgrade() {
+        open.silence(directions);
     }
 }
 
@@ -145,17 +190,17 @@
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((client, _)) = listener.accept().await {
-        let silent = Arc::new(Silent::default());
+        let connection = Arc::new(Connection::default());
         {
             let mut connections = shared.lock_connections();
             connections.retain(|other| other.strong_count() > 0);
-            connections.push(Arc::downgrade(&silent));
+            connections.push(Arc::downgrade(&connection));
         }
-        tokio::spawn(connect(client, shared.clone(), silent));
+        tokio::spawn(connect(client, shared.clone(), connection));
     }
 }
 
-async fn connect(client: TcpStream, shared: Arc<Shared>, silent: Arc<Silent>) {
+async fn connect(client: TcpStream, shared: Arc<Shared>, connection: Arc<Connection>) {
     while shared.partitioned.load(Ordering::SeqCst) {
         tokio::time::sleep(PARTITION_POLL_INTERVAL).await;
     }
@@ -169,8 +214,8 @@
     }
     let (client_reader, client_writer) = client.into_split();
     let (server_reader, server_writer) = server.into_split();
-    let to_server = forward(client_reader, server_writer, &shared, (&silent, 0));
-    let to_client = forward(server_reader, client_writer, &shared, (&silent, 1));
+    let to_server = forward(client_reader, server_writer, &shared, (&connection, 0));
+    let to_client = forward(server_reader, client_writer, &shared, (&connection, 1));
     tokio::join!(to_server, to_client);
 }
 
@@ -179,11 +224,17 @@
     mut reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
     shared: &Arc<Shared>,
-    (silent, direction): (&Arc<Silent>, usize),
+    (connection, direction): (&Arc<Connection>, usize),
 ) {
     let (sender, receiver) = mpsc::unbounded_channel();
-    let (timer, silent) = (shared.timer.clone(), silent.clone());
-    let delivery = tokio::spawn(deliver(receiver, writer, timer, silent, direction));
+    let timer = shared.timer.clone();
+    let delivery = tokio::spawn(deliver(
+        receiver,
+        writer,
+        timer,
+        connection.clone(),
+        direction,
+    ));
     let mut chunk = vec![0; CHUNK_BYTES];
     while let Ok(count) = reader.read(&mut chunk).await {
         if count == 0 {
@@ -191,6 +242,9 @@
         }
         let due = Instant::now() + shared.delay;
         let bytes = Bytes::copy_from_slice(&chunk[..count]);
+        if direction == 0 && connection.greeting.set(bytes.clone()).is_ok() {
+            shared.silence_isolated(connection);
+        }
         if sender.send((due, bytes)).is_err() {
             break;
         }
@@ -204,19 +258,19 @@
     mut chunks: mpsc::UnboundedReceiver<(Instant, Bytes)>,
     mut writer: OwnedWriteHalf,
     timer: Timer,
-    silent: Arc<Silent>,
+    connection: Arc<Connection>,
     direction: usize,
 ) {
     while let Some((due, bytes)) = chunks.recv().await {
         timer.until(due).await;
-        if silent[direction].load(Ordering::SeqCst) {
+        if connection.is_silent(direction) {
             continue;
         }
         if writer.write_all(&bytes).await.is_err() {
             return;
         }
     }
-    if silent[direction].load(Ordering::SeqCst) {
+    if connection.is_silent(direction) {
         // A connection that drops all bytes does not forward its end either.
         std::future::pending::<()>().await;
     }
