--- a/crates/hyssoppost/tests/restarted_sides.rs
+++ b/crates/hyssoppost/tests/restarted_sides.rs
@@ -9,21 +9,21 @@
 mod platform_standin;
 #[path = "soak/process.rs"]
 mod process;
+#[path = "soak/resubmission.rs"]
+mod resubmission;
 
 use fleet::{Fleet, Layout};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use resubmission::{PATIENCE, RESUBMIT_AFTER, RETRY_AFTER, SHORT_TASK_MS, Site, status};
 use rustix::process::Signal;
-use serde_json::json;
 use std::{
     collections::BTreeMap,
     ops::Range,
     sync::{Arc, Mutex},
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
     task::JoinSet,
     time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
@@ -35,20 +35,8 @@
 const ROUND_TIME: Duration = Duration::from_millis(3_500);
 /// Time from the start of a round until customers leave.
 const LEAD: Duration = Duration::from_millis(700);
-/// Shortest time after which a customer submits a job again.
-const RESUBMIT_AFTER: Duration = Duration::from_millis(1_300);
-/// Time until a refused job is submitted again.
-const RETRY_AFTER: Duration = Duration::from_millis(100);
-const LOAD_INTERVAL: Duration = Duration::from_millis(60);
-/// The same of customers that leave for good, with some seeds.
-const FLOOD_INTERVAL: Duration = Duration::from_millis(4);
-/// Time that customers wait for an answer.
-const PATIENCE: Duration = Duration::from_secs(7);
-/// Time in which a job that is submitted again and again must be answered.
-const ANSWERED_WITHIN: Duration = Duration::from_secs(30);
 /// Time from the last restart until every job must be served.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
-const SHORT_TASK_MS: u64 = 150;
 /// Moments from the departure around which sides are restarted.
 const RESTARTS_MS: [u64; 6] = [0, 300, 637, 900, 1_176, 1_300];
 /// Pauses are a little shorter than these limits: S/2, S, S + L' and the resubmission time.
@@ -115,62 +103,7 @@
     }
 }
 
-/// A fleet and what is known of its customers.
-struct Site {
-    seed: u64,
-    fleet: Fleet,
-    /// Connections whose customers have left.
-    kept: Mutex<Vec<TcpStream>>,
-    violations: Mutex<Vec<String>>,
-}
-
 impl Site {
-    fn note(&self, text: &str) {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-        let (s, ms) = (since.as_secs() % 86_400, since.subsec_millis());
-        let time = format!("{:02}:{:02}:{:02}.{ms:03}", s / 3_600, s / 60 % 60, s % 60);
-        let mut log = self.fleet.log.lock().unwrap();
-        log.push(format!("test time=T{time}Z {text}"));
-    }
-
-    async fn post(&self, entry: usize, job: u64, tasks: usize, ms: u64) -> Option<TcpStream> {
-        let body = json!({
-            "spec": ms.to_string(), "best_effort": true,
-            "phases": [{ "count": tasks, "cpu": 1_000, "ram_mb": 64, "estimate_ms": ms }],
-        })
-        .to_string();
-        let request = format!(
-            "POST /jobs/{job:016x} HTTP/1.1\r\nhost: a.example\r\nx-deadline-ms: {}\r\n\
-             content-length: {}\r\n\r\n{body}",
-            PATIENCE.as_millis(),
-            body.len()
-        );
-        let address = self.fleet.entries[entry].address("customers");
-        let mut stream = TcpStream::connect(address).await.ok()?;
-        stream.write_all(request.as_bytes()).await.ok()?;
-        Some(stream)
-    }
-
-    /// Submits a job until it is answered, at the next entry if an answer is lost.
-    async fn finish(&self, mut entry: usize, job: u64, tasks: usize, ms: u64) {
-        let end = Instant::now() + ANSWERED_WITHIN;
-        let mut last = None;
-        while Instant::now() < end {
-            last = match self.post(entry % ENTRIES, job, tasks, ms).await {
-                Some(mut stream) => timeout(PATIENCE, status(&mut stream)).await.ok().flatten(),
-                None => None,
-            };
-            match last {
-                Some(200) => return,
-                Some(429 | 503) => sleep(RETRY_AFTER).await,
-                _ => sleep(RESUBMIT_AFTER).await,
-            }
-            entry += 1;
-        }
-        let text = format!("job {job:016x} was not answered: {last:?}");
-        self.violations.lock().unwrap().push(text);
-    }
-
     /// Submits a job at the first entry, leaves and submits it at the second.
     async fn leave(
         &self,
@@ -210,34 +143,6 @@
         }
     }
 
-    /// Submits short jobs at all entries until `end`; returns when all are answered.
-    async fn generate_load(self: Arc<Self>, end: Instant) {
-        let mut customers = JoinSet::new();
-        while Instant::now() < end {
-            let (entry, site) = (rand::random_range(0..ENTRIES), self.clone());
-            customers.spawn(async move {
-                site.finish(entry, rand::random(), 1, SHORT_TASK_MS).await;
-            });
-            sleep(LOAD_INTERVAL).await;
-        }
-        customers.join_all().await;
-    }
-
-    /// Has many customers of the first entry leave at any time.
-    async fn flood(self: Arc<Self>, entry: usize, end: Instant) {
-        let mut customers = JoinSet::new();
-        while Instant::now() < end {
-            let site = self.clone();
-            customers.spawn(async move {
-                let stream = site.post(entry, rand::random(), 1, SHORT_TASK_MS).await;
-                sleep(Duration::from_millis(rand::random_range(1..800))).await;
-                drop(stream);
-            });
-            sleep(FLOOD_INTERVAL).await;
-        }
-        customers.join_all().await;
-    }
-
     async fn restart_sides(&self, round: &Round, left_at: Instant) {
         for (at, index) in &round.restarts {
             sleep_until(left_at + *at).await;
@@ -308,40 +213,6 @@
         }
         self.conclude()
     }
-
-    /// Returns the violated guarantees; keeps the log if there are any.
-    fn conclude(&self) -> Vec<String> {
-        let findings = self.fleet.audit.lock();
-        let mut violations = self.violations.lock().unwrap().clone();
-        violations.extend(findings.violations.iter().cloned());
-        println!("seed {}: {} starts", self.seed, findings.starts.len());
-        if !violations.is_empty() {
-            let mut lines = self.fleet.log.lock().unwrap().clone();
-            for (what, moments) in [("start", &findings.starts), ("end", &findings.ends)] {
-                lines.extend(moments.iter().map(|(at, index, task)| {
-                    let ago_ms = at.elapsed().as_millis();
-                    format!("test {what}={task} upstream={index} ago_ms={ago_ms}")
-                }));
-            }
-            let kind = if self.kept.lock().unwrap().is_empty() {
-                "unread"
-            } else {
-                "hidden"
-            };
-            let path = std::env::temp_dir().join(format!("{kind}-{}.log", self.seed));
-            std::fs::write(&path, lines.join("\n")).unwrap();
-            println!("logs: {}", path.display());
-        }
-        violations
-    }
-}
-
-/// Reads the status of an answer.
-async fn status(stream: &mut TcpStream) -> Option<u16> {
-    // "HTTP/1.1 200".
-    let mut head = [0; 12];
-    stream.read_exact(&mut head).await.ok()?;
-    String::from_utf8_lossy(&head[9..]).parse().ok()
 }
 
 fn seeds() -> Range<u64> {
