--- a/crates/hyssopctl/src/model/product.rs
+++ b/crates/hyssopctl/src/model/product.rs
@@ -291,7 +291,7 @@
                 match action {
                     guard::Action::Send((to, frame)) => self.send(side_id(index), to, frame),
                     guard::Action::Start(order) => self.start(index, order.run),
-                    guard::Action::Stop(order) => self.stop(index, order.run, order.token),
+                    guard::Action::Stop { run, token } => self.stop(index, run, token),
                     guard::Action::Hold(hold) => {
                         let until = self.now + hold.wait;
                         self.upstreams[index].pending_hold = Some((until, hold));
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -319,7 +319,6 @@
             Event::Inventory(Ok(inventory)) => self.kernel.record_inventory(now, &inventory),
             Event::Inventory(Err(Failure::Gone)) => self.kernel.upstream_gone(now),
             Event::Inventory(Err(Failure::Fenced)) => self.kernel.hold_fenced(now),
-            Event::Inventory(Err(Failure::Replaced)) => self.kernel.upstream_replaced(now),
             Event::Inventory(Err(Failure::Unanswered)) => self.kernel.hold_failed(now),
             Event::Inventory(Err(Failure::Unreadable)) => {
                 if self.unreadable_lists.is_due() {
@@ -392,11 +391,10 @@
                         let _ = events.send(Event::Admission(order.run, answer)).await;
                     });
                 }
-                Action::Stop(order) => {
+                Action::Stop { run, token } => {
                     let (client, events) = (self.client.clone(), self.events.clone());
                     tokio::spawn(async move {
-                        if let Some(at) = client.stop(&order).await {
-                            let (run, token) = (order.run, order.token);
+                        if let Some(at) = client.stop(run, token).await {
                             // The send fails only if the process has ended.
                             let _ = events.send(Event::Stopped { run, token, at }).await;
                         }
--- a/crates/kernel/src/event/mod.rs
+++ b/crates/kernel/src/event/mod.rs
@@ -445,14 +445,6 @@
         /// Number of runs that it had.
         runs: u32,
     },
-    /// A call to the upstream was answered by another one at its address.
-    UpstreamReplaced {
-        /// Identifier that the call named.
-        id: String,
-        /// Start time of the process with this identifier, in milliseconds since the
-        /// Unix epoch.
-        started_at: u64,
-    },
     /// An announcement is discarded, since another process has answered meanwhile.
     AnnouncementIgnored {
         /// Start time that it states, in milliseconds since the Unix epoch.
@@ -556,7 +548,6 @@
             | Self::Rules { .. }
             | Self::RowsUnreadable { .. }
             | Self::UpstreamRestarted { .. }
-            | Self::UpstreamReplaced { .. }
             | Self::AnnouncementIgnored { .. }
             | Self::UpstreamCrashed { .. }
             | Self::LeasesLapsed { .. }
--- a/crates/kernel/src/event/text.rs
+++ b/crates/kernel/src/event/text.rs
@@ -309,9 +309,6 @@
                 to,
                 "event=upstream_life born={started_at} before={previous_start} runs={runs}"
             ),
-            Self::UpstreamReplaced { id, started_at } => {
-                write!(to, "event=upstream_replaced id={id} born={started_at}")
-            }
             Self::AnnouncementIgnored {
                 started_at,
                 present_start,
--- a/crates/kernel/src/guard/action.rs
+++ b/crates/kernel/src/guard/action.rs
@@ -12,7 +12,12 @@
     /// Order the upstream to start a run.
     Start(Order),
     /// Order the upstream to stop a run.
-    Stop(Stop),
+    Stop {
+        /// Run to stop; if it has not started, it must not start afterwards.
+        run: Run,
+        /// Fencing token; the upstream refuses tokens below the highest seen.
+        token: u64,
+    },
     /// Renew the leases at the upstream and wait for a run to end.
     Hold(Hold),
     /// Connect to these entries; the list replaces the previous one.
@@ -34,18 +39,6 @@
     pub upstream: String,
 }
 
-/// An order to stop a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Stop {
-    /// Run to stop; if it has not started, it must not start afterwards.
-    pub run: Run,
-    /// Fencing token; the upstream refuses tokens below the highest seen.
-    pub token: u64,
-    /// Identifier of the upstream; empty if it is unknown. Any other upstream must
-    /// refuse the order.
-    pub upstream: String,
-}
-
 /// A call that renews all leases and returns an [`Inventory`](super::Inventory).
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Hold {
@@ -58,9 +51,6 @@
     pub deadline: Option<u64>,
     /// Longest time that the upstream waits for a run to end before it answers.
     pub wait: Duration,
-    /// Identifier of the upstream; empty if it is unknown. The call then carries
-    /// neither `acknowledged` nor `deadline`. Any other upstream must refuse the call.
-    pub upstream: String,
 }
 
 /// An upstream's announcement of its state to the side.
--- a/crates/kernel/src/guard/announce.rs
+++ b/crates/kernel/src/guard/announce.rs
@@ -32,12 +32,7 @@
         let changed = known.is_none_or(|known| {
             known.upstream != announcement.upstream || known.leaving != announcement.leaving
         });
-        let was_paced = self.lists_known_ends();
         self.announced = Some(announcement);
-        self.replaced = false;
-        if was_paced {
-            self.hold(now);
-        }
         if changed {
             self.dirty = true;
             self.send_upstream(None);
@@ -45,16 +40,6 @@
         self.claim(now);
     }
 
-    /// Returns the identifier of the upstream's present process; `None` until that process
-    /// has announced it, or once another one has answered at its address.
-    pub(super) fn upstream_id(&self) -> Option<&str> {
-        let announced = self.announced.as_ref();
-        announced
-            .filter(|known| known.started_at == self.started_at && !self.replaced)
-            .map(|known| known.upstream.id.as_str())
-            .filter(|id| !id.is_empty())
-    }
-
     /// Adopts an announcement that waited for the process that has just answered, and
     /// discards one of any other process.
     pub(super) fn confirm_announcement(&mut self, now: Duration) {
--- a/crates/kernel/src/guard/clock.rs
+++ b/crates/kernel/src/guard/clock.rs
@@ -53,20 +53,18 @@
     /// Returns whether the capacity is one that the upstream's present process has
     /// reported, and not too long ago on its own clock: this side may have been paused.
     pub(super) fn is_capacity_current(&self, now: Duration) -> bool {
-        if is_seeded(Mutant::OldCapacity) {
-            return true;
-        }
-        if self.upstream_id().is_none() {
-            return false;
-        }
         let Some(limit) = self.timing.max_capacity_age else {
             return true;
         };
+        if is_seeded(Mutant::OldCapacity) {
+            return true;
+        }
         let (Some(announced), Some((clock, at))) = (&self.announced, self.clock) else {
             return false;
         };
         let clock_now = clock.saturating_add(millis(now.saturating_sub(at)));
-        clock_now.saturating_sub(announced.clock) <= millis(limit)
+        announced.started_at == self.started_at
+            && clock_now.saturating_sub(announced.clock) <= millis(limit)
     }
 }
 
--- a/crates/kernel/src/guard/hold.rs
+++ b/crates/kernel/src/guard/hold.rs
@@ -62,26 +62,13 @@
 impl Guard {
     /// Sends the next hold call, unless one is in progress.
     pub(super) fn hold(&mut self, now: Duration) {
-        let wait = if self.runs_known {
-            self.timing.hold_wait()
-        } else {
-            RECONCILE_WAIT
-        };
-        self.send_hold(now, wait);
-    }
-
-    /// Sends a hold call. Ends and leases are those of one process, so a call that can't
-    /// name it carries neither: a later process may execute it.
-    fn send_hold(&mut self, now: Duration, wait: Duration) {
         if self.hold_token.is_some() {
             return;
         }
         self.hold_token = Some(self.token);
         self.held_since_restart = true;
         self.hold_sent_at = now;
-        let upstream = self.upstream_id().unwrap_or_default().to_owned();
-        let is_named = !upstream.is_empty();
-        let deadline = if is_named && !self.runs.is_empty() && self.may_grant(now) {
+        let deadline = if !self.runs.is_empty() && self.may_grant(now) {
             self.lease_end(now)
         } else {
             None
@@ -91,10 +78,13 @@
         }
         self.actions.push(Action::Hold(Hold {
             token: self.token,
-            acknowledged: if is_named { self.last_end } else { 0 },
+            acknowledged: self.last_end,
             deadline,
-            wait,
-            upstream,
+            wait: if self.runs_known {
+                self.timing.hold_wait()
+            } else {
+                RECONCILE_WAIT
+            },
         }));
     }
 
@@ -140,27 +130,6 @@
         self.last_received = Duration::ZERO;
     }
 
-    /// Records that another upstream has answered a hold call at the address. That proves
-    /// nothing about the runs. The next call names none, to learn which process is there.
-    pub fn upstream_replaced(&mut self, now: Duration) {
-        self.hold_token = None;
-        self.was_refused = false;
-        self.failing_since.get_or_insert(now);
-        let id = self.upstream_id().map(str::to_owned);
-        let Some(id) = id else {
-            self.retry_hold(now);
-            return;
-        };
-        self.events.push(Event::UpstreamReplaced {
-            id,
-            started_at: self.started_at,
-        });
-        self.replaced = true;
-        self.runs_known = false;
-        self.dirty = true;
-        self.send_hold(now, Duration::ZERO);
-    }
-
     /// Records an inventory and sends the next hold call.
     pub fn record_inventory(&mut self, now: Duration, inventory: &Inventory) {
         let token = self.hold_token.take();
@@ -179,19 +148,13 @@
                 self.reconcile_running(now, inventory, token);
             }
         }
-        if answers_at_once || self.lists_known_ends() {
+        if answers_at_once {
             self.retry_hold(now);
         } else {
             self.hold(now);
         }
     }
 
-    /// Returns whether the next hold call would be answered at once with ends that were
-    /// received before, because it can't acknowledge them.
-    pub(super) fn lists_known_ends(&self) -> bool {
-        self.last_end > 0 && self.upstream_id().is_none()
-    }
-
     /// Returns whether an inventory with this start time is of the upstream's
     /// present process. A restart may show an earlier time than the process before
     /// it, since the time of day can be set back. The answer is of the present
@@ -221,7 +184,6 @@
             self.rate = Rate::default();
         }
         self.started_at = started_at;
-        self.replaced = false;
         self.token = self.token.saturating_add(1).max(millis(now));
         self.clock = None;
         self.doubted_clock = None;
@@ -364,7 +326,8 @@
                 foreign = true;
                 self.stats.foreign += 1;
                 self.events.push(Event::RunForeign { run: listed.run });
-                self.send_stop(listed.run);
+                let (run, token) = (listed.run, self.token);
+                self.actions.push(Action::Stop { run, token });
             }
         }
         let known = !foreign
--- a/crates/kernel/src/guard/mod.rs
+++ b/crates/kernel/src/guard/mod.rs
@@ -20,7 +20,7 @@
 mod rows;
 
 pub use crate::timing::{MAX_REPORT_INTERVAL, Timing};
-pub use action::{Action, Announcement, Hold, Order, Stop};
+pub use action::{Action, Announcement, Hold, Order};
 pub use hold::{Inventory, Observation};
 pub use order::Admission;
 pub use rows::{UnreadableRow, UnreadableRows};
@@ -185,8 +185,6 @@
     failing_since: Option<Duration>,
     /// Whether the last hold call was refused a connection.
     was_refused: bool,
-    /// Whether another upstream has answered a call since the last announcement.
-    replaced: bool,
     /// Whether every run at the upstream is one of `runs`.
     runs_known: bool,
     /// Time after which all leases have expired unless one is granted or renewed.
@@ -240,7 +238,6 @@
             last_received: Duration::ZERO,
             failing_since: None,
             was_refused: false,
-            replaced: false,
             runs_known: false,
             leases_end: Duration::ZERO,
             last_end: 0,
--- a/crates/kernel/src/guard/order.rs
+++ b/crates/kernel/src/guard/order.rs
@@ -1,6 +1,6 @@
 //! Orders to the upstream: admission of starts, and recovery from lost answers.
 
-use super::{Action, Guard, Order, Phase, Receipt, Slot, Stop};
+use super::{Action, Guard, Order, Phase, Receipt, Slot};
 use crate::{
     event::{Event, Evidence},
     mutation::{Mutant, is_seeded},
@@ -353,16 +353,8 @@
         slot.stop_sent_at = Some(now);
         slot.stopped_since.get_or_insert(now);
         let run = slot.id(task);
-        self.send_stop(run);
-    }
-
-    pub(super) fn send_stop(&mut self, run: Run) {
-        let upstream = self.upstream_id().unwrap_or_default().to_owned();
-        self.actions.push(Action::Stop(Stop {
-            run,
-            token: self.token,
-            upstream,
-        }));
+        let token = self.token;
+        self.actions.push(Action::Stop { run, token });
     }
 
     /// Records that the upstream has accepted a stop order with this fencing token at
