Only a side's first renewal is sent before its time

Cause: sent every missing renewal as soon as a barrier had passed. Change: only the first renewal of a side's process precedes the interval of echoes.

--- a/crates/kernel/src/dispatch/fleet.rs
+++ b/crates/kernel/src/dispatch/fleet.rs
@@ -224,10 +224,11 @@
         now < self.orders_until
     }
 
-    /// Returns whether an echo is due before its interval is over: it has a renewal for a
-    /// side that takes no orders without it.
-    pub(super) fn needs_renewal(&self, now: Duration) -> bool {
-        !self.takes_orders(now) && self.before_passed > self.renewed_at
+    /// Returns whether an echo is due before its interval is over: it has the first renewal
+    /// for the side's process. Later ones keep the interval, in which an entry that resumes
+    /// hears of jobs that others hold.
+    pub(super) fn needs_renewal(&self) -> bool {
+        self.renewed_at == 0 && self.before_passed > 0
     }
 
     /// Records that a renewal is sent, by which the side takes orders until
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -442,7 +442,7 @@
             let Some(status) = side.status else { continue };
             let due = now.saturating_sub(side.last_echo_at) >= interval;
             let has_news = status.clock > side.echoed && due;
-            if side.link != Link::Up || !(has_news || side.needs_renewal(now)) {
+            if side.link != Link::Up || !(has_news || side.needs_renewal()) {
                 continue;
             }
             side.echoed = status.clock;
