--- a/crates/hyssoppost/tests/soak/pair.rs
+++ b/crates/hyssoppost/tests/soak/pair.rs
@@ -19,6 +19,30 @@
 const LEASE: &str = "[lease]\nlongest_ms = 1000\nresend_ms = 1300\nstop_ms = 50\n\
      [security]\nkey = pair-pair-pair-pair\nadmin_token = test\n";
 
+/// How a pair is started.
+pub struct Setup<'a> {
+    /// Name of the settings' folder.
+    pub name: &'a str,
+    /// Tasks for which the upstream has room.
+    pub slots: usize,
+    /// Run time of each task.
+    pub run_time: Duration,
+    /// Treatment of the entry's output.
+    pub output: Output,
+    /// The side's only seed; the entry if it is `None`.
+    pub seed: Option<SocketAddr>,
+    /// Writes to the store before the processes start.
+    pub prepare: fn(&Store),
+    /// Further sections of the entry's settings.
+    pub entry: &'a str,
+    /// Further sections of the side's settings.
+    pub side: &'a str,
+    /// Addresses of the metrics of the entry and of the side.
+    pub metrics: Option<[SocketAddr; 2]>,
+    /// Most open descriptors of each process; `None` for the test's own limit.
+    pub descriptors: Option<usize>,
+}
+
 /// The running processes and their stand-ins.
 #[allow(dead_code, reason = "each test file uses a part")]
 pub struct Pair {
@@ -50,14 +74,34 @@
         seed: Option<SocketAddr>,
         prepare: fn(&Store),
     ) -> Self {
-        let folder = std::env::temp_dir().join(format!("hyssop-{name}-{}", std::process::id()));
+        Self::open(&Setup {
+            name,
+            slots,
+            run_time,
+            output,
+            seed,
+            prepare,
+            entry: "",
+            side: "",
+            metrics: None,
+            descriptors: None,
+        })
+        .await
+    }
+
+    /// Starts the processes and waits until the side accepts tasks.
+    pub async fn open(setup: &Setup<'_>) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("hyssop-{}-{}", setup.name, std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::bind().await;
-        prepare(&store);
+        (setup.prepare)(&store);
         store.set(
             "op/config",
             &json!({
-                "version": 1, "services": [], "limits": {},
+                "version": 1, "services": [],
+                "limits": { "max_header_bytes": 16_384, "max_body_bytes": 262_144,
+                    "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
                 "routes": [{ "name": "r", "host": "a.example", "prefix": "/jobs/",
                     "service": "desk", "priority": 0, "max_attempts": 3, "slack_factor": 1.6,
                     "target_latency_ms": 60 }],
@@ -67,27 +111,34 @@
         let settings = format!(
             "[entry]\nname = e\nenvironment = t\ndomain = d\ndrain_s = 6\n\
              [listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\nlinks = 127.0.0.1:0\n\
-             admin = 127.0.0.1:0\n[store]\naddress = {}\n{LEASE}",
-            store.server.address
+             admin = 127.0.0.1:0\n{}[store]\naddress = {}\n{LEASE}{}",
+            metrics(setup, 0),
+            store.server.address,
+            setup.entry
         );
-        let entry = Process::launch("entry", &write_ini(&folder, "e", &settings), &log, output);
+        let file = write_ini(&folder, "e", &settings);
+        let entry = match setup.descriptors {
+            Some(most) => Process::start_limited("entry", &file, &log, most),
+            None => Process::launch("entry", &file, &log, setup.output),
+        };
         let audit = Audit::default();
-        let mut upstream = Upstream::bind(0, slots, run_time, None, &audit).await;
+        let mut upstream = Upstream::bind(0, setup.slots, setup.run_time, None, &audit).await;
         let settings = format!(
             "[side]\nname = s\nenvironment = t\ndomain = d\nrack = r\n\
-             [listen]\nupstream = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
+             [listen]\nupstream = 127.0.0.1:0\nadmin = 127.0.0.1:0\n{}\
              [upstream]\naddress = {}\n[store]\naddress = {}\n\
-             [entries]\nseeds = {}\n{LEASE}",
+             [entries]\nseeds = {}\n{LEASE}{}",
+            metrics(setup, 1),
             upstream.address,
             store.server.address,
-            seed.unwrap_or_else(|| entry.address("links"))
-        );
-        let side = Process::launch(
-            "side",
-            &write_ini(&folder, "s", &settings),
-            &log,
-            Output::Read,
+            setup.seed.unwrap_or_else(|| entry.address("links")),
+            setup.side
         );
+        let file = write_ini(&folder, "s", &settings);
+        let side = match setup.descriptors {
+            Some(most) => Process::start_limited("side", &file, &log, most),
+            None => Process::start("side", &file, &log),
+        };
         upstream.report_to(side.address("reports"));
         let accepts = || {
             let lines = log.lock().unwrap();
@@ -107,6 +158,11 @@
     }
 }
 
+fn metrics(setup: &Setup<'_>, process: usize) -> String {
+    let address = setup.metrics.map(|addresses| addresses[process]);
+    address.map_or_else(String::new, |address| format!("metrics = {address}\n"))
+}
+
 impl Drop for Pair {
     fn drop(&mut self) {
         // A folder that remains affects no other run.
--- a/crates/hyssoppost/tests/soak/process.rs
+++ b/crates/hyssoppost/tests/soak/process.rs
@@ -45,7 +45,32 @@
         log: &Arc<Mutex<Vec<String>>>,
         output: Output,
     ) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_hyssoppost"))
+        let command = Command::new(env!("CARGO_BIN_EXE_hyssoppost"));
+        Self::spawn(command, role, settings, log, output)
+    }
+
+    /// Starts a role as [`Process::start`] does, with at most this many open
+    /// descriptors.
+    pub fn start_limited(
+        role: &str,
+        settings: &Path,
+        log: &Arc<Mutex<Vec<String>>>,
+        descriptors: usize,
+    ) -> Self {
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+        command.args(["-c", &script, env!("CARGO_BIN_EXE_hyssoppost")]);
+        Self::spawn(command, role, settings, log, Output::Read)
+    }
+
+    fn spawn(
+        mut command: Command,
+        role: &str,
+        settings: &Path,
+        log: &Arc<Mutex<Vec<String>>>,
+        output: Output,
+    ) -> Self {
+        let mut child = command
             .args([role, "--settings"])
             .arg(settings)
             .stdout(Stdio::piped())
@@ -92,11 +117,16 @@
     }
 
     pub fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).expect("a process id");
+        let pid = i32::try_from(self.id()).expect("a process id");
         // Fails if the process has ended.
         let _ = kill_process(Pid::from_raw(pid).expect("not zero"), signal);
     }
 
+    /// Returns the process's identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.child
