Connections of a listener share one budget; the longest in its stage gives way

What callers saw: crowds of clients that send heads, empty lines or bodies, whole or not, made a process hold 97 to 549 MB where its host has 67 MB; silent connections took all 512 descriptors, and no other request was answered.

Cause: only each connection had limits (417,792 bytes of head, 4 MiB of body, 64 KiB read ahead, HTTP/2 windows of a megabyte), none of time, and nothing bounded their number or their sum. The accept loop of the HTTP library also spins while no descriptor is free.

Change: every HTTP listener has a pool (budget.rs), sized from the host's memory and descriptors, which the platform's template and the settings state. A connection is charged 48 KiB at accept, a body its buffer before it grows, an answer above 4 KiB its size. Without room, the connection that has been longest in its stage is closed; a request that is being served is not, unless its client takes no answers. New connections wait for a second while every answer closes its connection, and are closed if that doesn't help. A body without room is refused unread with 503, or 504 if its job may have run. Heads, bodies and silence have time limits. The server speaks HTTP/1.1 only, on hyper's connection; routes and handlers stay poem's. Listeners other than the customers' have small pools of their own. Bodies of every handler are read within the pool; those of tickets and announcements had no limit at all.

Why it works: memory is charged before it is used, so the sum can't pass the budget, whatever is sent; and completing nothing can't keep a stage young.

Evidence: 17 tests of hostile_clients failed before and pass: at most 57.8 MB resident and in socket buffers, 272 of 448 descriptors. The tests' settings now state memory_mb = 64; crowds and bounds are as they were. connection_pool shows the order of giving way. unknown_section of settings_faults named [limits] as a section that a side lacks, which it now has; it names [policy] instead.

--- a/crates/hyssoppost/src/admin.rs
+++ b/crates/hyssoppost/src/admin.rs
@@ -66,28 +66,25 @@
 
 /// Binds the admin interface and starts it; `dump_requests` receives the requests
 /// for the state.
-pub async fn bind(
-    common: &Common,
-    dump_requests: mpsc::Sender<Dump>,
-) -> Result<http::Handle, Error> {
+pub fn bind(common: &Common, dump_requests: mpsc::Sender<Dump>) -> Result<http::Handle, Error> {
     recorder();
     let app = Route::new()
         .at("/metrics", get(render))
         .at("/state", get(dump))
         .data(dump_requests)
         .with(Authentication(common.admin_token.clone()));
-    http::bind(common.admin, CLOSE_TIMEOUT, app).await
+    http::bind("admin", common.admin, CLOSE_TIMEOUT, app)
 }
 
 /// Binds the interface for metrics without a token and starts it, if the settings
 /// have an address for it.
-pub async fn bind_metrics(common: &Common) -> Result<Option<http::Handle>, Error> {
+pub fn bind_metrics(common: &Common) -> Result<Option<http::Handle>, Error> {
     let Some(address) = common.metrics else {
         return Ok(None);
     };
     recorder();
     let app = Route::new().at("/metrics", get(render));
-    Ok(Some(http::bind(address, CLOSE_TIMEOUT, app).await?))
+    Ok(Some(http::bind("metrics", address, CLOSE_TIMEOUT, app)?))
 }
 
 /// Returns the handle of the process's metrics recorder, which is installed on
--- a/crates/hyssoppost/src/entry/customers.rs
+++ b/crates/hyssoppost/src/entry/customers.rs
@@ -1,10 +1,19 @@
 //! The customers' HTTP interface of an entry.
 
 use super::{Call, Event, Phase, Status};
-use crate::{Error, departure, http, settings};
-use kernel::work::failed_answer;
+use crate::{
+    Error,
+    budget::Pool,
+    departure,
+    http::{
+        self,
+        body::{self, Whole},
+    },
+    settings,
+};
+use kernel::{pressure::MIN_RETRY_AFTER, work::failed_answer};
 use poem::{
-    Body, EndpointExt, IntoResponse, Request, Response, Route, get, handler,
+    EndpointExt, IntoResponse, Request, Response, Route, get, handler,
     http::StatusCode,
     post,
     web::{Data, Json, Path},
@@ -37,7 +46,6 @@
     events: mpsc::Sender<Event>,
     status: watch::Receiver<Status>,
     keys: Keyring,
-    body_bytes: usize,
     next_number: AtomicU64,
 }
 
@@ -86,7 +94,7 @@
     detail: &'a str,
 }
 
-pub(super) async fn bind(
+pub(super) fn bind(
     settings: &settings::Entry,
     events: mpsc::Sender<Event>,
     status: watch::Receiver<Status>,
@@ -95,7 +103,6 @@
         events,
         status,
         keys: settings.common.keys.clone(),
-        body_bytes: settings.body_bytes,
         next_number: AtomicU64::new(0),
     });
     let app = Route::new()
@@ -104,18 +111,20 @@
         .at("/v1/jobs/:ticket", get(fetch).delete(cancel))
         .at("/healthz", get(health))
         .data(shared);
-    http::bind(settings.customers, settings.common.drain, app).await
+    let pool = Pool::new("customers", settings.limits.connections);
+    http::bind_within(pool, settings.customers, settings.common.drain, app)
 }
 
 #[handler]
 async fn submit(
     Path(service): Path<String>,
     request: &Request,
-    body: Body,
+    Whole(body): Whole,
     shared: Data<&Arc<Shared>>,
 ) -> Response {
-    let Ok(body) = body.into_bytes_limit(shared.body_bytes).await else {
-        return refuse(Code::BodyTooLarge, Code::BodyTooLarge.meaning());
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return refuse_body(&error),
     };
     let document: Document<'_> = match serde_json::from_slice(&body) {
         Ok(document) => document,
@@ -168,7 +177,12 @@
 }
 
 #[handler]
-async fn tickets(Json(request): Json<TicketRequest>, shared: Data<&Arc<Shared>>) -> Response {
+async fn tickets(Whole(body): Whole, shared: Data<&Arc<Shared>>) -> Response {
+    let request: TicketRequest = match body.map(|body| serde_json::from_slice(&body)) {
+        Ok(Ok(request)) => request,
+        Ok(Err(error)) => return refuse(Code::MalformedJob, &error.to_string()),
+        Err(error) => return refuse_body(&error),
+    };
     let phase = shared.status.borrow().phase;
     if matches!(phase, Phase::Leaving | Phase::Fenced) {
         return refuse(Code::Draining, Code::Draining.meaning());
@@ -256,12 +270,25 @@
 }
 
 fn refuse(code: Code, detail: &str) -> Response {
+    refuse_for(Duration::ZERO, code, detail)
+}
+
+/// Refuses a request, which may be sent again after a pause.
+fn refuse_for(pause: Duration, code: Code, detail: &str) -> Response {
     respond(
         None,
-        &failed_answer(code, Started::None, Duration::ZERO, detail.trim()),
+        &failed_answer(code, Started::None, pause, detail.trim()),
     )
 }
 
+fn refuse_body(error: &body::Error) -> Response {
+    match error {
+        body::Error::TooLarge => refuse(Code::BodyTooLarge, Code::BodyTooLarge.meaning()),
+        body::Error::Full(full) => refuse_for(MIN_RETRY_AFTER, Code::QueueFull, &full.to_string()),
+        body::Error::Io(error) => refuse(Code::MalformedJob, &error.to_string()),
+    }
+}
+
 fn respond(ticket: Option<String>, answer: &Answer) -> Response {
     match answer {
         Answer::Complete(answers) => completed(ticket, answers),
--- a/crates/hyssoppost/src/entry/mod.rs
+++ b/crates/hyssoppost/src/entry/mod.rs
@@ -132,8 +132,8 @@
         settings.policy.choose,
     );
     let (status, watched) = watch::channel(Status::default());
-    let admin = admin::bind(&settings.common, dump_requests).await?;
-    let customers = customers::bind(&settings, events.clone(), watched.clone()).await?;
+    let admin = admin::bind(&settings.common, dump_requests)?;
+    let customers = customers::bind(&settings, events.clone(), watched.clone())?;
     let store = store::gateway::Client::open(&settings.store.to_string())?;
     services.spawn(registry::run(
         store,
--- a/crates/hyssoppost/src/http/connection.rs
+++ b/crates/hyssoppost/src/http/connection.rs
@@ -4,12 +4,18 @@
 //! there, so it would find the end of the stream only after its response. This connection
 //! reads ahead instead, and fails the server's next flush when the stream has ended: the
 //! server then drops the open request.
+//!
+//! It also tells the connection's [`Share`] which stage a request is in, and reads no
+//! more of a head than its limit.
 
+use crate::budget::{Cause, Share, Stage};
 use bytes::{BufMut, BytesMut};
 use futures::FutureExt;
 use std::{
     io,
+    net::SocketAddr,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -21,7 +27,11 @@
 };
 
 /// Most bytes that are read before the server asks for them.
-const MAX_AHEAD: usize = 64 * 1024;
+const MAX_AHEAD: usize = 8 << 10;
+
+/// Most bytes that the server gets at once. Its buffer grows when it is filled, and
+/// starts with one byte more.
+const MAX_READ: usize = (8 << 10) - 1;
 
 /// Interval at which the end of a stream is looked for behind [`MAX_AHEAD`] bytes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -29,6 +39,9 @@
 /// A connection of a client.
 pub(super) struct Connection {
     stream: TcpStream,
+    share: Arc<Share>,
+    /// Bytes read since the last answer, while the head is incomplete.
+    head_bytes: usize,
     /// Bytes that the server has not asked for yet.
     ahead: BytesMut,
     /// Whether the server waits for bytes.
@@ -38,9 +51,11 @@
 }
 
 impl Connection {
-    pub(super) fn new(stream: TcpStream, open: watch::Receiver<()>) -> Self {
+    pub(super) fn new(stream: TcpStream, share: Arc<Share>, open: watch::Receiver<()>) -> Self {
         Self {
             stream,
+            share,
+            head_bytes: 0,
             ahead: BytesMut::new(),
             is_awaited: false,
             next_check: None,
@@ -48,6 +63,11 @@
         }
     }
 
+    /// Returns the client's address.
+    pub(super) fn remote(&self) -> io::Result<SocketAddr> {
+        self.stream.peer_addr()
+    }
+
     /// Reads ahead and returns an error if the client has closed the connection;
     /// otherwise has `context` woken when it does.
     fn detect_end(&mut self, context: &mut Context<'_>) -> io::Result<()> {
@@ -100,25 +120,62 @@
     fn poll_bytes(
         &mut self,
         context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
         if !self.ahead.is_empty() {
-            let count = self.ahead.len().min(buffer.remaining());
-            buffer.put_slice(&self.ahead.split_to(count));
+            let count = self.ahead.len().min(buffer.len());
+            buffer[..count].copy_from_slice(&self.ahead.split_to(count));
             if self.ahead.is_empty() {
                 // Frees the memory, which an idle connection must not keep.
                 self.ahead = BytesMut::new();
             }
-            return Poll::Ready(Ok(()));
+            return Poll::Ready(Ok(count));
         }
-        let before = buffer.remaining();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let mut bytes = ReadBuf::new(buffer);
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut bytes))?;
+        let count = bytes.filled().len();
         // The server would go on with the request, as if only the client's sending half
         // were closed. A customer that has left may submit its job again.
-        if before > 0 && buffer.remaining() == before {
+        if count == 0 && !buffer.is_empty() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
-        Poll::Ready(Ok(()))
+        Poll::Ready(Ok(count))
+    }
+
+    /// Returns how many bytes the server may get now. A head that is as large as its
+    /// limit and still incomplete closes the connection.
+    fn next_read(&mut self) -> io::Result<usize> {
+        let stage = self.share.stage();
+        if stage == Stage::Answer {
+            // The server looks for the next request.
+            self.share.enter(Stage::Idle);
+        }
+        match stage {
+            Stage::Body | Stage::Serving => {
+                self.head_bytes = 0;
+                return Ok(MAX_READ);
+            }
+            Stage::Answer => self.head_bytes = 0,
+            Stage::Idle | Stage::Head => {}
+        }
+        let limit = self.share.limits().head_bytes;
+        if self.head_bytes >= limit {
+            self.share.close(Cause::Head);
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(MAX_READ.min(limit - self.head_bytes))
+    }
+
+    /// Records bytes that the server has got.
+    fn record_read(&mut self, count: usize) {
+        match self.share.stage() {
+            Stage::Idle => {
+                self.share.enter(Stage::Head);
+                self.head_bytes = count;
+            }
+            Stage::Head => self.head_bytes += count,
+            Stage::Body | Stage::Serving | Stage::Answer => self.share.record_read(),
+        }
     }
 }
 
@@ -128,9 +185,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let read = self.poll_bytes(context, buffer);
+        let most = self.next_read()?.min(buffer.remaining());
+        let read = self.poll_bytes(context, buffer.initialize_unfilled_to(most));
         self.is_awaited = read.is_pending();
-        read
+        let count = ready!(read)?;
+        buffer.advance(count);
+        self.record_read(count);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -140,7 +201,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.share.record_write(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -148,7 +211,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.share.record_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/hyssoppost/src/leased/admission.rs
+++ b/crates/hyssoppost/src/leased/admission.rs
@@ -94,7 +94,8 @@
         }
     }
 
-    fn is_known(&self, job: u64) -> bool {
+    /// Returns whether the kernel may know a job.
+    pub(super) fn is_known(&self, job: u64) -> bool {
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.jobs.contains(&job)
     }
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -12,6 +12,7 @@
 };
 use crate::{
     Error, admin,
+    budget::Pool,
     clock::Clock,
     entry::registry,
     http,
@@ -83,8 +84,8 @@
     let mut services = JoinSet::new();
     services.spawn(link::accept(listener, local.clone(), events.clone()));
     let (status, watched) = watch::channel(Status::default());
-    let admin = admin::bind(&settings.common, dump_requests).await?;
-    let metrics = admin::bind_metrics(&settings.common).await?;
+    let admin = admin::bind(&settings.common, dump_requests)?;
+    let metrics = admin::bind_metrics(&settings.common)?;
     let clock = Clock::default();
     let admission = Arc::new(Admission::new(Recorder::new(settings.common.sample)));
     let shared = frontend::Shared::new(
@@ -95,10 +96,10 @@
         watched.clone(),
         admission.clone(),
         clock,
-        settings.body_bytes,
     );
-    let customers = frontend::bind(&settings, shared).await?;
-    let readiness = frontend::bind_readiness(lease.readiness, watched.clone()).await?;
+    let pool = Pool::new("customers", settings.limits.connections);
+    let customers = frontend::bind(&settings, pool, shared)?;
+    let readiness = frontend::bind_readiness(lease.readiness, watched.clone())?;
     let store = platform::store::Client::open(settings.store)?;
     services.spawn(rules::follow(store.clone(), clock, events.clone()));
     let (floors, floor_updates) = watch::channel(registry::Floors::new());
--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -4,10 +4,10 @@
     admission::Admission,
     event::{Event, Status},
 };
-use crate::{Error, clock::Clock, departure, http, settings};
+use crate::{Error, budget::Pool, clock::Clock, departure, http, settings};
 use kernel::{
     dispatch::{Answer, Reason},
-    pressure::Unread,
+    pressure::{MIN_RETRY_AFTER, Unread},
 };
 use platform::customer::Operation;
 use poem::{Body, EndpointExt, Request, Response, endpoint::make, http::StatusCode};
@@ -34,7 +34,6 @@
     status: watch::Receiver<Status>,
     admission: Arc<Admission>,
     clock: Clock,
-    body_bytes: usize,
     next_customer: AtomicU64,
 }
 
@@ -59,8 +58,9 @@
 }
 
 /// Binds the customers' interface and starts it.
-pub(super) async fn bind(
+pub(super) fn bind(
     settings: &settings::Entry,
+    pool: Arc<Pool>,
     shared: Shared,
 ) -> Result<http::Handle, Error> {
     let shared = Arc::new(shared);
@@ -68,12 +68,13 @@
         let shared = shared.clone();
         async move { Ok::<_, poem::Error>(handle(&shared, request).await) }
     });
-    http::bind(settings.customers, settings.common.drain, app.boxed()).await
+    let drain = settings.common.drain;
+    http::bind_within(pool, settings.customers, drain, app.boxed())
 }
 
 /// Binds the load balancer's health check and starts it: 200 while the entry is
 /// ready, otherwise 503.
-pub(super) async fn bind_readiness(
+pub(super) fn bind_readiness(
     address: std::net::SocketAddr,
     status: watch::Receiver<Status>,
 ) -> Result<http::Handle, Error> {
@@ -88,7 +89,12 @@
             Ok::<_, poem::Error>(Response::from(status))
         }
     });
-    http::bind(address, Duration::from_millis(100), app.boxed()).await
+    http::bind(
+        "readiness",
+        address,
+        Duration::from_millis(100),
+        app.boxed(),
+    )
 }
 
 async fn handle(shared: &Shared, mut request: Request) -> Response {
@@ -110,14 +116,12 @@
         status: watch::Receiver<Status>,
         admission: Arc<Admission>,
         clock: Clock,
-        body_bytes: usize,
     ) -> Self {
         Self {
             queues,
             status,
             admission,
             clock,
-            body_bytes,
             next_customer: AtomicU64::new(0),
         }
     }
@@ -127,9 +131,10 @@
     async fn serve(&self, request: &mut Request) -> Result<Response, Response> {
         // The body is read even if the job is refused: a connection that is closed
         // with unread bytes may lose its response.
-        let body = request.take_body().into_bytes_limit(self.body_bytes);
-        let Ok(body) = body.await else {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
+        let body = request.take_body();
+        let body = match http::body::read(request, body).await {
+            Ok(body) => body,
+            Err(error) => return Err(self.refuse_body(request, &error)),
         };
         let arrived = self.clock.now();
         let place = self.wait_for_place(request, arrived).await?;
@@ -150,6 +155,27 @@
         Ok(self.execute(request, arrived, operation, place).await)
     }
 
+    /// Returns the response to a request whose body was not read. Nothing of it has run,
+    /// unless it is the resubmission of a job that the process knows.
+    fn refuse_body(&self, request: &Request, error: &http::body::Error) -> Response {
+        match error {
+            http::body::Error::TooLarge => return StatusCode::PAYLOAD_TOO_LARGE.into(),
+            http::body::Error::Io(_) => return StatusCode::BAD_REQUEST.into(),
+            http::body::Error::Full(_) => {}
+        }
+        let (method, path) = (request.method().as_str(), request.uri().path());
+        let job = platform::customer::submitted_job(method, path);
+        let answer = if job.is_some_and(|job| self.admission.is_known(job)) {
+            Answer::Unknown
+        } else {
+            Answer::Refused {
+                reason: Reason::Memory,
+                retry_after: MIN_RETRY_AFTER,
+            }
+        };
+        respond(platform::customer::encode(&answer))
+    }
+
     /// Waits for a place in the queue of calls. If the event loop stays late, a new
     /// job may be refused instead; its body has not been parsed then.
     async fn wait_for_place(
--- a/crates/hyssoppost/src/leased/side.rs
+++ b/crates/hyssoppost/src/leased/side.rs
@@ -35,9 +35,6 @@
     lease::{self, Run},
 };
 
-/// Largest report accepted from an upstream, in bytes.
-const MAX_REPORT_BYTES: usize = 64 << 10;
-
 /// Interval at which surplus connections are looked for.
 const SURPLUS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -108,15 +105,19 @@
 }
 
 /// Binds a side's listeners and starts it.
+#[expect(
+    clippy::unused_async,
+    reason = "the sockets belong to the runtime that polls the future"
+)]
 pub async fn spawn(settings: settings::Side, leased: &settings::Leased) -> Result<Handle, Error> {
     let (events, event_queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let (dump_requests, dump_queue) = mpsc::channel(1);
     let hello = hello(&settings.common, Role::Side, String::new(), 0);
     let incarnation = hello.incarnation;
     let local = Local::new(hello, settings.common.keys.clone());
-    let admin = admin::bind(&settings.common, dump_requests).await?;
-    let metrics = admin::bind_metrics(&settings.common).await?;
-    let reports = bind_reports(settings.upstream, leased.service.clone(), events.clone()).await?;
+    let admin = admin::bind(&settings.common, dump_requests)?;
+    let metrics = admin::bind_metrics(&settings.common)?;
+    let reports = bind_reports(settings.upstream, leased.service.clone(), events.clone())?;
     let clock = Clock::default();
     let mut timing = timing(&leased.lease);
     timing.max_capacity_age = leased.max_capacity_age;
@@ -185,7 +186,7 @@
     })
 }
 
-async fn bind_reports(
+fn bind_reports(
     address: SocketAddr,
     service: String,
     events: mpsc::Sender<Event>,
@@ -195,7 +196,7 @@
         let (service, events, dropped) = (service.clone(), events.clone(), dropped.clone());
         async move { Ok::<_, poem::Error>(receive_report(request, &service, &events, &dropped).await) }
     });
-    http::bind(address, Duration::from_millis(100), app.boxed()).await
+    http::bind("reports", address, Duration::from_millis(100), app.boxed())
 }
 
 async fn receive_report(
@@ -204,9 +205,11 @@
     events: &mpsc::Sender<Event>,
     dropped: &Pacer,
 ) -> Response {
-    let body = request.take_body().into_bytes_limit(MAX_REPORT_BYTES).await;
-    let Ok(body) = body else {
-        return StatusCode::PAYLOAD_TOO_LARGE.into();
+    let body = request.take_body();
+    let body = match http::body::read(&request, body).await {
+        Ok(body) => body,
+        Err(http::body::Error::TooLarge) => return StatusCode::PAYLOAD_TOO_LARGE.into(),
+        Err(_) => return StatusCode::SERVICE_UNAVAILABLE.into(),
     };
     match platform::upstream::decode(request.uri().path(), &body, service) {
         Ok(report) => {
--- a/crates/hyssoppost/src/lib.rs
+++ b/crates/hyssoppost/src/lib.rs
@@ -2,6 +2,7 @@
 //! their tasks, and the side, which starts them at the upstream beside it.
 
 pub mod admin;
+pub mod budget;
 pub mod clock;
 mod departure;
 pub mod entry;
--- a/crates/hyssoppost/src/settings.rs
+++ b/crates/hyssoppost/src/settings.rs
@@ -1,5 +1,9 @@
 //! Settings of a process, read from INI and validated before any socket binds.
 
+mod limits;
+
+pub use limits::{Customers, Host};
+
 use crate::Error;
 use kernel::{
     document::Toggle,
@@ -45,6 +49,8 @@
     pub metrics: Option<SocketAddr>,
     /// Longest time that work in progress may take to end after SIGTERM.
     pub drain: Duration,
+    /// Memory and descriptors of the process's host.
+    pub host: Host,
 }
 
 /// Settings of an entry.
@@ -66,8 +72,8 @@
     pub peers: Vec<SocketAddr>,
     /// Placement policy.
     pub policy: &'static Plugin,
-    /// Largest request body accepted from a customer, in bytes.
-    pub body_bytes: usize,
+    /// What customers may make the entry hold.
+    pub limits: limits::Customers,
     /// Most memory for the answers of ended jobs, in bytes.
     pub archive_bytes: usize,
     /// Processor available to the process, in cores, as the file states it.
@@ -133,7 +139,6 @@
 }
 
 const DEFAULT_REGION: &str = "main";
-const DEFAULT_BODY_BYTES: usize = 4 << 20;
 const DEFAULT_ARCHIVE_BYTES: usize = 64 << 20;
 const DEFAULT_DRAIN_MS: u64 = 30_000;
 /// Default of the time in which an evacuation must take effect.
@@ -180,7 +185,8 @@
                 "log",
             ],
         );
-        let common = read_common(&mut reader, "entry");
+        let host = Host::read(&mut reader);
+        let common = read_common(&mut reader, "entry", host);
         let region = reader.optional("entry", "region", EXPECTED_REGION);
         let customers = reader.required_alias("listen", "customers", "callers", EXPECTED_ADDRESS);
         let links = reader.required("listen", "links", EXPECTED_ADDRESS);
@@ -188,7 +194,7 @@
         let store = reader.required("store", "address", EXPECTED_ADDRESS);
         let peers = read_addresses(&mut reader, "peers");
         let policy = read_policy(&mut reader);
-        let body_bytes = reader.optional("limits", "body_bytes", EXPECTED_BYTES);
+        let limits = Customers::read(&mut reader, host);
         let archive_bytes = reader.optional("limits", "archive_bytes", EXPECTED_BYTES);
         let processor = reader.optional("limits", "processor", EXPECTED_PROCESSOR);
         let seed = reader.optional("policy", "seed", "a number");
@@ -204,7 +210,7 @@
             store: store.ok_or_else(missing)?,
             peers,
             policy: policy.ok_or_else(missing)?,
-            body_bytes: body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
+            limits,
             archive_bytes: archive_bytes.unwrap_or(DEFAULT_ARCHIVE_BYTES),
             processor,
             seed,
@@ -238,10 +244,12 @@
         check_sections(
             &mut reader,
             &[
-                "side", "listen", "upstream", "store", "security", "entries", "lease", "log",
+                "side", "listen", "upstream", "store", "security", "entries", "limits", "lease",
+                "log",
             ],
         );
-        let common = read_common(&mut reader, "side");
+        let host = Host::read(&mut reader);
+        let common = read_common(&mut reader, "side", host);
         let rack = reader.required("side", "rack", "the rack's name");
         let upstream = reader.required("listen", "upstream", EXPECTED_ADDRESS);
         let entries = read_addresses(&mut reader, "seeds");
@@ -283,7 +291,7 @@
     }
 }
 
-fn read_common(reader: &mut Reader<'_>, section: &str) -> Option<Common> {
+fn read_common(reader: &mut Reader<'_>, section: &str, host: Host) -> Option<Common> {
     let name = reader.required(section, "name", "the process's name");
     let environment = reader.required(section, "environment", "the environment's name");
     let domain = reader.required(section, "domain", "the failure domain's name");
@@ -308,6 +316,7 @@
         sample: sample.unwrap_or(1),
         metrics,
         drain: drain.unwrap_or(Duration::from_millis(DEFAULT_DRAIN_MS)),
+        host,
     })
 }
 
--- a/crates/hyssoppost/src/side/mod.rs
+++ b/crates/hyssoppost/src/side/mod.rs
@@ -62,6 +62,10 @@
 }
 
 /// Binds a side's listeners and starts it.
+#[expect(
+    clippy::unused_async,
+    reason = "the sockets belong to the runtime that polls the future"
+)]
 pub async fn spawn(settings: settings::Side) -> Result<Handle, Error> {
     let (events, event_queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let (dump_requests, dump_queue) = mpsc::channel(1);
@@ -82,8 +86,8 @@
     let local = Local::new(hello, common.keys.clone());
     let kernel = Side::new(incarnation);
     let (status, watched) = watch::channel(Status::default());
-    let admin = admin::bind(common, dump_requests).await?;
-    let upstream = upstream::bind(settings.upstream, events.clone()).await?;
+    let admin = admin::bind(common, dump_requests)?;
+    let upstream = upstream::bind(settings.upstream, events.clone())?;
     let entries = process::Directory {
         seeds: settings.entries,
         discover: settings.discover,
--- a/crates/hyssoppost/src/side/upstream.rs
+++ b/crates/hyssoppost/src/side/upstream.rs
@@ -6,14 +6,12 @@
 //! module nor the HTTP client repeats it.
 
 use super::Event;
-use crate::{Error, http};
-use kernel::side::Start;
-use poem::{
-    EndpointExt, Route, handler,
-    http::StatusCode,
-    post,
-    web::{Data, Json},
+use crate::http::{
+    self,
+    body::{Error, Whole},
 };
+use kernel::side::Start;
+use poem::{EndpointExt, Route, handler, http::StatusCode, post, web::Data};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::{
@@ -56,19 +54,24 @@
 }
 
 /// Binds the interface for the upstream's announcements and starts it.
-pub(super) async fn bind(
+pub(super) fn bind(
     address: SocketAddr,
     events: mpsc::Sender<Event>,
-) -> Result<http::Handle, Error> {
+) -> Result<http::Handle, crate::Error> {
     let app = Route::new().at("/v1/announce", post(announce)).data(events);
-    http::bind(address, Duration::from_secs(1), app).await
+    http::bind("upstream", address, Duration::from_secs(1), app)
 }
 
 #[handler]
-async fn announce(
-    Json(announcement): Json<Announcement>,
-    events: Data<&mpsc::Sender<Event>>,
-) -> StatusCode {
+async fn announce(Whole(body): Whole, events: Data<&mpsc::Sender<Event>>) -> StatusCode {
+    let body = match body {
+        Ok(body) => body,
+        Err(Error::TooLarge) => return StatusCode::PAYLOAD_TOO_LARGE,
+        Err(Error::Full(_) | Error::Io(_)) => return StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let Ok(announcement) = serde_json::from_slice(&body) else {
+        return StatusCode::BAD_REQUEST;
+    };
     match events.send(Event::Announced(announcement)).await {
         Ok(()) => StatusCode::NO_CONTENT,
         Err(_) => StatusCode::SERVICE_UNAVAILABLE,
@@ -86,7 +89,7 @@
 
 impl Client {
     /// Makes a client; it has no upstream until [`Client::set_address`].
-    pub(super) fn open(events: mpsc::Sender<Event>) -> Result<Self, Error> {
+    pub(super) fn open(events: mpsc::Sender<Event>) -> Result<Self, crate::Error> {
         let http = reqwest::Client::builder()
             .no_proxy()
             .pool_max_idle_per_host(MAX_CONNECTIONS.into())
--- a/crates/hyssoppost/tests/departures.rs
+++ b/crates/hyssoppost/tests/departures.rs
@@ -26,7 +26,7 @@
 }
 
 /// Binds a server that reads each request and never answers it.
-async fn bind(open: Arc<AtomicU32>) -> http::Handle {
+fn bind(open: Arc<AtomicU32>) -> http::Handle {
     let app = make(move |mut request: Request| {
         let open = open.clone();
         async move {
@@ -38,9 +38,7 @@
         }
     });
     let address = "127.0.0.1:0".parse().unwrap();
-    http::bind(address, Duration::from_secs(5), app)
-        .await
-        .unwrap()
+    http::bind("test", address, Duration::from_secs(5), app).unwrap()
 }
 
 fn request(more: &str) -> String {
@@ -53,7 +51,7 @@
 /// Has a customer send a request and leave; returns whether the server has noticed.
 async fn is_noticed(request: &str, reset: bool) -> bool {
     let open = Arc::new(AtomicU32::new(0));
-    let server = bind(open.clone()).await;
+    let server = bind(open.clone());
     let mut customer = TcpStream::connect(server.address()).await.unwrap();
     customer.write_all(request.as_bytes()).await.unwrap();
     while open.load(Ordering::SeqCst) == 0 {
--- a/crates/hyssoppost/tests/hostile_clients.rs
+++ b/crates/hyssoppost/tests/hostile_clients.rs
@@ -41,8 +41,8 @@
 /// Size of a body that customers may send, in bytes.
 const BODY_BYTES: usize = 250_000;
 /// Settings of the processes that concern the crowds.
-const ENTRY_LIMITS: &str = "[limits]\nbody_bytes = 262144\n";
-const SIDE_LIMITS: &str = "";
+const ENTRY_LIMITS: &str = "[limits]\nbody_bytes = 262144\nmemory_mb = 64\n";
+const SIDE_LIMITS: &str = "[limits]\nmemory_mb = 64\n";
 
 const RUN_TIME: Duration = Duration::from_millis(20);
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/hyssoppost/tests/server_stop.rs
+++ b/crates/hyssoppost/tests/server_stop.rs
@@ -13,11 +13,9 @@
 const CUSTOMERS: usize = 8;
 const DRAIN: Duration = Duration::from_secs(5);
 
-async fn bind() -> http::Handle {
+fn bind() -> http::Handle {
     let app = make_sync(|_| "answer");
-    http::bind("127.0.0.1:0".parse().unwrap(), DRAIN, app)
-        .await
-        .unwrap()
+    http::bind("test", "127.0.0.1:0".parse().unwrap(), DRAIN, app).unwrap()
 }
 
 async fn request(stream: &mut TcpStream) -> String {
@@ -32,7 +30,7 @@
 /// Connects customers, stops the server after `delay`, and sends their requests
 /// once the server has been told to stop.
 async fn answers_after_stop(delay: Duration) -> Vec<String> {
-    let server = bind().await;
+    let server = bind();
     let mut customers = Vec::new();
     for _ in 0..CUSTOMERS {
         customers.push(TcpStream::connect(server.address()).await.unwrap());
@@ -59,7 +57,7 @@
 async fn connections_not_yet_accepted() {
     // The server's task runs only when this one waits, so that the connections
     // are still in the listener's queue.
-    let server = bind().await;
+    let server = bind();
     let address = server.address();
     let customers: Vec<std::net::TcpStream> = (0..CUSTOMERS)
         .map(|_| std::net::TcpStream::connect(address).unwrap())
@@ -76,7 +74,7 @@
 
 #[tokio::test]
 async fn idle_connections_closed() {
-    let server = bind().await;
+    let server = bind();
     let mut customer = TcpStream::connect(server.address()).await.unwrap();
     let closing = tokio::spawn(server.close());
     let mut rest = Vec::new();
@@ -87,7 +85,7 @@
 
 #[tokio::test]
 async fn refused_after_stop() {
-    let server = bind().await;
+    let server = bind();
     let address = server.address();
     server.close().await;
     assert!(TcpStream::connect(address).await.is_err());
--- a/crates/hyssoppost/tests/settings_faults.rs
+++ b/crates/hyssoppost/tests/settings_faults.rs
@@ -153,6 +153,34 @@
     assert!(found[0].contains(r#"key="processor""#), "{found:?}");
 }
 
+#[test]
+fn limits_checked() {
+    let faulty = [
+        ("memory_mb", "8"),
+        ("descriptors", "200"),
+        ("connections", "0"),
+        ("customer_bytes", "1000"),
+        ("customer_bytes", "1000000000000000"),
+        ("job_bytes", "-1"),
+        ("head_bytes", "100000"),
+        ("header_timeout_ms", "0"),
+        ("idle_timeout_ms", "soon"),
+        ("body_timeout_ms", "0"),
+    ];
+    for (key, value) in faulty {
+        let found = entry_faults(&format!("{ENTRY}\n[limits]\n{key} = {value}\n"));
+        assert!(found[0].contains(&format!(r#"key="{key}""#)), "{found:?}");
+    }
+    let text = format!("{ENTRY}\n[limits]\nmemory_mb = 100\ndescriptors = 1000\n");
+    let limits = settings::Entry::parse(&text).unwrap().limits;
+    let share = (100 << 20) / 100;
+    assert_eq!(limits.connections.bytes, 40 * share);
+    assert_eq!(limits.connections.connections, 600);
+    assert_eq!(limits.job_bytes, 15 * share);
+    let side = settings::Side::parse(&format!("{SIDE}\n[limits]\nmemory_mb = 8\n"));
+    assert_eq!(side.unwrap_err().0[0].key, "memory_mb");
+}
+
 #[test]
 fn unknown_policy() {
     let found = entry_faults(&format!("{ENTRY}\n[policy]\nname = best\n"));
@@ -161,8 +189,8 @@
 
 #[test]
 fn unknown_section() {
-    let faults = settings::Side::parse(&format!("{SIDE}\n[limits]\n")).unwrap_err();
-    assert_eq!(faults.0[0].section, "limits");
+    let faults = settings::Side::parse(&format!("{SIDE}\n[policy]\n")).unwrap_err();
+    assert_eq!(faults.0[0].section, "policy");
 }
 
 #[test]
--- a/crates/kernel/src/dispatch/answer.rs
+++ b/crates/kernel/src/dispatch/answer.rs
@@ -40,6 +40,7 @@
                 | Reason::Leaving
                 | Reason::NoUpstream
                 | Reason::Stale
+                | Reason::Memory
                 | Reason::EntryLate => true,
                 Reason::Overload | Reason::Confined => false,
             },
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -505,9 +505,11 @@
             Reason::Overload | Reason::EntryLate | Reason::Confined => {
                 wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
             }
-            Reason::NoRules | Reason::Leaving | Reason::NoUpstream | Reason::Stale => {
-                MIN_RETRY_AFTER
-            }
+            Reason::NoRules
+            | Reason::Leaving
+            | Reason::NoUpstream
+            | Reason::Stale
+            | Reason::Memory => MIN_RETRY_AFTER,
         };
         let retry_after = self.placement.retry_delay(least);
         self.answer(
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -44,6 +44,8 @@
     Stale,
     /// The entry's event loop is late.
     EntryLate,
+    /// There is no memory for it.
+    Memory,
     /// The queue's tasks crash upstreams, and the hosts to which it is confined have no
     /// room in time.
     Confined,
@@ -58,6 +60,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Stale => "stale",
             Self::EntryLate => "entry_late",
+            Self::Memory => "memory",
             Self::Confined => "confined",
         })
     }
