A peer that has not proved its key holds little

What callers saw: 400 connections to an entry's links address that announce a frame of 15 MiB each made it hold 376 MB of a host's 67 MB.

Cause: frames of up to 16 MiB were buffered before the handshake had ended, and nothing bounded the number of handshakes.

Change: frames of a handshake have 4 KiB at most, and handshakes share a pool of 256, whose oldest gives way, until the peer has proved its key.

--- a/crates/hyssoppost/src/link.rs
+++ b/crates/hyssoppost/src/link.rs
@@ -5,7 +5,11 @@
 //! its peer has been silent for too long: an open connection may have stopped
 //! working for good while new ones work.
 
-use crate::Error;
+use crate::{
+    Error,
+    budget::{CONNECTION_BYTES, Limits, Pool, Share},
+    http::INTERNAL_LIMITS,
+};
 use futures::StreamExt;
 use hashbrown::HashMap;
 use kernel::reconnect::Backoff;
@@ -43,6 +47,14 @@
 /// Time limit for a peer's hello and proof.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Limits of connections whose peers have not proved their keys. All sides of a large site
+/// connect to an entry that starts.
+const HANDSHAKE_LIMITS: Limits = Limits {
+    connections: 256,
+    bytes: 256 * CONNECTION_BYTES,
+    ..INTERNAL_LIMITS
+};
+
 /// Time limit for a connection attempt: ten one-way delays between regions. A
 /// host without power does not answer, and the operating system retransmits only
 /// after a second.
@@ -251,6 +263,8 @@
     Closed,
     #[error("the handshake timed out")]
     Timeout,
+    #[error("other connections needed the memory before the handshake had ended")]
+    Shed,
     #[error("the peer's version is {0}")]
     Version(u16),
     #[error("the peer has the incarnation of this process")]
@@ -277,13 +291,27 @@
     local: Local,
     events: mpsc::Sender<E>,
 ) {
+    let pool = Pool::new("links", HANDSHAKE_LIMITS);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::debug!("event=accept_failed listener=links reason=\"{error}\"");
+                pool.shed();
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        // There is room soon: handshakes can always give way.
+        let Some(place) = pool.queue().await else {
             continue;
         };
+        pool.review();
         let (local, events) = (local.clone(), events.clone());
-        tokio::spawn(async move { establish(stream, &local, &events, None).await });
+        tokio::spawn(async move {
+            let share = place.wait().await.ok()?;
+            establish(stream, &local, &events, None, Some(share)).await
+        });
     }
 }
 
@@ -300,7 +328,8 @@
             let mut attempted_at = Instant::now();
             let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
             if let Ok(Ok(stream)) = connect.await
-                && let Some(connection) = establish(stream, &local, &events, Some(address)).await
+                && let Some(connection) =
+                    establish(stream, &local, &events, Some(address), None).await
             {
                 // The task ends with the connection, whatever its result.
                 let _ = connection.end.await;
@@ -321,15 +350,28 @@
 }
 
 /// Runs the handshake and reports the connection; returns `None` if it was refused
-/// or the process has ended.
+/// or the process has ended. The `share` of a connection that a peer has opened is held
+/// until the peer has proved its key.
 async fn establish<E: From<Event> + Send + 'static>(
     stream: TcpStream,
     local: &Local,
     events: &mpsc::Sender<E>,
     dialled: Option<SocketAddr>,
+    share: Option<Share>,
 ) -> Option<Established> {
+    let closed = async {
+        match &share {
+            Some(share) => share.closed().await,
+            None => std::future::pending().await,
+        }
+    };
     let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, perform_handshake(stream, local));
-    let session = match handshake.await.unwrap_or(Err(Refusal::Timeout)) {
+    let result = tokio::select! {
+        result = handshake => result.unwrap_or(Err(Refusal::Timeout)),
+        () = closed => Err(Refusal::Shed),
+    };
+    drop(share);
+    let session = match result {
         Ok(session) => session,
         Err(refusal) => {
             local.traffic.refused.fetch_add(1, Ordering::Relaxed);
@@ -395,7 +437,7 @@
         stream,
         activity: Arc::default(),
     };
-    let mut reader = FramedRead::new(counted, Codec::default());
+    let mut reader = FramedRead::new(counted, Codec::for_handshake());
     let own = Hello {
         number: local.last_number.fetch_add(1, Ordering::Relaxed) + 1,
         nonce: rand::random(),
@@ -425,7 +467,7 @@
     Ok(Session {
         hello,
         number,
-        reader,
+        reader: reader.map_decoder(|_| Codec::default()),
         writer,
     })
 }
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -7,6 +7,9 @@
 /// Largest frame accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
 
+/// Largest frame accepted before the peer has proved its key, in bytes.
+pub const MAX_HANDSHAKE_FRAME_BYTES: usize = 4 << 10;
+
 /// The error of a frame that could not be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -24,9 +27,20 @@
 
 impl Default for Codec {
     fn default() -> Self {
+        Self::within(MAX_FRAME_BYTES)
+    }
+}
+
+impl Codec {
+    /// Makes a codec for a handshake.
+    pub fn for_handshake() -> Self {
+        Self::within(MAX_HANDSHAKE_FRAME_BYTES)
+    }
+
+    fn within(max_frame_bytes: usize) -> Self {
         Self(
             LengthDelimitedCodec::builder()
-                .max_frame_length(MAX_FRAME_BYTES)
+                .max_frame_length(max_frame_bytes)
                 .new_codec(),
         )
     }
