Open jobs hold no more memory than a bound, by what they decode to

What callers saw: 400 bodies of 100 bytes that name 60,000 tasks each made an entry hold 266 MB of a host's 67 MB; bodies of 240 KB with 20,000 steps, 159 MB.

Cause: a job's tasks and steps take up to thousands of times the memory of its document, and open jobs were bounded in time only, those taken over from other entries too.

A job whose earlier runs may go on gets the outcome unknown instead, as from every refusal.

--- a/crates/hyssoppost/src/leased/dump.rs
+++ b/crates/hyssoppost/src/leased/dump.rs
@@ -46,6 +46,7 @@
         "configuration": configuration,
         "queued_tasks": kernel.backlog(),
         "open_jobs": kernel.open_jobs(),
+        "job_bytes": kernel.job_memory(),
         "usual_ratios": kernel.usual_ratios().collect::<BTreeMap<_, _>>(),
         "confined_queues": kernel.confined_queues().collect::<Vec<_>>(),
         "open_forwards": kernel.open_forwards(),
--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -115,6 +115,7 @@
     let mut kernel = Dispatcher::new(clock.now(), domain, timing(lease), seed);
     kernel.set_remote_factor(lease.remote_factor);
     kernel.set_processor(&settings.common.name, processor);
+    kernel.set_job_memory(settings.limits.job_bytes);
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
         pressure: Pressure::new(TICK_INTERVAL),
--- a/crates/hyssoppost/src/leased/telemetry.rs
+++ b/crates/hyssoppost/src/leased/telemetry.rs
@@ -374,6 +374,7 @@
     publish_logging();
     gauge!("hyssoppost_forwards_open").set(meter::count(kernel.open_forwards()));
     gauge!("hyssoppost_jobs_open").set(meter::count(kernel.open_jobs()));
+    gauge!("hyssoppost_job_bytes").set(meter::count(kernel.job_memory()));
     let confined = kernel.confined_queues().count();
     gauge!("hyssoppost_queues_confined").set(meter::count(confined));
     gauge!("hyssoppost_tasks_waiting").set(meter::count(kernel.backlog()));
--- a/crates/kernel/src/dispatch/admission.rs
+++ b/crates/kernel/src/dispatch/admission.rs
@@ -136,6 +136,11 @@
         std::mem::take(&mut self.parked)
     }
 
+    /// Returns the submissions of the parked jobs.
+    pub(super) fn parked_submissions(&self) -> impl Iterator<Item = &Submission> {
+        self.parked.iter().map(|parked| &parked.submission)
+    }
+
     /// Returns whether a job is parked.
     pub(super) fn has_parked(&self, job: u64) -> bool {
         let mut parked = self.parked.iter();
--- a/crates/kernel/src/dispatch/mod.rs
+++ b/crates/kernel/src/dispatch/mod.rs
@@ -27,6 +27,7 @@
 mod job;
 mod lateness;
 mod loop_lateness;
+mod memory;
 mod park;
 mod pause;
 mod peers;
@@ -63,6 +64,7 @@
 use history::History;
 use holding::Holdings;
 use loop_lateness::LoopLateness;
+use memory::Memory;
 use pause::Pause;
 use peers::Peers;
 use placement::Placement;
@@ -123,6 +125,7 @@
     pause: Pause,
     barrier: Barrier,
     accuracy: Accuracy,
+    memory: Memory,
     stats: Stats,
     actions: Vec<Action>,
     events: Vec<Event>,
@@ -153,6 +156,7 @@
             pause: Pause::new(now, timing.orphan_timeout / 2),
             barrier: Barrier::default(),
             accuracy: Accuracy::default(),
+            memory: Memory::default(),
             stats: Stats::default(),
             actions: Vec::new(),
             events: Vec::new(),
--- a/crates/kernel/src/dispatch/park.rs
+++ b/crates/kernel/src/dispatch/park.rs
@@ -23,7 +23,7 @@
             path: path.to_owned(),
             submission,
         };
-        if self.admission.expects_rules(now) {
+        if self.admission.expects_rules(now) && self.has_room_for(&parked.submission) {
             self.admission.park(parked);
         } else {
             self.refuse_parked(now, &parked);
--- a/crates/kernel/src/dispatch/serve.rs
+++ b/crates/kernel/src/dispatch/serve.rs
@@ -66,7 +66,7 @@
         arrival: Arrival,
         host: &str,
         path: &str,
-        submission: Submission,
+        mut submission: Submission,
     ) {
         let customer = arrival.customer;
         if let Some(state) = self.history.get(submission.job) {
@@ -98,6 +98,12 @@
             self.admission
                 .learn_patience(&queue.name, submission.patience, resubmit_after);
         let level = self.fairness.level(now, queue, &rules.queues);
+        let has_room = self.has_room_for(&submission);
+        if !has_room {
+            // The refusal needs neither, and the tasks would be made of them.
+            submission.steps = Vec::new();
+            submission.input = String::new();
+        }
         let mut job = Job::new(arrival.at, waited, customer, queue, level, submission);
         job.rank = job.rank_at(now);
         job.submitted.arrived = self.pause.earliest_arrival(arrival.at);
@@ -106,6 +112,11 @@
             return;
         };
         job.has_run = !holders.is_empty();
+        if !has_room {
+            self.log_refusal(now, &job, Reason::Memory, Duration::ZERO);
+            self.refuse_job(customer, &job, Reason::Memory, Duration::ZERO);
+            return;
+        }
         self.fairness.record_offer(now, &job.queue);
         if let Some(job) = self.refuse_overtaken(now, customer, job) {
             self.admit(now, arrival, job, &holders);
@@ -162,6 +173,7 @@
         self.recall_crashes(&mut job);
         let id = job.submission.job;
         let tasks = job.unblock();
+        self.charge_job(&job.submission);
         self.jobs.insert(id, job);
         for task in tasks {
             self.enqueue(task);
@@ -376,6 +388,7 @@
     /// Removes a job, stops its runs and withdraws its announcements.
     pub(super) fn drop_job(&mut self, now: Duration, job: u64) -> Option<Job> {
         let open_job = self.jobs.remove(&job)?;
+        self.release_job(&open_job.submission);
         self.remember_crashes(now, &open_job);
         for task in open_job.waiting() {
             self.placement.dequeue(&open_job, task);
