--- a/crates/hyssoppost/src/leased/entry.rs
+++ b/crates/hyssoppost/src/leased/entry.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     Error, admin,
-    budget::Pool,
+    budget::{Limits, Pool},
     clock::Clock,
     entry::registry,
     http,
@@ -26,7 +26,10 @@
     event::Event as KernelEvent,
     pressure::{Gate, MAX_TURN_CALLS, Measures, Pressure},
 };
-use platform::customer::{Operation, Response};
+use platform::{
+    customer::{Operation, Response},
+    operator::RequestLimits,
+};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -97,8 +100,9 @@
         admission.clone(),
         clock,
     );
-    let pool = Pool::new("customers", settings.limits.connections);
-    let customers = frontend::bind(&settings, pool, shared)?;
+    let limits = settings.limits;
+    let pool = Pool::new("customers", limits.connections);
+    let customers = frontend::bind(&settings, pool.clone(), shared)?;
     let readiness = frontend::bind_readiness(lease.readiness, watched.clone())?;
     let store = platform::store::Client::open(settings.store)?;
     services.spawn(rules::follow(store.clone(), clock, events.clone()));
@@ -115,7 +119,7 @@
     let mut kernel = Dispatcher::new(clock.now(), domain, timing(lease), seed);
     kernel.set_remote_factor(lease.remote_factor);
     kernel.set_processor(&settings.common.name, processor);
-    kernel.set_job_memory(settings.limits.job_bytes);
+    kernel.set_job_memory(limits.job_bytes);
     let process = Process {
         recorder: Recorder::new(settings.common.sample),
         pressure: Pressure::new(TICK_INTERVAL),
@@ -123,6 +127,8 @@
         gate_set_at: Duration::ZERO,
         published_at: Duration::ZERO,
         rules_read_at: None,
+        limits: limits.connections,
+        pool,
         clock,
         kernel,
         mesh: Mesh::new(local, events.clone(), settings.peers.clone()),
@@ -158,6 +164,20 @@
     })
 }
 
+/// Returns the limits that hold under the operators' document. It bounds what customers
+/// send, and the settings bound what the process can take.
+fn narrow(limits: Limits, document: &RequestLimits) -> Limits {
+    let bytes = |limit: usize, stated: Option<usize>| stated.map_or(limit, |most| most.min(limit));
+    let time = |limit, stated: Option<u64>| stated.map_or(limit, Duration::from_millis);
+    Limits {
+        head_bytes: bytes(limits.head_bytes, document.head_bytes),
+        body_bytes: bytes(limits.body_bytes, document.body_bytes),
+        header_timeout: time(limits.header_timeout, document.header_timeout_ms),
+        idle_timeout: time(limits.idle_timeout, document.idle_timeout_ms),
+        ..limits
+    }
+}
+
 /// Returns the processor available to the process, in thousandths of a core; 0 if it
 /// is unknown. A value out of range is reported and counts as unknown.
 fn processor(settings: &settings::Entry) -> u32 {
@@ -265,6 +285,10 @@
     published_at: Duration,
     /// When the store last returned the rules.
     rules_read_at: Option<Duration>,
+    /// Limits of the settings, which the operators' document narrows.
+    limits: Limits,
+    /// What the customers' connections hold.
+    pool: Arc<Pool>,
     clock: Clock,
     kernel: Dispatcher,
     mesh: Mesh<Event>,
@@ -360,6 +384,9 @@
             Event::Barrier(number) => self.kernel.record_barrier(now, number),
             Event::Rules(update) => {
                 self.rules_read_at = Some(now);
+                if let Some(limits) = &update.limits {
+                    self.pool.set_limits(narrow(self.limits, limits));
+                }
                 if let Some(rules) = &update.rules {
                     self.kernel.adopt(now, rules, None);
                 }
--- a/crates/hyssoppost/src/leased/rules.rs
+++ b/crates/hyssoppost/src/leased/rules.rs
@@ -2,6 +2,7 @@
 //! then on receives the changes.
 
 use crate::{clock::Clock, meter};
+use platform::operator::RequestLimits;
 use std::time::Duration;
 use store::{History, store::Listing};
 use tokio::sync::mpsc;
@@ -33,6 +34,8 @@
     /// The rules, if they have changed or are read for the first time; the last ones are
     /// the current ones otherwise.
     pub rules: Option<Rules>,
+    /// The limits of customers' requests, whenever the rules are there.
+    pub limits: Option<RequestLimits>,
     /// Revision of the store.
     pub revision: u64,
     /// When the store was asked.
@@ -104,6 +107,7 @@
                 listing.revision = changes.revision;
                 Ok(self.valid.then_some(Update {
                     rules: None,
+                    limits: None,
                     revision: changes.revision,
                     asked_at,
                 }))
@@ -122,12 +126,13 @@
     /// Decodes the listed rules; keys that hold none are logged, and the rules in force stay.
     fn decode(&mut self, asked_at: Duration) -> Option<Update> {
         let listing = self.listing.as_ref()?;
-        let rules = platform::operator::decode(listing);
+        let rules = platform::operator::decode_with_limits(listing);
         self.valid = rules.is_ok();
         match rules {
-            Ok(rules) => Some(Update {
+            Ok((rules, limits)) => Some(Update {
                 revision: rules.revision,
                 rules: Some(rules),
+                limits: Some(limits),
                 asked_at,
             }),
             Err(error) => {
