Time limits of connections wait for a review after a pause of the process

What callers would see: a process that is paused for seconds closes connections whose requests have arrived meanwhile, before it has read them.

Cause: the review of time limits may run before the first reads after a pause.

Change: a review that is late by a second counts as a pause, and closes nothing; the next one does. Two in a row are not skipped, so limits hold under load.

--- a/crates/hyssoppost/src/budget.rs
+++ b/crates/hyssoppost/src/budget.rs
@@ -28,6 +28,12 @@
 /// Longest time that a new connection waits for room.
 const QUEUE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Interval at which overdue connections are closed.
+pub const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Shortest time between two reviews that counts as a pause of the process.
+const MIN_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// The pool is used up, and no connection can give way.
 #[derive(Debug, thiserror::Error)]
 #[error("the listener's connections hold all memory that they may")]
@@ -57,6 +63,8 @@
     closing_bytes: usize,
     /// Connections closed or refused since the last log line.
     unlogged: u64,
+    reviewed_at: Instant,
+    was_paused: bool,
 }
 
 #[derive(Debug)]
@@ -148,6 +156,14 @@
         );
     }
 
+    /// Returns whether the process was paused before this review. What clients have sent
+    /// meanwhile is not read yet, so no time limit applies until the next review.
+    fn record_review(&mut self, now: Instant) -> bool {
+        let gap = now - std::mem::replace(&mut self.reviewed_at, now);
+        self.was_paused = gap >= MIN_PAUSE && !self.was_paused;
+        self.was_paused
+    }
+
     /// Changes a connection's memory by what `change` makes of it.
     fn set_bytes(&mut self, number: u64, change: impl FnOnce(usize) -> usize) {
         let Some(holder) = self.holders.get_mut(&number) else {
@@ -181,6 +197,8 @@
                 closing: 0,
                 closing_bytes: 0,
                 unlogged: 0,
+                reviewed_at: Instant::now(),
+                was_paused: false,
             }),
             freed: Notify::new(),
             pacer: Pacer::default(),
@@ -304,15 +322,19 @@
     }
 
     /// Closes the connections whose stages take too long, and reports what was closed.
+    /// To be called every [`REVIEW_INTERVAL`].
     pub fn review(&self) {
         let now = Instant::now();
         let mut state = self.lock();
         let limits = state.limits;
-        let overdue: Vec<(u64, Cause)> = state
-            .holders
-            .iter()
-            .filter_map(|(number, holder)| Some((*number, holder.overdue(now, &limits)?)))
-            .collect();
+        let overdue: Vec<(u64, Cause)> = if state.record_review(now) {
+            Vec::new()
+        } else {
+            let holders = state.holders.iter();
+            holders
+                .filter_map(|(number, holder)| Some((*number, holder.overdue(now, &limits)?)))
+                .collect()
+        };
         for (number, cause) in overdue {
             state.close(self.listener, number, cause);
         }
--- a/crates/hyssoppost/src/http.rs
+++ b/crates/hyssoppost/src/http.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Error,
-    budget::{Limits, Pool, Share, Stage},
+    budget::{Limits, Pool, REVIEW_INTERVAL, Share, Stage},
 };
 use bytes::Bytes;
 use connection::Connection;
@@ -47,9 +47,6 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Interval at which overdue connections are closed.
-const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Largest answer that is not charged, in bytes.
 const SMALL_ANSWER_BYTES: u64 = 4 << 10;
 
