Connections closed while idle are no warning; refused customers return apart

Change: such connections count in the metrics only. Customers whose bodies found no room get a pause of one to three seconds at random in place of one, so that a crowd does not come back as one.

--- a/crates/hyssoppost/src/budget.rs
+++ b/crates/hyssoppost/src/budget.rs
@@ -148,7 +148,9 @@
         self.closing += 1;
         self.closing_bytes += holder.bytes;
         holder.closed.notify_one();
-        self.unlogged += 1;
+        // Clients often leave connections open that they have no more use for.
+        let is_ordinary = holder.stage == Stage::Idle && cause == Cause::IdleTime;
+        self.unlogged += u64::from(!is_ordinary);
         count(
             "hyssoppost_connections_closed_total",
             listener,
--- a/crates/hyssoppost/src/leased/frontend.rs
+++ b/crates/hyssoppost/src/leased/frontend.rs
@@ -21,6 +21,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use wire::Payload;
 
+/// Time over which customers come back whose requests found no memory: together they would
+/// find none again.
+const RETRY_SPREAD: Duration = Duration::from_secs(3);
+
 /// Queues of the process: customers' calls wait behind all other events.
 #[derive(Debug)]
 pub(super) struct Queues {
@@ -170,7 +174,7 @@
         } else {
             Answer::Refused {
                 reason: Reason::Memory,
-                retry_after: MIN_RETRY_AFTER,
+                retry_after: RETRY_SPREAD.mul_f64(rand::random()).max(MIN_RETRY_AFTER),
             }
         };
         respond(platform::customer::encode(&answer))
