--- a/review/standin-3/fleet3.py
+++ b/review/standin-3/fleet3.py
@@ -113,16 +113,21 @@
             writer.close()
 
 
-def holds_port(process, port):
-    """Returns whether a process that this run started has a TCP socket with a local port."""
-    inodes = set()
-    for line in open("/proc/net/tcp").read().splitlines()[1:]:
-        cells = line.split()
-        if int(cells[1].split(":")[1], 16) == port:
-            inodes.add(f"socket:[{cells[9]}]")
+def socket_of(port):
+    """Returns the name, in /proc, of the connected TCP socket with a local port."""
+    local = f":{port:04X} "
+    with open("/proc/net/tcp") as table:
+        for line in table:
+            if local in line[:24] and line.split()[3] == "01":
+                return f"socket:[{line.split()[9]}]"
+    return None
+
+
+def holds(process, socket):
+    """Returns whether a process that this run started has a socket."""
     folder = f"/proc/{process.pid}/fd"
     try:
-        return any(os.readlink(f"{folder}/{number}") in inodes for number in os.listdir(folder))
+        return any(os.readlink(f"{folder}/{number}") == socket for number in os.listdir(folder))
     except OSError:
         return False
 
@@ -225,8 +230,8 @@
 class Proxy:
     """The network in front of an entry's listener for links.
 
-    While `is_cut(source)` holds for the process at the other end, bytes are held up in both
-    directions; they arrive when the cut is over, as TCP has it, unless an end has closed.
+    While `Site.cut(sender, receiver)` holds, bytes are held up; they arrive when the cut is
+    over, as TCP has it, unless an end has closed.
     """
 
     def __init__(self, site, machine, address, target):
@@ -239,12 +244,12 @@
         source = self.site.owner(writer.get_extra_info("peername")[1])
         other = None
         try:
-            while self.site.is_cut(source, self.machine):
+            while self.site.is_cut(source, self.machine) or self.site.is_cut(self.machine, source):
                 await asyncio.sleep(0.02)
                 if reader.at_eof():
                     return
             far, other = await asyncio.open_connection(*self.target)
-            pumps = [self.pump(reader, other, source), self.pump(far, writer, source)]
+            pumps = [self.pump(reader, other, source, self.machine), self.pump(far, writer, self.machine, source)]
             await asyncio.gather(*pumps)
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -253,10 +258,10 @@
                 if end is not None:
                     end.transport.abort()
 
-    async def pump(self, reader, writer, source):
+    async def pump(self, reader, writer, sender, receiver):
         while True:
             data = await reader.read(65536)
-            while self.site.is_cut(source, self.machine):
+            while self.site.is_cut(sender, receiver):
                 await asyncio.sleep(0.01)
             if not data:
                 raise ConnectionResetError
@@ -507,11 +512,12 @@
 
     def owner(self, port):
         """Returns the machine whose process has a TCP socket with a local port."""
+        socket = socket_of(port)
         machines = [machine for machine in self.entries + self.sides if machine.process is not None]
-        return next((machine for machine in machines if holds_port(machine.process, port)), None)
+        return next((machine for machine in machines if socket and holds(machine.process, socket)), None)
 
-    def is_cut(self, one, other):
-        return self.cut is not None and self.cut(one, other)
+    def is_cut(self, sender, receiver):
+        return self.cut is not None and self.cut(sender, receiver)
 
     def began(self, worker, task, attempt):
         others = self.open.setdefault(task, {})
@@ -572,7 +578,7 @@
     def cut_store(self, machine):
         """Cuts a machine off from the store, silently, until the returned function is called."""
         self.record(f"{machine.name} is cut off from the store")
-        self.store.server.is_cut = lambda port: holds_port(machine.process, port)
+        self.store.server.is_cut = lambda port: holds(machine.process, socket_of(port))
 
         def heal():
             self.store.server.is_cut = lambda port: False
