--- a/review/standin-3/fleet3.py
+++ b/review/standin-3/fleet3.py
@@ -623,7 +623,7 @@
             code = 1 if broken else 0
             place.record(f"broken: {broken}" if broken else "held")
             print(f"broken: {broken}" if broken else "held")
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        except (CannotRun, OSError, asyncio.CancelledError, asyncio.TimeoutError) as error:
             print(f"could not run: {error!r}")
         finally:
             await place.close()
