--- a/review/standin-3/fleet3.py
+++ b/review/standin-3/fleet3.py
@@ -586,8 +586,8 @@
 
         return heal
 
-    async def submit(self, entry, job, ms=200, count=2, cpu=6200, deadline_ms=1500, timeout=None, prefix=None, steps=1):
-        phase = dict(count=count, cpu=cpu, ram_mb=64, estimate_ms=ms)
+    async def submit(self, entry, job, ms=200, count=2, cpu=6200, deadline_ms=1500, timeout=None, prefix=None, steps=1, label=None):
+        phase = dict(count=count, cpu=cpu, ram_mb=64, estimate_ms=ms, **({"selectors": label} if label else {}))
         phases = [dict(phase, after=[step - 1]) if step else phase for step in range(steps)]
         document = dict(spec=json.dumps(dict(ms=ms, job=job)), phases=phases, best_effort=True)
         headers = [("Host", self.host), ("X-Deadline-Ms", deadline_ms)]
