--- a/review/standin-3/fleet3.py
+++ b/review/standin-3/fleet3.py
@@ -2,7 +2,7 @@
 
 They follow PROTOCOL.md and DEPLOY.md. Everything listens on loopback addresses of one run.
 """
-import asyncio, base64, ctypes, json, os, random, re, shutil, signal, sys, tempfile, time
+import asyncio, base64, ctypes, json, os, random, re, shutil, signal, socket, struct, sys, tempfile, time
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -108,6 +108,13 @@
         return await asyncio.wait_for(exchange(), timeout)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
         return None
+    except asyncio.CancelledError:
+        if writer is not None:
+            # The connection is reset.
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        raise
     finally:
         if writer is not None:
             writer.close()
@@ -128,11 +135,11 @@
     return None
 
 
-def holds(process, socket):
+def holds(process, name):
     """Returns whether a process that this run started has a socket."""
     folder = f"/proc/{process.pid}/fd"
     try:
-        return any(os.readlink(f"{folder}/{number}") == socket for number in os.listdir(folder))
+        return any(os.readlink(f"{folder}/{number}") == name for number in os.listdir(folder))
     except OSError:
         return False
 
@@ -328,9 +335,13 @@
     async def expire(self):
         while True:
             await asyncio.sleep(0.005)
-            if self.running and self.clock() > self.deadline:
-                for task in list(self.running):
-                    self.end(task, "lapsed")
+            self.lapse()
+
+    def lapse(self):
+        """Kills everything if the lease has expired."""
+        if self.up and self.running and self.clock() > self.deadline:
+            for task in list(self.running):
+                self.end(task, "lapsed")
 
     def renew(self, deadline):
         if deadline:
@@ -357,6 +368,8 @@
             return 200, None
         call = json.loads(body)
         delay = self.silent(target, call)
+        if target in ("/v1/run-start", "/v1/run-stop"):
+            self.site.orders[bool(delay)] += 1
         if delay:
             self.site.record(f"worker {self.machine.name} leaves unanswered {target} {call.get('task', '')}/{call.get('attempt', '')}")
             if delay is not True:
@@ -442,7 +455,7 @@
         if edge:
             addresses.update(frontend=f"{self.ip}:{FRONTEND}", readiness=f"{self.ip}:{READINESS}")
         return dict(
-            node_name=self.name, zone=self.zone, region="ro-nord", ip=self.ip, internal_ports=[7720, ADMIN],
+            node_name=self.name, zone=self.zone, region=self.site.region, ip=self.ip, internal_ports=[7720, ADMIN],
             seeds=self.site.seeds(), heartbeat_ms=self.site.heartbeat_ms, bind_addrs=addresses, bounds=BOUNDS,
             platform=dict(address=f"{self.site.net}.250:8169"), app=f"{self.ip}:{APP}", service=self.site.service,
             limits=dict(memory_mb=260 if edge else 128, max_fds=4096, cpu_quota=self.processor),
@@ -497,13 +510,13 @@
 
 
 class Site:
-    def __init__(self, folder, entries=3, sides=6, zones=("nord-a", "nord-b", "nord-c"), processors=None, proxies=False):
+    def __init__(self, folder, entries=3, sides=6, zones=("nord-a", "nord-b", "nord-c"), processors=None, proxies=False, labels=None):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-3-")
         # Every run has addresses of its own, so that the ports of a deployment are free on them.
         self.net = f"127.{random.randint(20, 200)}.{random.randint(1, 250)}"
         self.service, self.host, self.prefix = "huvo11a", "nony24.example", "/lohu930/"
-        self.heartbeat_ms = 1500
+        self.heartbeat_ms, self.region = 1500, "jadran" if "split" in zones else "ro-nord"
         self.entries = [
             Machine(self, f"edge-{zones[i % len(zones)]}-{i // len(zones) + 1}", "entry", zones[i % len(zones)], 1 + i,
                     (processors or [0.25] * entries)[i]) for i in range(entries)
@@ -512,9 +525,13 @@
             Machine(self, f"side-{zones[i % len(zones)]}-{i // len(zones) + 1}", "side", zones[i % len(zones)], 50 + i)
             for i in range(sides)
         ]
-        self.workers = [Worker(self, side, labels=["a", f"r-{i // 3}"]) for i, side in enumerate(self.sides)]
+        kinds = labels or ["a"] * sides
+        self.workers = [Worker(self, side, labels=[kinds[i], f"r-{i // 3}"]) for i, side in enumerate(self.sides)]
         self.store = Store((f"{self.net}.250", 8169))
         self.starts, self.open, self.overlaps, self.cut = [], {}, [], None
+        # Orders that workers got, and those of them that they left unanswered.
+        self.orders = {False: 0, True: 0}
+        self.misses = {entry.name: 0 for entry in self.entries}
         if proxies:
             for number, entry in enumerate(self.entries):
                 address = (f"{self.net}.{200 + number}", CONTROL)
@@ -527,14 +544,16 @@
 
     def owner(self, port):
         """Returns the machine whose process has a TCP socket with a local port."""
-        socket = socket_of(port)
+        name = socket_of(port)
         machines = [machine for machine in self.entries + self.sides if machine.process is not None]
-        return next((machine for machine in machines if socket and holds(machine.process, socket)), None)
+        return next((machine for machine in machines if name and holds(machine.process, name)), None)
 
     def is_cut(self, sender, receiver):
         return self.cut is not None and self.cut(sender, receiver)
 
     def began(self, worker, task, attempt):
+        for other in self.workers:
+            other.lapse()
         others = self.open.setdefault(task, {})
         for other in others:
             self.overlaps.append((self.record.now(), task, other.machine.name, worker.machine.name))
@@ -567,6 +586,7 @@
         for machine in self.entries + self.sides:
             await machine.start()
         await self.until_ready()
+        self.prober = asyncio.create_task(self.probe())
 
     async def until_ready(self, timeout=15.0):
         until = time.monotonic() + timeout
@@ -580,6 +600,21 @@
                 await asyncio.sleep(0.1)
         await asyncio.sleep(2.0)
 
+    async def probe(self):
+        """Asks each entry once a second whether it is ready, as the platform does."""
+
+        async def ask(entry):
+            answer = await call((entry.ip, READINESS), "GET", "/v1/readyz", timeout=0.5)
+            self.misses[entry.name] = 0 if answer and answer[0] == 200 else self.misses[entry.name] + 1
+
+        while True:
+            await asyncio.gather(*map(ask, self.entries), asyncio.sleep(1.0))
+
+    def check_rotation(self, entry):
+        """The platform opens no new connection to a node after two misses."""
+        if self.misses[entry.name] >= 2:
+            raise CannotRun(f"{entry.name} is out of rotation")
+
     async def close(self):
         for machine in self.entries + self.sides:
             if machine.process is not None and machine.process.returncode is None:
@@ -606,12 +641,14 @@
         phases = [dict(phase, after=[step - 1]) if step else phase for step in range(steps)]
         document = dict(spec=json.dumps(dict(ms=ms, job=job)), phases=phases, best_effort=True)
         headers = [("Host", self.host), ("X-Deadline-Ms", deadline_ms)]
+        self.check_rotation(entry)
         self.record(f"POST {job} to {entry.name}")
         answer = await call((entry.ip, FRONTEND), "POST", (prefix or self.prefix) + job, document, headers, timeout or deadline_ms / 1e3)
         self.record(f"POST {job} at {entry.name} -> {answer}")
         return answer
 
     async def cancel(self, entry, job):
+        self.check_rotation(entry)
         self.record(f"DELETE {job} to {entry.name}")
         answer = await call((entry.ip, FRONTEND), "DELETE", self.prefix + job, headers=[("Host", self.host)])
         self.record(f"DELETE {job} at {entry.name} -> {answer}")
